--- /dev/null
+++ b/cmd/masticbank/main.go
@@ -0,0 +1,28 @@
+// Command masticbank runs one entry instance of the router.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+type cli struct {
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	_, err := os.Stdout.WriteString(version + "\n")
+	return err
+}
+
+func main() {
+	ctx := kong.Parse(&cli{}, kong.Name("masticbank"), kong.Description("Router for model pipelines over mixed accelerators."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
