Stand-ins: engine with a layer range, service, instance list, weight store, fleet

Cause: the first request needs upstreams whose output tells a wrong pipeline. Each layer folds its input into a running state, so a skipped, repeated or swapped layer changes the token; engines and a ledger over the fleet refuse and record gaps and repeats. Not yet: tests of slots, resends while running, answer faults, hangs, orders.

--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,114 @@
+// Package engine is a small stand-in for a model engine that holds a range of
+// layers. Its answers depend on every layer having run exactly once for each
+// token, in order, so that a test can tell a wrong pipeline by its output.
+package engine
+
+import (
+	"net/http"
+	"sync"
+
+	"masticbank.example/node/wire"
+	"masticbank.example/standin/fault"
+)
+
+const (
+	finishLength = "length"
+	finishStop   = "stop"
+	// maxEnded bounds the ended attempts that are remembered.
+	maxEnded = 4096
+)
+
+// Engine is one replica. It is an http.Handler, safe for concurrent use.
+type Engine struct {
+	options Options
+	clock   Clock
+	mux     *http.ServeMux
+
+	mu        sync.Mutex
+	held      wire.EngineState
+	sequences map[attemptKey]*sequence
+	ended     map[attemptKey]*sequence
+	endedFIFO []attemptKey
+	running   int
+	waiting   waitQueue
+	cache     *prefixCache
+	reports   reportHistory
+	faults    faultState
+	network   Network
+	ledger    *Ledger
+	sweeping  bool
+
+	violations []Violation
+	runs       int
+}
+
+// Violation is a step that did not follow the last one of its attempt.
+type Violation struct {
+	Engine    string
+	RequestID string
+	Attempt   int
+	Position  int
+	// Code is wire.CodeGap or wire.CodeRepeat.
+	Code   string
+	Detail string
+}
+
+// New returns an engine that holds the layers of its options.
+func New(o Options) *Engine {
+	o = o.withDefaults()
+	e := &Engine{
+		options:   o,
+		clock:     o.Clock,
+		sequences: make(map[attemptKey]*sequence),
+		ended:     make(map[attemptKey]*sequence),
+		cache:     newPrefixCache(o),
+		faults:    newFaultState(),
+		held: wire.EngineState{
+			Model: o.Model, Version: o.Version,
+			FirstLayer: o.FirstLayer, LastLayer: o.LastLayer,
+			Fencing: o.Fencing,
+		},
+	}
+	e.mux = http.NewServeMux()
+	e.mux.HandleFunc("POST "+wire.PathStep, e.serveStep)
+	e.mux.HandleFunc("POST "+wire.PathCancel, e.serveCancel)
+	e.mux.HandleFunc("GET "+wire.PathLoad, e.serveLoad)
+	e.mux.HandleFunc("GET "+wire.PathProbe, e.serveProbe)
+	e.mux.HandleFunc("GET "+wire.PathCacheEvents, e.serveCacheEvents)
+	e.mux.HandleFunc("POST "+wire.PathOrder, e.serveOrder)
+	e.mux.HandleFunc("GET "+wire.PathState, e.serveState)
+	e.mux.HandleFunc("POST "+fault.Path, e.serveFault)
+	return e
+}
+
+// ServeHTTP serves the paths of an engine in package wire and fault.Path.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != fault.Path {
+		e.passFaults(r)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Options returns the options that the engine was created with.
+func (e *Engine) Options() Options { return e.options }
+
+// Violations returns every gap and repeat seen so far.
+func (e *Engine) Violations() []Violation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Violation(nil), e.violations...)
+}
+
+// Runs returns the number of steps that ran.
+func (e *Engine) Runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs
+}
+
+// State returns what the engine holds.
+func (e *Engine) State() wire.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
+}
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/wire"
+	"masticbank.example/standin/fault"
+)
+
+func post(t *testing.T, address, path string, message, out any) (int, error) {
+	t.Helper()
+	body, err := json.Marshal(message)
+	require.NoError(t, err)
+	response, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if out != nil {
+		err = json.NewDecoder(response.Body).Decode(out)
+	}
+	return response.StatusCode, err
+}
+
+// chain returns one engine instance for each of the given first layers.
+func chain(f *Fleet, firsts ...int) []wire.Instance {
+	var out []wire.Instance
+	for _, first := range firsts {
+		for _, i := range f.Instances().Visible() {
+			if i.Role == wire.RoleEngine && i.FirstLayer == first {
+				out = append(out, i)
+				break
+			}
+		}
+	}
+	return out
+}
+
+func TestPipelineOverDevFleet(t *testing.T) {
+	f, err := Start(Dev())
+	require.NoError(t, err)
+	defer f.Close()
+	const n = 3
+	var tokens []wire.Token
+	for len(tokens) < n {
+		req := wire.StepRequest{
+			RequestID: "r", Attempt: 1, Position: len(tokens), Model: "dev", Version: "1",
+			Prefill: len(tokens) == 0, CoveredTokens: 1, MaxTokens: n,
+		}
+		if req.Prefill {
+			req.Prompt = "hello"
+		} else {
+			req.Tokens = []int{tokens[len(tokens)-1].ID}
+		}
+		for _, stage := range chain(f, 0, 4, 9) {
+			req.FirstLayer, req.LastLayer = stage.FirstLayer, stage.LastLayer
+			var response wire.StepResponse
+			status, err := post(t, stage.Address, wire.PathStep, req, &response)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			req.Prompt, req.Tokens, req.Hidden = "", nil, response.Hidden
+			if response.Token != nil {
+				tokens = append(tokens, *response.Token)
+			}
+		}
+	}
+	require.Equal(t, f.Expected("dev", "hello", n), tokens)
+	require.Empty(t, f.Violations())
+}
+
+// A crashed engine refuses connections until it is restored.
+func TestCrashAndRestoreThroughControl(t *testing.T) {
+	f, err := Start(Dev())
+	require.NoError(t, err)
+	defer f.Close()
+	engine := chain(f, 0)[0]
+	crash := fault.Fault{Instance: engine.ID, Kind: fault.Crash}
+	status, err := post(t, f.Addresses().Control, fault.Path, crash, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, status)
+
+	_, err = http.Get("http://" + engine.Address + wire.PathProbe)
+	require.ErrorContains(t, err, "refused")
+
+	restore := fault.Fault{Instance: engine.ID, Kind: fault.Restore}
+	_, err = post(t, f.Addresses().Control, fault.Path, restore, nil)
+	require.NoError(t, err)
+	response, err := http.Get("http://" + engine.Address + wire.PathProbe)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
