Stand-ins: tests of batching, resends, faults, orders and lag

Cause: later tests lean on these fakes, so their own behaviour is proved first. Two faults found: a report one lag old showed the state before its last change, and a prefill abandoned in the queue could not be sent again.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -69,6 +69,7 @@
 			Fencing: o.Fencing,
 		},
 	}
+	e.noteLoad()
 	e.mux = http.NewServeMux()
 	e.mux.HandleFunc("POST "+wire.PathStep, e.serveStep)
 	e.mux.HandleFunc("POST "+wire.PathCancel, e.serveCancel)
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -119,7 +119,6 @@
 	case fault.Slow:
 		state.factor = f.Factor
 	case fault.Leaving:
-		e.noteLoad()
 		state.leaving = true
 	case fault.Poison:
 		state.poison = f.Text
@@ -128,6 +127,7 @@
 	default:
 		return 0, fmt.Errorf("%w %q", fault.ErrUnknown, f.Kind)
 	}
+	e.noteLoad()
 	state.revision++
 	return state.revision, nil
 }
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -46,17 +46,16 @@
 	select {
 	case <-s.done:
 	case <-r.Context().Done():
+		e.leave(s)
+		panic(http.ErrAbortHandler)
 	}
 	e.leave(s)
 	e.passFaults(r)
-	switch {
-	case !s.isDone():
-		panic(http.ErrAbortHandler)
-	case s.refusal != nil:
+	if s.refusal != nil {
 		writeRefusal(w, s.refusal)
-	default:
-		e.answer(w, *s.response)
+		return
 	}
+	e.answer(w, *s.response)
 }
 
 // answer writes a step's response, with the answer faults that are on.
--- a/standin/engine/report.go
+++ b/standin/engine/report.go
@@ -19,10 +19,12 @@
 // snapshotsPerLag is the number of reports kept within one report lag.
 const snapshotsPerLag = 4
 
-// add notes the load that holds from at on.
+// add notes the load that holds from at on. Loads that follow each other
+// quickly share one entry, so that the lag may be shorter by a quarter.
 func (h *reportHistory) add(at time.Time, lag time.Duration, report wire.LoadReport) {
 	n := len(h.entries)
 	if n > 0 && at.Sub(h.entries[n-1].at) < lag/snapshotsPerLag {
+		h.entries[n-1].report = report
 		return
 	}
 	if n > 2*snapshotsPerLag {
@@ -31,17 +33,18 @@
 	h.entries = append(h.entries, timedReport{at: at, report: report})
 }
 
-// before returns the newest report that is not younger than at.
-func (h *reportHistory) before(at time.Time) (wire.LoadReport, bool) {
-	for i := len(h.entries) - 1; i >= 0; i-- {
+// before returns the newest report that is not younger than at, else the
+// oldest one.
+func (h *reportHistory) before(at time.Time) wire.LoadReport {
+	for i := len(h.entries) - 1; i > 0; i-- {
 		if !h.entries[i].at.After(at) {
-			return h.entries[i].report, true
+			return h.entries[i].report
 		}
 	}
-	return wire.LoadReport{}, false
+	return h.entries[0].report
 }
 
-// noteLoad keeps the present load before it changes. The caller holds e.mu.
+// noteLoad keeps the load after a change. The caller holds e.mu.
 func (e *Engine) noteLoad() {
 	if e.options.ReportLag > 0 {
 		e.reports.add(e.clock.Now(), e.options.ReportLag, e.load())
@@ -63,11 +66,8 @@
 func (e *Engine) LoadReport() wire.LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.load()
-	e.noteLoad()
-	old, ok := e.reports.before(e.clock.Now().Add(-e.options.ReportLag))
-	if e.options.ReportLag <= 0 || !ok {
-		return now
+	if e.options.ReportLag <= 0 {
+		return e.load()
 	}
-	return old
+	return e.reports.before(e.clock.Now().Add(-e.options.ReportLag))
 }
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -81,7 +81,6 @@
 
 // release forgets a sequence and frees its slot. The caller holds e.mu.
 func (e *Engine) release(s *sequence) {
-	e.noteLoad()
 	delete(e.sequences, s.key)
 	if s.slot {
 		s.slot = false
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -133,7 +133,6 @@
 	case e.running >= e.options.Slots && e.waiting.len() >= e.options.MaxWaiting:
 		return nil, refuse(wire.CodeOverloaded, "the queue is full")
 	}
-	e.noteLoad()
 	layers := e.held.LastLayer - e.held.FirstLayer + 1
 	s.seq = &sequence{
 		key: key, start: s.req.Position, steps: []*step{s},
@@ -157,6 +156,7 @@
 		s.cached = min(e.cache.hit(s.input.blocks), max(s.req.CoveredTokens-1, 0))
 		e.start(s, e.prefillTime(s))
 	}
+	e.noteLoad()
 }
 
 func (e *Engine) prefillTime(s *step) time.Duration {
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -95,3 +96,40 @@
 	require.Equal(t, http.StatusNoContent, response.StatusCode)
 	require.NoError(t, response.Body.Close())
 }
+
+// An ordered engine fetches the weights and then holds the new range.
+func TestOrderLoadsWeights(t *testing.T) {
+	f, err := Start(Dev())
+	require.NoError(t, err)
+	defer f.Close()
+	target := chain(f, 0)[0]
+	order := wire.Order{Fence: 1, Model: "dev", Version: "1", FirstLayer: 4, LastLayer: 8}
+	var answer wire.OrderResponse
+	_, err = post(t, target.Address, wire.PathOrder, order, &answer)
+	require.NoError(t, err)
+	require.True(t, answer.Accepted)
+	require.Eventually(t, func() bool { return !f.Engines()[0].State().Loading }, 5*time.Second, time.Millisecond)
+	require.Equal(t, 4, f.Engines()[0].State().FirstLayer)
+	require.Equal(t, 1, f.Weights().Counts().Loads)
+}
+
+// The fleets of both users have ranges for every layer and the stated sizes.
+func TestRegionSpecs(t *testing.T) {
+	for _, spec := range []Spec{Asistente(), Apuntador()} {
+		replicas, covered := 0, map[int]bool{}
+		zones := map[string]bool{}
+		for _, r := range spec.Models[0].Ranges {
+			replicas += len(r.Zones)
+			for l := r.First; l <= r.Last; l++ {
+				covered[l] = true
+			}
+			for _, zone := range r.Zones {
+				zones[zone] = true
+			}
+		}
+		require.Equal(t, 40, replicas)
+		require.Len(t, covered, spec.Models[0].Layers)
+		require.Len(t, zones, 3)
+		require.Len(t, spec.Services[0].Zones, 3)
+	}
+}
--- a/standin/fleet/spec.go
+++ b/standin/fleet/spec.go
@@ -88,15 +88,15 @@
 // Kinds of accelerators of the stand-in fleets, from fast to slow.
 var (
 	acceleratorL = Accelerator{
-		Name: "l", Slots: 16, StepPerLayer: 400 * time.Microsecond,
+		Name: "l", Slots: 8, StepPerLayer: 1200 * time.Microsecond,
 		PrefillTokensPerSecond: 160_000, CacheBlocks: 1024,
 	}
 	acceleratorM = Accelerator{
-		Name: "m", Slots: 12, StepPerLayer: 700 * time.Microsecond,
+		Name: "m", Slots: 6, StepPerLayer: 1800 * time.Microsecond,
 		PrefillTokensPerSecond: 90_000, CacheBlocks: 512,
 	}
 	acceleratorS = Accelerator{
-		Name: "s", Slots: 8, StepPerLayer: 1200 * time.Microsecond,
+		Name: "s", Slots: 4, StepPerLayer: 3 * time.Millisecond,
 		PrefillTokensPerSecond: 50_000, CacheBlocks: 256,
 	}
 )
