--- /dev/null
+++ b/node/config/load.go
@@ -0,0 +1,130 @@
+// Package config reads the operators' configuration from a folder of INI
+// files, merged in the order of their names: a later file replaces single keys
+// of an earlier one.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"masticbank.example/core/config"
+)
+
+// maxFileBytes is the largest configuration file accepted.
+const maxFileBytes = 4 << 20
+
+// Error is an invalid configuration value.
+type Error struct {
+	File    string
+	Section string
+	Key     string
+	Reason  string
+}
+
+// Error returns file, section, key and reason in one line.
+func (e *Error) Error() string {
+	if e.Section == "" {
+		return fmt.Sprintf("%s: %s", e.File, e.Reason)
+	}
+	return fmt.Sprintf("%s: section [%s] key %q: %s", e.File, e.Section, e.Key, e.Reason)
+}
+
+// File is one named source of configuration.
+type File struct {
+	Name string
+	Data []byte
+}
+
+// LoadDir reads every *.ini file in dir, merges and validates them. The error
+// is an *Error.
+func LoadDir(dir string) (*config.Config, error) {
+	names, err := filepath.Glob(filepath.Join(dir, "*.ini"))
+	if err != nil {
+		return nil, &Error{File: dir, Reason: err.Error()}
+	}
+	if len(names) == 0 {
+		return nil, &Error{File: dir, Reason: "holds no *.ini file"}
+	}
+	files := make([]File, 0, len(names))
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, &Error{File: name, Reason: err.Error()}
+		}
+		files = append(files, File{Name: filepath.Base(name), Data: data})
+	}
+	return Merge(files)
+}
+
+// Merge merges files in the order of their names and validates the result.
+// The error is an *Error.
+func Merge(files []File) (*config.Config, error) {
+	files = slices.Clone(files)
+	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	m := merged{sections: map[string]map[string]value{}}
+	for _, f := range files {
+		if err := m.add(f); err != nil {
+			return nil, err
+		}
+	}
+	cfg, err := m.build()
+	if err != nil {
+		return nil, err
+	}
+	if err := cfg.Validate(); err != nil {
+		return nil, m.locate(err)
+	}
+	return cfg, nil
+}
+
+// value is the text of one key and the file that set it last.
+type value struct {
+	text string
+	file string
+}
+
+type merged struct {
+	sections map[string]map[string]value
+}
+
+func (m *merged) add(f File) error {
+	if len(f.Data) > maxFileBytes {
+		return &Error{File: f.Name, Reason: fmt.Sprintf("is larger than %d bytes", maxFileBytes)}
+	}
+	parsed, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, f.Data)
+	if err != nil {
+		return &Error{File: f.Name, Reason: err.Error()}
+	}
+	for _, sec := range parsed.Sections() {
+		for _, key := range sec.Keys() {
+			if m.sections[sec.Name()] == nil {
+				m.sections[sec.Name()] = map[string]value{}
+			}
+			m.sections[sec.Name()][key.Name()] = value{text: strings.TrimSpace(key.String()), file: f.Name}
+		}
+	}
+	return nil
+}
+
+// locate adds the file to a validation error.
+func (m *merged) locate(err error) error {
+	var fe *config.FieldError
+	if !errors.As(err, &fe) {
+		return &Error{File: "configuration", Reason: err.Error()}
+	}
+	file := "configuration"
+	if v, ok := m.sections[fe.Section][fe.Key]; ok {
+		file = v.file
+	} else {
+		for _, v := range m.sections[fe.Section] {
+			file = v.file
+		}
+	}
+	return &Error{File: file, Section: fe.Section, Key: fe.Key, Reason: fe.Reason}
+}
--- /dev/null
+++ b/node/config/load_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const base = `
+[rank.urgent]
+priority = 0
+min_share = 0.5
+[rank.least]
+priority = 2
+[model.m]
+layers = 4
+[workspace.w]
+default_rank = least
+key_sha256 = 0000000000000000000000000000000000000000000000000000000000000001
+`
+
+func TestMergeByName(t *testing.T) {
+	cfg, err := Merge([]File{
+		{Name: "20.ini", Data: []byte("[workspace.w]\nweight = 3\n")},
+		{Name: "10.ini", Data: []byte(base + "weight = 2\n")},
+	})
+	require.NoError(t, err)
+	require.Equal(t, 3.0, cfg.Workspaces["w"].Weight)
+	require.Equal(t, "least", cfg.Workspaces["w"].DefaultRank)
+	require.Equal(t, "urgent", cfg.Ranks[0].Name)
+}
+
+func TestMergeErrors(t *testing.T) {
+	cases := []struct{ add, want string }{
+		{"[workspace.w]\nwieght = 1\n", `90.ini: section [workspace.w] key "wieght": unknown key`},
+		{"[workspaces]\nw = 1\n", `90.ini: section [workspaces] key "w": unknown section`},
+		{"[workspace.w]\nweight = -1\n", `90.ini: section [workspace.w] key "weight": must be positive`},
+		{"[workspace.w]\nweight = NaN\n", `90.ini: section [workspace.w] key "weight": "NaN" is not a number`},
+		{"[rank.urgent]\ndeadline = soon\n", `90.ini: section [rank.urgent] key "deadline": "soon" is not a duration such as 500ms or 2s`},
+	}
+	for _, tc := range cases {
+		_, err := Merge([]File{{Name: "10.ini", Data: []byte(base)}, {Name: "90.ini", Data: []byte(tc.add)}})
+		require.EqualError(t, err, tc.want)
+	}
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte(base), []byte("[limits]\nmax_queued = 3\n"))
+	f.Add([]byte("[rank.x]\n"), []byte("a = b"))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		x, errX := Merge([]File{{Name: "1.ini", Data: a}, {Name: "2.ini", Data: b}})
+		y, errY := Merge([]File{{Name: "2.ini", Data: b}, {Name: "1.ini", Data: a}})
+		require.Equal(t, errX == nil, errY == nil)
+		require.Equal(t, x, y)
+		if errX == nil {
+			require.NoError(t, x.Validate())
+		}
+	})
+}
