--- /dev/null
+++ b/node/engine/httpjson/client.go
@@ -0,0 +1,208 @@
+// Package httpjson calls model engines that speak the JSON messages of package
+// wire over HTTP/1.1.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	idleTimeout = 90 * time.Second
+	// idlePerEngine bounds the idle connections kept to one engine.
+	idlePerEngine = 64
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 16 << 20
+)
+
+// Client implements engine.Client.
+type Client struct {
+	mu         sync.Mutex
+	transports map[string]*http.Transport // by address
+}
+
+var _ engine.Client = (*Client)(nil)
+
+// New returns a client without connections.
+func New() *Client {
+	return &Client{transports: map[string]*http.Transport{}}
+}
+
+// Step implements engine.Client.
+func (c *Client) Step(ctx context.Context, t engine.Target, r *wire.StepRequest) (*wire.StepResponse, error) {
+	out := &wire.StepResponse{}
+	return out, c.call(ctx, c.transport(t), http.MethodPost, t, wire.PathStep, r, out)
+}
+
+// Cancel implements engine.Client.
+func (c *Client) Cancel(ctx context.Context, t engine.Target, r *wire.CancelRequest) error {
+	return c.call(ctx, c.transport(t), http.MethodPost, t, wire.PathCancel, r, nil)
+}
+
+// Load implements engine.Client.
+func (c *Client) Load(ctx context.Context, t engine.Target) (*wire.LoadReport, error) {
+	out := &wire.LoadReport{}
+	return out, c.call(ctx, c.transport(t), http.MethodGet, t, wire.PathLoad, nil, out)
+}
+
+// Probe implements engine.Client.
+func (c *Client) Probe(ctx context.Context, t engine.Target) error {
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	defer fresh.CloseIdleConnections()
+	return c.call(ctx, fresh, http.MethodGet, t, wire.PathProbe, nil, nil)
+}
+
+// CacheEvents implements engine.Client.
+func (c *Client) CacheEvents(ctx context.Context, t engine.Target, from uint64) (*wire.CacheEvents, error) {
+	out := &wire.CacheEvents{}
+	path := fmt.Sprintf("%s?from=%d", wire.PathCacheEvents, from)
+	return out, c.call(ctx, c.transport(t), http.MethodGet, t, path, nil, out)
+}
+
+// Order implements engine.Client.
+func (c *Client) Order(ctx context.Context, t engine.Target, o *wire.Order) (*wire.OrderResponse, error) {
+	out := &wire.OrderResponse{}
+	return out, c.call(ctx, c.transport(t), http.MethodPost, t, wire.PathOrder, o, out)
+}
+
+// State implements engine.Client.
+func (c *Client) State(ctx context.Context, t engine.Target) (*wire.EngineState, error) {
+	out := &wire.EngineState{}
+	return out, c.call(ctx, c.transport(t), http.MethodGet, t, wire.PathState, nil, out)
+}
+
+// ReplaceConnections implements engine.Client.
+func (c *Client) ReplaceConnections(t engine.Target) {
+	c.Forget(t)
+}
+
+// Forget implements engine.Client.
+func (c *Client) Forget(t engine.Target) {
+	c.mu.Lock()
+	tr := c.transports[t.Address]
+	delete(c.transports, t.Address)
+	c.mu.Unlock()
+	if tr != nil {
+		tr.CloseIdleConnections()
+	}
+}
+
+func (c *Client) transport(t engine.Target) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tr, ok := c.transports[t.Address]
+	if !ok {
+		tr = &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: idlePerEngine,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}
+		c.transports[t.Address] = tr
+	}
+	return tr
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, network, address)
+}
+
+// call sends one request and decodes its answer. The body is not replayable,
+// so that the transport never sends a call twice on its own.
+func (c *Client) call(ctx context.Context, tr *http.Transport, method string, t engine.Target, path string, in, out any) error {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := newRequest(ctx, method, "http://"+t.Address+path, in)
+	if err != nil {
+		return &engine.CallError{Proof: engine.ProofNotSent, Code: engine.CodeProtocol, Err: err}
+	}
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return failure(ctx, err, connected.Load())
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return failure(ctx, err, true)
+	}
+	return decode(resp.StatusCode, data, out)
+}
+
+func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	if in == nil {
+		return http.NewRequestWithContext(ctx, method, url, nil)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
+
+func failure(ctx context.Context, err error, connected bool) error {
+	ce := &engine.CallError{Proof: engine.ProofNone, Code: engine.CodeConnection, Err: err}
+	if !connected {
+		ce.Proof = engine.ProofNotSent
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		ce.Code = engine.CodeTimeout
+	case ctx.Err() != nil:
+		ce.Code = engine.CodeCancelled
+	}
+	return ce
+}
+
+// refusals are the codes by which an engine states that nothing ran.
+var refusals = map[string]bool{
+	wire.CodeLeaving:        true,
+	wire.CodeOverloaded:     true,
+	wire.CodeWrongRange:     true,
+	wire.CodeGap:            true,
+	wire.CodeUnknownAttempt: true,
+	wire.CodeMalformed:      true,
+}
+
+func decode(status int, data []byte, out any) error {
+	if status < http.StatusBadRequest {
+		if out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(data, out); err != nil {
+			return &engine.CallError{Code: engine.CodeProtocol, Err: err}
+		}
+		return nil
+	}
+	var body wire.ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return &engine.CallError{Code: engine.CodeProtocol, Err: fmt.Errorf("status %d: %w", status, err)}
+	}
+	ce := &engine.CallError{Code: body.Code, Err: errors.New(body.Message)}
+	if refusals[body.Code] {
+		ce.Proof = engine.ProofRefused
+	}
+	return ce
+}
--- /dev/null
+++ b/node/httpserver/answer.go
@@ -0,0 +1,18 @@
+package httpserver
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+)
+
+// rawAnswer encodes an answer outside of nbhttp's response writer, which needs
+// a parsed request.
+func rawAnswer(status int, body []byte) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	fmt.Fprintf(&b, "Content-Type: application/json\r\nContent-Length: %d\r\n", len(body))
+	fmt.Fprintf(&b, "X-Masticbank-Execution: not_run\r\nConnection: close\r\n\r\n")
+	b.Write(body)
+	return b.Bytes()
+}
--- /dev/null
+++ b/node/httpserver/server.go
@@ -0,0 +1,235 @@
+// Package httpserver runs a net/http handler on nbhttp.
+//
+// It adds what nbhttp leaves to its user: a request context that ends when the
+// caller closes the connection, an HTTP answer to a message that cannot be
+// parsed, and a shutdown that waits for requests in progress.
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+const (
+	// headerBytes is the part of a message allowed beyond its body.
+	headerBytes = 64 << 10
+	// watchPeriod is the time between two checks for closed connections.
+	watchPeriod = 20 * time.Millisecond
+	// rejectLinger is how long a rejected connection stays open, so that the
+	// caller can read the answer.
+	rejectLinger = time.Second
+)
+
+// Options configures a Server.
+type Options struct {
+	// Address is IP:port; port 0 takes a free one.
+	Address string
+	// MaxBodyBytes is the largest request body.
+	MaxBodyBytes int
+	// MaxConnections is the largest number of open connections.
+	MaxConnections int
+	// MaxRequests is the largest number of requests handled at once.
+	MaxRequests int
+	// IdleTimeout closes a connection that sends no request.
+	IdleTimeout time.Duration
+	// Handler serves the requests.
+	Handler http.Handler
+	// Malformed writes the body of an answer to a message that cannot be
+	// parsed. It must be safe for concurrent use.
+	Malformed func(status int) []byte
+}
+
+// Server is a running HTTP server. It is safe for concurrent use.
+type Server struct {
+	engine    *nbhttp.Engine
+	opts      Options
+	active    sync.WaitGroup
+	inFlight  atomic.Int64
+	closing   atomic.Bool
+	mu        sync.Mutex
+	requests  map[*nbio.Conn]context.CancelFunc
+	rejected  sync.Map // *nbio.Conn -> struct{}
+	stopWatch context.CancelFunc
+	watchDone chan struct{}
+}
+
+// Start listens and serves until Shutdown.
+func Start(o Options) (*Server, error) {
+	logging.SetLevel(logging.LevelNone)
+	s := &Server{opts: o, requests: map[*nbio.Conn]context.CancelFunc{}, watchDone: make(chan struct{})}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Network:                 "tcp",
+		Addrs:                   []string{o.Address},
+		MaxLoad:                 o.MaxConnections,
+		MessageHandlerPoolSize:  o.MaxRequests,
+		ReadLimit:               o.MaxBodyBytes + headerBytes,
+		MaxHTTPBodySize:         o.MaxBodyBytes,
+		KeepaliveTime:           o.IdleTimeout,
+		ReleaseWebsocketPayload: true,
+		Handler:                 http.HandlerFunc(s.serve),
+		SupportServerOnly:       true,
+	})
+	s.engine.OnData(s.onData)
+	if err := s.engine.Start(); err != nil {
+		return nil, trace.Wrap(err, "listening on %s", o.Address)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopWatch = cancel
+	go s.watch(ctx)
+	return s, nil
+}
+
+// Addr returns the address listened on.
+func (s *Server) Addr() string {
+	return s.engine.Addrs[0]
+}
+
+// InFlight returns the number of requests being handled.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// Shutdown refuses new requests, waits until the requests in progress are
+// answered or ctx ends, and closes all connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closing.Store(true)
+	done := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(done)
+	}()
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = trace.Wrap(ctx.Err(), "requests still in progress")
+	}
+	s.stopWatch()
+	<-s.watchDone
+	s.engine.Stop()
+	return err
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s.active.Add(1)
+	defer s.active.Done()
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if conn := connOf(w); conn != nil {
+		// The idle timeout counts between requests, not during one.
+		_ = conn.SetReadDeadline(time.Time{})
+		s.track(conn, cancel)
+		defer s.untrack(conn)
+	}
+	s.opts.Handler.ServeHTTP(w, r.WithContext(ctx))
+}
+
+func connOf(w http.ResponseWriter) *nbio.Conn {
+	res, ok := w.(*nbhttp.Response)
+	if !ok || res.Parser == nil {
+		return nil
+	}
+	return unwrap(res.Parser.Conn)
+}
+
+func unwrap(c net.Conn) *nbio.Conn {
+	switch c := c.(type) {
+	case *nbio.Conn:
+		return c
+	case *nbhttp.Conn:
+		return unwrap(c.Conn)
+	default:
+		return nil
+	}
+}
+
+func (s *Server) track(c *nbio.Conn, cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[c] = cancel
+}
+
+func (s *Server) untrack(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.requests, c)
+}
+
+// watch cancels requests whose connection was closed. nbio runs its own close
+// callback on the connection's job queue, behind the handler that is to be
+// told, so the state is polled.
+func (s *Server) watch(ctx context.Context) {
+	defer close(s.watchDone)
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.cancelClosed()
+		}
+	}
+}
+
+func (s *Server) cancelClosed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, cancel := range s.requests {
+		if closed, _ := c.IsClosed(); closed {
+			cancel()
+			delete(s.requests, c)
+		}
+	}
+}
+
+// onData parses input; a message that cannot be parsed gets an answer before
+// its connection is closed.
+func (s *Server) onData(c *nbio.Conn, data []byte) {
+	if _, ok := s.rejected.Load(c); ok {
+		return
+	}
+	parser, ok := c.Session().(nbhttp.ParserCloser)
+	if !ok {
+		return
+	}
+	err := parser.Parse(data)
+	if err == nil {
+		return
+	}
+	s.reject(c, err)
+}
+
+func (s *Server) reject(c *nbio.Conn, cause error) {
+	if c.ExecuteLen() > 0 {
+		_ = c.CloseWithError(cause)
+		return
+	}
+	status := http.StatusBadRequest
+	if errors.Is(cause, nbhttp.ErrTooLong) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	s.rejected.Store(c, struct{}{})
+	if _, err := c.Write(rawAnswer(status, s.opts.Malformed(status))); err != nil {
+		_ = c.CloseWithError(cause)
+	}
+	time.AfterFunc(rejectLinger, func() {
+		_ = c.CloseWithError(cause)
+		s.rejected.Delete(c)
+	})
+}
