--- /dev/null
+++ b/core/route/policy_roundrobin.go
@@ -0,0 +1,10 @@
+package route
+
+// roundRobinPolicy implements PolicyRoundRobin.
+type roundRobinPolicy struct{}
+
+func (roundRobinPolicy) pick(t *Table, layer int, candidates []candidate, _ uint64) int {
+	turn := t.turns[layer]
+	t.turns[layer]++
+	return int(turn % uint64(len(candidates)))
+}
