--- /dev/null
+++ b/node/metrics/benchmark_test.go
@@ -0,0 +1,76 @@
+package metrics
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticbank.example/core/execution"
+)
+
+// BenchmarkObserve is the cost of one time of one request.
+func BenchmarkObserve(b *testing.B) {
+	q := New(Options{}).Request(0, "w")
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		q.Observe(BetweenTokens, time.Duration(i%100_000)*time.Microsecond)
+	}
+}
+
+// BenchmarkRequest is the cost of a whole request with ten tokens, over many
+// goroutines.
+func BenchmarkRequest(b *testing.B) {
+	r := New(Options{})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			q := r.Request(i%3, "w")
+			q.Observe(QueueWait, time.Millisecond)
+			q.Observe(FirstToken, time.Millisecond)
+			for range 10 {
+				q.Observe(BetweenTokens, time.Millisecond)
+			}
+			q.Observe(Total, time.Second)
+			q.Finish(Completed, execution.Ran)
+		}
+	})
+}
+
+// fill records one request of each of n workspaces.
+func fill(r *Registry, n int) {
+	for i := range n {
+		q := r.Request(i%3, fmt.Sprint(i))
+		for m := range metricCount {
+			q.Observe(m, time.Duration(i+1)*time.Millisecond)
+		}
+	}
+}
+
+// BenchmarkRotate is the cost of one rotation every slicePeriod.
+func BenchmarkRotate(b *testing.B) {
+	for _, n := range []int{10, 50, 2000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			r := New(Options{})
+			for b.Loop() {
+				b.StopTimer()
+				fill(r, n)
+				b.StartTimer()
+				r.Rotate()
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is the cost of reading everything once.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{10, 50, 2000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			r := New(Options{})
+			fill(r, n)
+			for b.Loop() {
+				r.Snapshot()
+			}
+			b.ReportMetric(float64(BytesPerSeries()), "B/workspace")
+		})
+	}
+}
