Peer sessions and the platform's instance list

Instances need to tell each other demand, configuration revisions and suspicions without asking the platform for each of them.

peer: one yamux session for each pair of instances over TCP, after an HMAC-SHA256 challenge and response in both directions (optionally inside TLS, to which the proofs are bound). Length-bounded protobuf messages, one stream a direction, queues that drop their oldest message and never block, heartbeats when idle, a read deadline that ends a silent session, reconnect with jitter. A configuration revision is announced and its content is fetched from one peer, so a change crosses to each instance once and not once a neighbour.

instancelist: the HTTP adapter for the platform's list and a poller that hands out the last copy with its age.

Switched off one at a time, each made its test fail: the read deadline (silent session), the comparison of proofs (wrong key, reflection, wrong version), the size limit, the fetch of a configuration, the tie-break and the session that its dialer has given up. A live test of both dialing at once passed with the tie-break off, as redialing settles it, so the tie-break has a test over all orders of registration.

--- /dev/null
+++ b/node/instancelist/instancelist.go
@@ -0,0 +1,103 @@
+// Package instancelist reads the platform's list of instances. The list may lag
+// behind the truth, so each copy is handed out with its age.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/gravitational/trace"
+
+	"masticbank.example/node/wire"
+)
+
+// MaxListBytes bounds the size of one answer of the platform.
+const MaxListBytes = 16 << 20
+
+// Lister reads the platform's list. Implementations are safe for concurrent use.
+type Lister interface {
+	// List returns the instances of all roles, live and leaving.
+	List(ctx context.Context) ([]wire.Instance, error)
+}
+
+// HTTP reads the list from a platform that answers wire.PathInstances. It is
+// safe for concurrent use.
+type HTTP struct {
+	client *http.Client
+	url    string
+}
+
+var _ Lister = (*HTTP)(nil)
+
+// NewHTTP returns a lister for the platform at baseURL, such as
+// "http://10.0.0.1:9000". A nil client means http.DefaultClient.
+func NewHTTP(baseURL string, client *http.Client) (*HTTP, error) {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, trace.BadParameter("platform address %q is not an http URL", baseURL)
+	}
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &HTTP{client: client, url: u.JoinPath(wire.PathInstances).String()}, nil
+}
+
+// List implements Lister. Entries without an ID are left out; of entries with
+// the same ID one remains.
+func (h *HTTP) List(ctx context.Context) ([]wire.Instance, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "list instances")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, trace.ConnectionProblem(nil, "list instances: status %d", resp.StatusCode)
+	}
+	return decode(resp.Body)
+}
+
+func decode(r io.Reader) ([]wire.Instance, error) {
+	body, err := io.ReadAll(io.LimitReader(r, MaxListBytes+1))
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "read instance list")
+	}
+	if len(body) > MaxListBytes {
+		return nil, trace.LimitExceeded("instance list exceeds %d bytes", MaxListBytes)
+	}
+	var list wire.InstanceList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, trace.BadParameter("instance list: %v", err)
+	}
+	return merge(list.Instances), nil
+}
+
+// merge drops entries without an ID and makes one of entries with the same ID:
+// the last one, leaving if any of them was.
+func merge(instances []wire.Instance) []wire.Instance {
+	index := make(map[string]int, len(instances))
+	merged := make([]wire.Instance, 0, len(instances))
+	for _, instance := range instances {
+		if instance.ID == "" {
+			continue
+		}
+		at, known := index[instance.ID]
+		if !known {
+			index[instance.ID] = len(merged)
+			merged = append(merged, instance)
+			continue
+		}
+		instance.Leaving = instance.Leaving || merged[at].Leaving
+		merged[at] = instance
+	}
+	return merged
+}
--- /dev/null
+++ b/node/instancelist/instancelist_test.go
@@ -0,0 +1,108 @@
+package instancelist
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"masticbank.example/node/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listFrom(t *testing.T, status int, body string) ([]wire.Instance, error) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != wire.PathInstances {
+			http.NotFound(w, r)
+			return
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	defer server.Close()
+	defer server.Client().CloseIdleConnections()
+	lister, err := NewHTTP(server.URL, server.Client())
+	require.NoError(t, err)
+	return lister.List(context.Background())
+}
+
+func TestHTTPList(t *testing.T) {
+	got, err := listFrom(t, http.StatusOK, `{"instances":[
+		{"id":"e1","role":"engine","leaving":true},{"id":""},{"id":"m1","role":"entry","zone":"quito"},{"id":"e1","role":"engine"}]}`)
+	require.NoError(t, err)
+	require.Equal(t, []wire.Instance{
+		{ID: "e1", Role: wire.RoleEngine, Leaving: true},
+		{ID: "m1", Role: wire.RoleEntry, Zone: "quito"},
+	}, got)
+	_, err = listFrom(t, http.StatusServiceUnavailable, `{}`)
+	require.Error(t, err)
+	_, err = listFrom(t, http.StatusOK, `{"instances":`)
+	require.Error(t, err)
+	_, err = NewHTTP("10.0.0.1:9000", nil)
+	require.Error(t, err)
+}
+
+type listerFunc func(ctx context.Context) ([]wire.Instance, error)
+
+func (f listerFunc) List(ctx context.Context) ([]wire.Instance, error) { return f(ctx) }
+
+// Modes of the platform in TestPollerKeepsLastCopyWhileListIsAway.
+const (
+	working = iota
+	failing
+	silent
+)
+
+func TestPollerKeepsLastCopyWhileListIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mode atomic.Int32
+		lister := listerFunc(func(ctx context.Context) ([]wire.Instance, error) {
+			switch mode.Load() {
+			case failing:
+				return nil, errors.New("away")
+			case silent:
+				<-ctx.Done()
+				return nil, ctx.Err()
+			default:
+				return []wire.Instance{{ID: "m1"}}, nil
+			}
+		})
+		var updates atomic.Int32
+		poller := NewPoller(lister, PollerOptions{OnUpdate: func(Snapshot) { updates.Add(1) }})
+		_, known := poller.Latest().Age(time.Now())
+		require.False(t, known)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- poller.Run(ctx) }()
+		synctest.Wait()
+		require.Equal(t, int32(1), updates.Load())
+		require.Len(t, poller.Latest().Instances, 1)
+
+		mode.Store(failing)
+		time.Sleep(10 * DefaultInterval)
+		last := poller.Latest()
+		require.Error(t, last.Err)
+		require.Len(t, last.Instances, 1)
+		age, _ := last.Age(time.Now())
+		require.Equal(t, 10*DefaultInterval, age)
+
+		mode.Store(silent)
+		time.Sleep(3 * (DefaultInterval + DefaultTimeout))
+		require.Equal(t, int32(1), updates.Load())
+		mode.Store(working)
+		time.Sleep(2 * (DefaultInterval + DefaultTimeout))
+		require.NoError(t, poller.Latest().Err)
+		require.Greater(t, updates.Load(), int32(1))
+		cancel()
+		require.NoError(t, <-ended)
+	})
+}
--- /dev/null
+++ b/node/peer/conn.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countedConn counts the bytes of one connection, framing included and TCP
+// headers not.
+type countedConn struct {
+	net.Conn
+
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/node/peer/handler.go
@@ -0,0 +1,70 @@
+package peer
+
+import "masticbank.example/node/peer/peerpb"
+
+// Info describes the instance at the other end of a session.
+type Info struct {
+	ID          string
+	Incarnation uint64
+	Zone        string
+	// Version is the negotiated version of the protocol.
+	Version uint32
+	State   peerpb.InstanceState
+	// Revision is the configuration revision that the peer has in force, 0
+	// when it has none.
+	Revision uint64
+}
+
+// Handler receives events and messages. Calls for one session come one at a
+// time and in order; calls for different peers run concurrently, so a Handler
+// is safe for concurrent use. A call must return soon: it holds up the reading
+// from that peer. Messages are not to be changed.
+type Handler interface {
+	// PeerUp is called when a session is established, also when it replaces
+	// another session with the same peer.
+	PeerUp(info Info)
+	// PeerDown is called when the last session with a peer has ended.
+	PeerDown(info Info)
+	// Heard is called for every message: the peer is alive in this state.
+	Heard(info Info)
+	// Digest is called for a digest of demand.
+	Digest(from string, digest *peerpb.Digest)
+	// ConfigState is called for a configuration of the peer, which may be
+	// older or newer than the one in force here.
+	ConfigState(from string, state *peerpb.ConfigState)
+	// Poison is called for the fingerprint of a harmful request.
+	Poison(from string, poison *peerpb.Poison)
+	// Suspicion is called when the peer got no answer from an upstream.
+	Suspicion(from string, suspicion *peerpb.Suspicion)
+	// Leaving is called when an upstream is to get no new work.
+	Leaving(from string, leaving *peerpb.Leaving)
+}
+
+// NopHandler ignores everything. Embed it to implement some methods only.
+type NopHandler struct{}
+
+var _ Handler = NopHandler{}
+
+// PeerUp implements Handler.
+func (NopHandler) PeerUp(Info) {}
+
+// PeerDown implements Handler.
+func (NopHandler) PeerDown(Info) {}
+
+// Heard implements Handler.
+func (NopHandler) Heard(Info) {}
+
+// Digest implements Handler.
+func (NopHandler) Digest(string, *peerpb.Digest) {}
+
+// ConfigState implements Handler.
+func (NopHandler) ConfigState(string, *peerpb.ConfigState) {}
+
+// Poison implements Handler.
+func (NopHandler) Poison(string, *peerpb.Poison) {}
+
+// Suspicion implements Handler.
+func (NopHandler) Suspicion(string, *peerpb.Suspicion) {}
+
+// Leaving implements Handler.
+func (NopHandler) Leaving(string, *peerpb.Leaving) {}
--- /dev/null
+++ b/node/peer/node.go
@@ -0,0 +1,280 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"masticbank.example/node/peer/peerpb"
+)
+
+// Peer is an instance to keep a session with.
+type Peer struct {
+	ID string
+	// Address is host:port.
+	Address string
+	Zone    string
+}
+
+// Node keeps the sessions of one instance. It is safe for concurrent use.
+type Node struct {
+	options Options
+	logger  *zap.Logger
+	// handshakes bounds the connections that are not authenticated yet.
+	handshakes chan struct{}
+
+	// opening ends when no more sessions are opened, ctx when all are cut.
+	opening     context.Context
+	stopOpening context.CancelFunc
+	ctx         context.Context
+	cancel      context.CancelFunc
+	tasks       sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	remotes  map[string]*remote
+	state    peerpb.InstanceState
+	config   *peerpb.ConfigState
+	pulls    pullState
+	closed   bool
+}
+
+// New checks options and returns a node that does nothing until Start.
+func New(options Options) (*Node, error) {
+	options.setDefaults()
+	if err := options.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	opening, stopOpening := context.WithCancel(ctx)
+	return &Node{
+		options:     options,
+		logger:      options.Logger,
+		handshakes:  make(chan struct{}, options.MaxSessions),
+		opening:     opening,
+		stopOpening: stopOpening,
+		ctx:         ctx,
+		cancel:      cancel,
+		remotes:     map[string]*remote{},
+		state:       peerpb.InstanceState_INSTANCE_STATE_JOINING,
+	}, nil
+}
+
+// Start listens for peers. Dialing starts with SetPeers.
+func (n *Node) Start() error {
+	listener, err := net.Listen("tcp", n.options.Listen)
+	if err != nil {
+		return trace.ConnectionProblem(err, "listen for peers on %s", n.options.Listen)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || n.listener != nil {
+		_ = listener.Close()
+		return trace.BadParameter("peer: node was started before")
+	}
+	n.listener = listener
+	n.tasks.Go(func() { n.acceptAll(listener) })
+	return nil
+}
+
+// Addr returns the address that the node listens on, nil before Start.
+func (n *Node) Addr() net.Addr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listener == nil {
+		return nil
+	}
+	return n.listener.Addr()
+}
+
+// SetPeers replaces the set of instances to keep sessions with. Sessions that
+// were dialed to others are closed; those that others dialed remain.
+func (n *Node) SetPeers(peers []Peer) {
+	n.mu.Lock()
+	wanted := make(map[string]Peer, len(peers))
+	for _, p := range peers {
+		if p.ID != n.options.ID && p.ID != "" {
+			wanted[p.ID] = p
+		}
+	}
+	var ended []*session
+	for id, r := range n.remotes {
+		if _, ok := wanted[id]; ok {
+			continue
+		}
+		if s := n.unwant(r); s != nil {
+			ended = append(ended, s)
+		}
+	}
+	if !n.closed {
+		for _, p := range wanted {
+			n.want(p)
+		}
+	}
+	n.mu.Unlock()
+	closeAll(ended)
+}
+
+// SetState sets the state that peers are told, and tells them.
+func (n *Node) SetState(state peerpb.InstanceState) {
+	n.mu.Lock()
+	n.state = state
+	n.mu.Unlock()
+	n.broadcast(n.heartbeat())
+}
+
+// SetConfigState sets the configuration that is in force here and announces its
+// revision to all peers, which ask for the content if they need it. A revision
+// that is not higher than the present one changes nothing.
+func (n *Node) SetConfigState(state *peerpb.ConfigState) {
+	n.mu.Lock()
+	if state.GetRevision() <= n.config.GetRevision() {
+		n.mu.Unlock()
+		return
+	}
+	n.config = state
+	n.mu.Unlock()
+	n.broadcast(n.heartbeat())
+}
+
+// Broadcast queues message, such as *peerpb.Digest or *peerpb.Poison, for every
+// peer with a session and returns their number. It never blocks.
+func (n *Node) Broadcast(message proto.Message) (int, error) {
+	envelope, err := n.wrap(message)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return n.broadcast(envelope), nil
+}
+
+// Send queues message for the peer id. It never blocks; the error is NotFound
+// when there is no session.
+func (n *Node) Send(id string, message proto.Message) error {
+	envelope, err := n.wrap(message)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s := n.current(id)
+	if s == nil {
+		return trace.NotFound("no session with peer %q", id)
+	}
+	s.queue.push(envelope)
+	return nil
+}
+
+// Close refuses new sessions, sends what is queued and ends every session. When
+// ctx ends first, sessions are cut and the error is that of ctx.
+func (n *Node) Close(ctx context.Context) error {
+	n.mu.Lock()
+	n.closed = true
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+	sessions := n.sessions()
+	n.mu.Unlock()
+	n.stopOpening()
+	for _, s := range sessions {
+		s.queue.close()
+	}
+	done := make(chan struct{})
+	go func() {
+		n.tasks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		n.cancel()
+		return nil
+	case <-ctx.Done():
+		n.cancel()
+		closeAll(sessions)
+		<-done
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+func (n *Node) broadcast(envelope *peerpb.Envelope) int {
+	n.mu.Lock()
+	sessions := n.sessions()
+	n.mu.Unlock()
+	for _, s := range sessions {
+		s.queue.push(envelope)
+	}
+	return len(sessions)
+}
+
+// sessions returns the sessions of all peers. The caller holds n.mu.
+func (n *Node) sessions() []*session {
+	var all []*session
+	for _, r := range n.remotes {
+		if r.session != nil {
+			all = append(all, r.session)
+		}
+	}
+	return all
+}
+
+func (n *Node) current(id string) *session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.remotes[id]; r != nil {
+		return r.session
+	}
+	return nil
+}
+
+func (n *Node) heartbeat() *peerpb.Envelope {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	beat := &peerpb.Heartbeat{State: n.state, Revision: n.config.GetRevision()}
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Heartbeat{Heartbeat: beat}}
+}
+
+func (n *Node) wrap(message proto.Message) (*peerpb.Envelope, error) {
+	envelope := &peerpb.Envelope{}
+	switch m := message.(type) {
+	case *peerpb.Digest:
+		envelope.Body = &peerpb.Envelope_Digest{Digest: m}
+	case *peerpb.ConfigState:
+		envelope.Body = &peerpb.Envelope_ConfigState{ConfigState: m}
+	case *peerpb.RequestState:
+		envelope.Body = &peerpb.Envelope_RequestState{RequestState: m}
+	case *peerpb.Poison:
+		envelope.Body = &peerpb.Envelope_Poison{Poison: m}
+	case *peerpb.Suspicion:
+		envelope.Body = &peerpb.Envelope_Suspicion{Suspicion: m}
+	case *peerpb.Leaving:
+		envelope.Body = &peerpb.Envelope_Leaving{Leaving: m}
+	default:
+		return nil, trace.BadParameter("peer: %T is not a message for peers", message)
+	}
+	if size := proto.Size(envelope); size > n.options.MaxMessageBytes {
+		return nil, trace.LimitExceeded("message of %d bytes exceeds %d", size, n.options.MaxMessageBytes)
+	}
+	return envelope, nil
+}
+
+func closeAll(sessions []*session) {
+	for _, s := range sessions {
+		s.close()
+	}
+}
+
+func (n *Node) secure(conn net.Conn, dialed bool, address string) net.Conn {
+	if n.options.TLS == nil {
+		return conn
+	}
+	if !dialed {
+		return tls.Server(conn, n.options.TLS)
+	}
+	config := n.options.TLS.Clone()
+	if host, _, err := net.SplitHostPort(address); err == nil && config.ServerName == "" {
+		config.ServerName = host
+	}
+	return tls.Client(conn, config)
+}
--- /dev/null
+++ b/node/peer/node_test.go
@@ -0,0 +1,300 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"masticbank.example/node/peer/peerpb"
+)
+
+// testTimeout bounds every wait of the tests; it is reached only by failures.
+const testTimeout = 20 * time.Second
+
+var testKey = []byte("0123456789abcdef")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder passes events to channels; what nobody reads is dropped.
+type recorder struct {
+	NopHandler
+	up, down chan Info
+	messages chan proto.Message
+}
+
+func newRecorder() *recorder {
+	return &recorder{up: make(chan Info, 64), down: make(chan Info, 64), messages: make(chan proto.Message, 64)}
+}
+
+func (r *recorder) PeerUp(info Info)                                { r.up <- info }
+func (r *recorder) PeerDown(info Info)                              { r.down <- info }
+func (r *recorder) Digest(_ string, d *peerpb.Digest)               { r.messages <- d }
+func (r *recorder) ConfigState(_ string, state *peerpb.ConfigState) { r.messages <- state }
+func (r *recorder) Poison(_ string, poison *peerpb.Poison)          { r.messages <- poison }
+func (r *recorder) Suspicion(_ string, suspicion *peerpb.Suspicion) { r.messages <- suspicion }
+func (r *recorder) Leaving(_ string, leaving *peerpb.Leaving)       { r.messages <- leaving }
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(testTimeout):
+		require.FailNow(t, "nothing came")
+		panic("not reached")
+	}
+}
+
+func startNode(t *testing.T, id string, change func(*Options)) (*Node, *recorder) {
+	t.Helper()
+	events := newRecorder()
+	options := Options{
+		ID: id, Zone: "quito", Listen: "127.0.0.1:0", Key: testKey, Handler: events,
+		HeartbeatInterval: 20 * time.Millisecond, SilenceTimeout: testTimeout,
+	}
+	if change != nil {
+		change(&options)
+	}
+	node, err := New(options)
+	require.NoError(t, err)
+	require.NoError(t, node.Start())
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		defer cancel()
+		require.NoError(t, node.Close(ctx))
+	})
+	return node, events
+}
+
+func peerOf(node *Node) Peer {
+	return Peer{ID: node.options.ID, Address: node.Addr().String(), Zone: node.options.Zone}
+}
+
+func TestMessagesReachPeer(t *testing.T) {
+	a, _ := startNode(t, "a", nil)
+	b, atB := startNode(t, "b", func(o *Options) { o.Zone = "cuenca" })
+	a.SetState(peerpb.InstanceState_INSTANCE_STATE_READY)
+	b.SetPeers([]Peer{peerOf(a)})
+	info := receive(t, atB.up)
+	require.Equal(t, "a", info.ID)
+	require.Equal(t, "quito", info.Zone)
+	require.Equal(t, peerpb.InstanceState_INSTANCE_STATE_READY, info.State)
+	for _, message := range []proto.Message{
+		&peerpb.Poison{Fingerprint: []byte{1, 2}, TtlMs: 500},
+		&peerpb.Suspicion{Upstream: "replica-1"},
+		&peerpb.Leaving{Upstream: "replica-2"},
+		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: "asistente"}}},
+	} {
+		require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
+		got := receive(t, atB.messages)
+		require.True(t, proto.Equal(message, got), "sent %v, got %v", message, got)
+	}
+	require.Error(t, a.Send("c", &peerpb.Digest{}))
+	require.Error(t, a.Send("b", &peerpb.Hello{}))
+	status := a.Peers()
+	require.Len(t, status, 1)
+	require.Equal(t, "cuenca", status[0].Zone)
+	require.Positive(t, status[0].BytesSent)
+	require.Positive(t, status[0].BytesReceived)
+}
+
+func TestConfigStateIsFetchedOnConnectAndOnChange(t *testing.T) {
+	a, _ := startNode(t, "a", nil)
+	b, atB := startNode(t, "b", nil)
+	first := &peerpb.ConfigState{Revision: 3, AsOfOffset: 9, Content: []byte("first")}
+	a.SetConfigState(first)
+	b.SetPeers([]Peer{peerOf(a)})
+	require.True(t, proto.Equal(first, receive(t, atB.messages)))
+	b.SetConfigState(first)
+	second := &peerpb.ConfigState{Revision: 4, AsOfOffset: 12, Content: []byte("second")}
+	a.SetConfigState(second)
+	require.True(t, proto.Equal(second, receive(t, atB.messages)))
+	a.SetConfigState(first)
+	require.Equal(t, uint64(4), a.config.GetRevision())
+}
+
+func TestRestartedPeerTakesPlaceOfFormerIncarnation(t *testing.T) {
+	a, atA := startNode(t, "a", nil)
+	b1, _ := startNode(t, "b", func(o *Options) { o.Incarnation = 1 })
+	b1.SetPeers([]Peer{peerOf(a)})
+	require.Equal(t, uint64(1), receive(t, atA.up).Incarnation)
+	b2, _ := startNode(t, "b", func(o *Options) { o.Incarnation = 2 })
+	b2.SetPeers([]Peer{peerOf(a)})
+	require.Equal(t, uint64(2), receive(t, atA.up).Incarnation)
+	require.Equal(t, uint64(2), a.Peers()[0].Incarnation)
+}
+
+func TestOversizedMessageEndsSession(t *testing.T) {
+	const limit = 1 << 10
+	a, _ := startNode(t, "a", nil)
+	b, atB := startNode(t, "b", func(o *Options) { o.MaxMessageBytes = limit })
+	b.SetPeers([]Peer{peerOf(a)})
+	receive(t, atB.up)
+	large := &peerpb.Poison{Fingerprint: make([]byte, limit)}
+	require.Error(t, b.Send("a", large), "the sender's own limit")
+	require.Eventually(t, func() bool { return a.Send("b", large) == nil }, testTimeout, time.Millisecond)
+	require.Equal(t, "a", receive(t, atB.down).ID)
+	require.Equal(t, "a", receive(t, atB.up).ID)
+	require.Empty(t, atB.messages)
+}
+
+// proxy forwards TCP connections to a target. freeze makes it hold back all
+// bytes of the connections that are open at that moment, without closing them.
+type proxy struct {
+	listener net.Listener
+	target   string
+	frozen   chan chan struct{}
+}
+
+func startProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{listener: listener, target: target, frozen: make(chan chan struct{}, 1)}
+	p.frozen <- make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.run()
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return p
+}
+
+func (p *proxy) run() {
+	var conns []net.Conn
+	for {
+		in, err := p.listener.Accept()
+		if err != nil {
+			break
+		}
+		out, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		stop := <-p.frozen
+		p.frozen <- stop
+		conns = append(conns, in, out)
+		go forward(in, out, stop)
+		go forward(out, in, stop)
+	}
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+func forward(from, to net.Conn, stop <-chan struct{}) {
+	buffer := make([]byte, 4096)
+	for {
+		size, err := from.Read(buffer)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		select {
+		case <-stop:
+			continue
+		default:
+		}
+		if _, err := to.Write(buffer[:size]); err != nil {
+			_ = from.Close()
+			return
+		}
+	}
+}
+
+func (p *proxy) freeze() {
+	stop := <-p.frozen
+	close(stop)
+	p.frozen <- make(chan struct{})
+}
+
+func TestSilentSessionIsReplaced(t *testing.T) {
+	quick := func(o *Options) { o.SilenceTimeout = 200 * time.Millisecond }
+	a, atA := startNode(t, "a", quick)
+	b, atB := startNode(t, "b", quick)
+	through := startProxy(t, a.Addr().String())
+	b.SetPeers([]Peer{{ID: "a", Address: through.listener.Addr().String()}})
+	receive(t, atB.up)
+	receive(t, atA.up)
+	through.freeze()
+	receive(t, atB.up)
+	receive(t, atA.up)
+	message := &peerpb.Leaving{Upstream: "replica-1"}
+	require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
+	require.True(t, proto.Equal(message, receive(t, atB.messages)))
+	require.GreaterOrEqual(t, b.Peers()[0].Sessions, uint64(2))
+}
+
+func TestBothDialAtOnceLeavesOneSession(t *testing.T) {
+	for range 20 {
+		a, atA := startNode(t, "a", nil)
+		b, atB := startNode(t, "b", nil)
+		go a.SetPeers([]Peer{peerOf(b)})
+		b.SetPeers([]Peer{peerOf(a)})
+		receive(t, atA.up)
+		receive(t, atB.up)
+		require.Eventually(t, func() bool { return sameSingleSession(a, b) }, testTimeout, time.Millisecond)
+	}
+}
+
+func sameSingleSession(a, b *Node) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	atA, atB := a.remotes["b"], b.remotes["a"]
+	if len(atA.open) != 1 || len(atB.open) != 1 || atA.session == nil || atB.session == nil {
+		return false
+	}
+	return atA.session.id == atB.session.id
+}
+
+// Both ends keep the same session, whichever of two connections each of them
+// registers first.
+func TestTieBreakIsTheSameAtBothEnds(t *testing.T) {
+	newPair := func() (a, b *Node) {
+		var err error
+		a, err = New(Options{ID: "a", Listen: "127.0.0.1:0", Key: testKey})
+		require.NoError(t, err)
+		b, err = New(Options{ID: "b", Listen: "127.0.0.1:0", Key: testKey})
+		require.NoError(t, err)
+		a.remoteFor("b").wanted = true
+		b.remoteFor("a").wanted = true
+		return a, b
+	}
+	end := func(remote string, dialed bool, id, previous uint64) *session {
+		agreed := agreement{remoteID: remote, incarnation: 1, id: id, previous: previous}
+		return &session{agreement: agreed, dialed: dialed, queue: newQueue()}
+	}
+	const byA, byB = 11, 22
+	for _, firstAtA := range []uint64{byA, byB} {
+		for _, firstAtB := range []uint64{byA, byB} {
+			a, b := newPair()
+			for _, id := range []uint64{firstAtA, byA + byB - firstAtA} {
+				_, _, _ = a.register(end("b", id == byA, id, 0))
+			}
+			for _, id := range []uint64{firstAtB, byA + byB - firstAtB} {
+				_, _, _ = b.register(end("a", id == byB, id, 0))
+			}
+			require.Equal(t, uint64(byA), a.current("b").id)
+			require.Equal(t, uint64(byA), b.current("a").id)
+		}
+	}
+
+	a, _ := newPair()
+	_, _, _ = a.register(end("b", true, byA, 0))
+	_, _, ok := a.register(end("b", false, byB, byA))
+	require.True(t, ok, "the peer has given up the present session")
+	_, _, ok = a.register(end("c", true, 33, 0))
+	require.False(t, ok, "dialed to an instance that is no longer wanted")
+}
--- /dev/null
+++ b/node/peer/session.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"masticbank.example/node/peer/peerpb"
+)
+
+// session is one authenticated connection with a peer. Each side opens one
+// yamux stream, on which it sends, and accepts one, on which it receives.
+type session struct {
+	agreement
+	// dialed is true when this instance opened the connection.
+	dialed bool
+	queue  *queue
+
+	raw  *countedConn
+	mux  *yamux.Session
+	once sync.Once
+
+	mu   sync.Mutex
+	info Info
+	// heardAt is when the last message came, zero before the peer's Hello.
+	heardAt          time.Time
+	sentMessages     uint64
+	receivedMessages uint64
+}
+
+// newSession starts yamux on conn, which may be a TLS connection over raw.
+func newSession(conn net.Conn, raw *countedConn, agreed agreement, dialed bool, options *Options) (*session, error) {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false
+	config.LogOutput = io.Discard
+	config.ConnectionWriteTimeout = options.SilenceTimeout
+	config.StreamOpenTimeout = options.SilenceTimeout
+	config.StreamCloseTimeout = options.SilenceTimeout
+	config.AcceptBacklog = 1
+	mux, err := startMux(conn, config, dialed)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &session{
+		agreement: agreed,
+		dialed:    dialed,
+		queue:     newQueue(),
+		raw:       raw,
+		mux:       mux,
+		info:      Info{ID: agreed.remoteID, Incarnation: agreed.incarnation, Version: agreed.version},
+	}, nil
+}
+
+func startMux(conn net.Conn, config *yamux.Config, dialed bool) (*yamux.Session, error) {
+	if dialed {
+		return yamux.Client(conn, config)
+	}
+	return yamux.Server(conn, config)
+}
+
+// close ends the session at once. The raw connection goes first, so that a
+// write which is stuck can't hold up the rest.
+func (s *session) close() {
+	s.once.Do(func() {
+		_ = s.raw.Close()
+		_ = s.mux.Close()
+		s.queue.close()
+	})
+}
+
+// snapshot returns what is known of the peer and when it was last heard.
+func (s *session) snapshot() (Info, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.info, s.heardAt
+}
+
+// sender writes the queue of a session to its stream.
+type sender struct {
+	session  *session
+	stream   *yamux.Stream
+	interval time.Duration
+	timeout  time.Duration
+	// idle makes the message that is sent after an interval without another.
+	idle func() *peerpb.Envelope
+}
+
+// run sends until ctx ends, a write fails or the queue is closed and empty.
+func (w *sender) run(ctx context.Context) error {
+	timer := time.NewTimer(w.interval)
+	defer timer.Stop()
+	for {
+		message, closed := w.session.queue.pop()
+		if closed {
+			return nil
+		}
+		if message != nil {
+			if err := w.write(message); err != nil {
+				return trace.Wrap(err)
+			}
+			timer.Reset(w.interval)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.session.queue.ready:
+		case <-timer.C:
+			w.session.queue.push(w.idle())
+		}
+	}
+}
+
+func (w *sender) write(message *peerpb.Envelope) error {
+	if err := w.stream.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		return trace.ConnectionProblem(err, "set write deadline")
+	}
+	if _, err := protodelim.MarshalTo(w.stream, message); err != nil {
+		return trace.ConnectionProblem(err, "write message")
+	}
+	w.session.mu.Lock()
+	w.session.sentMessages++
+	w.session.mu.Unlock()
+	return nil
+}
+
+// receiver reads messages from the stream of the peer.
+type receiver struct {
+	stream  *yamux.Stream
+	reader  *bufio.Reader
+	timeout time.Duration
+	limits  protodelim.UnmarshalOptions
+}
+
+func newReceiver(stream *yamux.Stream, options *Options) *receiver {
+	return &receiver{
+		stream:  stream,
+		reader:  bufio.NewReader(stream),
+		timeout: options.SilenceTimeout,
+		limits:  protodelim.UnmarshalOptions{MaxSize: int64(options.MaxMessageBytes)},
+	}
+}
+
+// next returns the next message. It fails when none comes within the timeout,
+// or when one exceeds the limit: the session can't go on after either.
+func (r *receiver) next() (*peerpb.Envelope, error) {
+	if err := r.stream.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
+		return nil, trace.ConnectionProblem(err, "set read deadline")
+	}
+	message := &peerpb.Envelope{}
+	err := r.limits.UnmarshalFrom(r.reader, message)
+	var tooLarge *protodelim.SizeTooLargeError
+	switch {
+	case err == nil:
+		return message, nil
+	case errors.As(err, &tooLarge):
+		return nil, trace.LimitExceeded("message of %d bytes", tooLarge.Size)
+	case errors.Is(err, yamux.ErrTimeout):
+		return nil, trace.ConnectionProblem(err, "no message for %v", r.timeout)
+	default:
+		return nil, trace.ConnectionProblem(err, "read message")
+	}
+}
--- /dev/null
+++ b/node/peer/status.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"masticbank.example/node/peer/peerpb"
+)
+
+// Status is what is known of one peer, for operators and metrics. Counts are
+// those of all sessions since the peer became known.
+type Status struct {
+	ID      string
+	Address string
+	Zone    string
+	// Connected tells whether there is a session. The fields from Incarnation
+	// to LastHeard are set only then.
+	Connected   bool
+	Incarnation uint64
+	Version     uint32
+	State       peerpb.InstanceState
+	Revision    uint64
+	LastHeard   time.Time
+
+	BytesSent        uint64
+	BytesReceived    uint64
+	MessagesSent     uint64
+	MessagesReceived uint64
+	// Dropped counts messages that were superseded or lost by a full queue.
+	Dropped uint64
+	// Dials counts attempts to connect; Sessions counts sessions that began.
+	Dials    uint64
+	Sessions uint64
+}
+
+// counters are the counts of one or several sessions.
+type counters struct {
+	bytesSent        uint64
+	bytesReceived    uint64
+	messagesSent     uint64
+	messagesReceived uint64
+	dropped          uint64
+	dials            uint64
+	sessions         uint64
+}
+
+func (c *counters) add(other counters) {
+	c.bytesSent += other.bytesSent
+	c.bytesReceived += other.bytesReceived
+	c.messagesSent += other.messagesSent
+	c.messagesReceived += other.messagesReceived
+	c.dropped += other.dropped
+	c.dials += other.dials
+	c.sessions += other.sessions
+}
+
+// counters returns the counts of the session.
+func (s *session) counters() counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return counters{
+		bytesSent:        s.raw.sent.Load(),
+		bytesReceived:    s.raw.received.Load(),
+		messagesSent:     s.sentMessages,
+		messagesReceived: s.receivedMessages,
+		dropped:          s.queue.droppedCount(),
+		sessions:         1,
+	}
+}
+
+// Peers returns the status of every known peer, in the order of their IDs.
+func (n *Node) Peers() []Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]Status, 0, len(n.remotes))
+	for _, r := range n.remotes {
+		all = append(all, r.status())
+	}
+	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (r *remote) status() Status {
+	sum := r.total()
+	status := Status{
+		ID:               r.id,
+		Address:          r.address,
+		Zone:             r.zone,
+		BytesSent:        sum.bytesSent,
+		BytesReceived:    sum.bytesReceived,
+		MessagesSent:     sum.messagesSent,
+		MessagesReceived: sum.messagesReceived,
+		Dropped:          sum.dropped,
+		Dials:            sum.dials,
+		Sessions:         sum.sessions,
+	}
+	if r.session == nil {
+		return status
+	}
+	info, heardAt := r.session.snapshot()
+	status.Connected = !heardAt.IsZero()
+	status.Incarnation = info.Incarnation
+	status.Version = info.Version
+	status.State = info.State
+	status.Revision = info.Revision
+	status.LastHeard = heardAt
+	if info.Zone != "" {
+		status.Zone = info.Zone
+	}
+	return status
+}
