--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,138 @@
+// Package record defines the records that instances append to the streams of
+// the platform's log, and their JSON encoding. Every record carries a unique
+// ID, so that a reader recognises copies of it. The types are plain values; a
+// decoded Record shares no memory with its input.
+package record
+
+import "time"
+
+// Version is the newest record format that this program reads and writes. It
+// also covers the rules by which the content of a Proposal is checked: a change
+// of either needs a new number, so that no reader judges by outdated rules.
+const Version = 1
+
+// Limits of the fields, in bytes.
+const (
+	MaxSize    = 4 << 20
+	MaxContent = 2 << 20
+	MaxAnswer  = 256 << 10
+	MaxKey     = 256
+	MaxName    = 128
+)
+
+// ID is the unique identity of one record.
+type ID string
+
+// Record is one record of a stream. Exactly one of the pointers is set.
+type Record struct {
+	Version  int       `json:"v"`
+	ID       ID        `json:"id"`
+	Proposal *Proposal `json:"proposal,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Claim    *Claim    `json:"claim,omitempty"`
+	Outcome  *Outcome  `json:"outcome,omitempty"`
+	Release  *Release  `json:"release,omitempty"`
+	Lease    *Lease    `json:"lease,omitempty"`
+}
+
+// Proposal asks to replace the content of revision Base.
+type Proposal struct {
+	Base    uint64 `json:"base"`
+	Author  string `json:"author"`
+	Content []byte `json:"content"`
+}
+
+// Winner names the record that created a revision.
+type Winner struct {
+	Revision uint64 `json:"revision"`
+	ID       ID     `json:"id"`
+	Author   string `json:"author"`
+}
+
+// Snapshot is the state after all records below offset Next.
+type Snapshot struct {
+	Revision uint64 `json:"revision"`
+	Next     uint64 `json:"next"`
+	Content  []byte `json:"content"`
+	// Winners are the latest accepted proposals, in rising order.
+	Winners []Winner `json:"winners"`
+}
+
+// OrderKey identifies one non-idempotent call.
+type OrderKey struct {
+	Workspace string `json:"workspace"`
+	Service   string `json:"service"`
+	Key       string `json:"key"`
+}
+
+// Claim asks for the right to make the call Key. The first claim in log order
+// wins.
+type Claim struct {
+	Key OrderKey `json:"key"`
+	// Fingerprint is the hash of the request.
+	Fingerprint string `json:"fingerprint"`
+	Claimant    string `json:"claimant"`
+	// Expiry is how long after reading the claim a reader may expect an outcome.
+	Expiry time.Duration `json:"expiry"`
+}
+
+// Answer is the recorded answer of an upstream.
+type Answer struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body"`
+}
+
+// Outcome ends the claim with record ID Claim.
+type Outcome struct {
+	Key   OrderKey `json:"key"`
+	Claim ID       `json:"claim"`
+	// Known is false if the claimant can't tell whether the upstream ran the call.
+	Known bool `json:"known"`
+	// Oversize is set if the answer exceeded MaxAnswer and was left out.
+	Oversize bool   `json:"oversize,omitempty"`
+	Answer   Answer `json:"answer"`
+}
+
+// Release gives the claim with record ID Claim back without a call.
+type Release struct {
+	Key   OrderKey `json:"key"`
+	Claim ID       `json:"claim"`
+}
+
+// LeaseOp is the kind of a Lease record.
+type LeaseOp string
+
+// Kinds of Lease records.
+const (
+	LeaseAcquire LeaseOp = "acquire"
+	LeaseRenew   LeaseOp = "renew"
+	LeaseRelease LeaseOp = "release"
+)
+
+// Lease acquires, renews or releases a duty.
+type Lease struct {
+	Op     LeaseOp `json:"op"`
+	Duty   string  `json:"duty"`
+	Holder string  `json:"holder"`
+	// Epoch is the offset of the accepted acquire record; renew and release only.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// Read is the offset up to which the holder had read; acquire only.
+	Read uint64 `json:"read,omitempty"`
+}
+
+// Entry is one encoded record of a stream.
+type Entry struct {
+	Offset uint64
+	Data   []byte
+}
+
+// Batch is the result of one read of a stream.
+type Batch struct {
+	// First is the lowest offset still kept.
+	First uint64
+	// Next is the offset after the last entry.
+	Next uint64
+	// Entries are consecutive, in offset order.
+	Entries []Entry
+}
