--- /dev/null
+++ b/standin/logservice/http.go
@@ -0,0 +1,140 @@
+package logservice
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"masticbank.example/node/wire"
+)
+
+// ServeHTTP serves the log's paths, GET and POST /faults with a JSON Faults,
+// and GET /stats with a JSON Stats.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case pathFaults:
+		s.serveFaults(w, r)
+		return
+	case pathStats:
+		writeJSON(w, s.Stats())
+		return
+	}
+	faults := s.currentFaults()
+	if faults.Slow > 0 && !pause(r, faults.Slow) {
+		return
+	}
+	if faults.Down {
+		http.Error(w, "log is down", http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case wire.PathLogAppend:
+		s.serveAppend(w, r)
+	case wire.PathLogRead:
+		s.serveRead(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	}
+	writeJSON(w, s.currentFaults())
+}
+
+func (s *Service) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		http.Error(w, "append takes POST", http.StatusMethodNotAllowed)
+		return
+	}
+	var req wire.AppendRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&req)
+	if err != nil || req.Stream == "" || len(req.Records) == 0 {
+		http.Error(w, "malformed append", http.StatusBadRequest)
+		return
+	}
+	resp, lose, ok := s.append(req)
+	if !ok {
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	if lose {
+		loseAnswer(w)
+		return
+	}
+	writeJSON(w, resp)
+}
+
+// loseAnswer closes the connection without an answer where the server allows.
+func loseAnswer(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if conn, _, err := h.Hijack(); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+	http.Error(w, "answer lost", http.StatusGatewayTimeout)
+}
+
+func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
+	if err != nil || query.Get("stream") == "" {
+		http.Error(w, "malformed read", http.StatusBadRequest)
+		return
+	}
+	limit := number(query.Get("max"), maxReadRecords)
+	wait := min(time.Duration(number(query.Get("wait_ms"), 0))*time.Millisecond, maxReadWait)
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		resp, changed := s.read(query.Get("stream"), from, min(limit, maxReadRecords))
+		if len(resp.Records) > 0 || wait == 0 {
+			writeJSON(w, resp)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+		if s.currentFaults().Down {
+			http.Error(w, "log is down", http.StatusServiceUnavailable)
+			return
+		}
+	}
+}
+
+func pause(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func number(text string, otherwise int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return otherwise
+	}
+	return n
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
