Estimate waits by slots held, and test what a table learns

A sequence keeps its slot until its last token, so a full replica frees one slot per hold time divided by its slots; the wait term follows that. Own prefill times with no slot free are left out of the pace, since they include the wait. Reported speeds are used at once when nothing was observed.

Switched off one at a time, with a failing test each: correction of a report by own dispatches, its floor, the report's age and order, link and batch corrections of the pace, the fallback to the accelerator kind, fading, bound and refresh of cache hints.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -48,11 +48,10 @@
 func (t *Table) walk(random uint64) Chain {
 	hops := make([]Hop, 0, typicalHops)
 	total := 0.0
+	t.source.Seed(random, 0)
 	for b := 0; b < t.layers; {
 		t.collect(b)
-		var draw uint64
-		random, draw = splitMix(random)
-		c := t.candidates[t.rule.pick(t, b, t.candidates, draw)]
+		c := t.candidates[t.rule.pick(t, b, t.candidates, t.source.Uint64())]
 		hops = append(hops, Hop{ReplicaID: c.replica.ID, First: b, Last: c.next - 1})
 		total += c.replica.cost
 		b = c.next
@@ -82,16 +81,6 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// splitMix returns the next state and output of the SplitMix64 generator (Steele,
-// Lea and Flood, "Fast splittable pseudorandom number generators", 2014).
-func splitMix(state uint64) (next, out uint64) {
-	state += 0x9e3779b97f4a7c15
-	z := state
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return state, z ^ (z >> 31)
-}
-
 // unit maps a random number to [0, 1).
 func unit(random uint64) float64 {
 	return float64(random>>11) / (1 << 53)
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -3,8 +3,8 @@
 // Terms are the parts of the expected time, in seconds, that one replica adds to
 // a request.
 type Terms struct {
-	// Wait is the time for which the first step waits for a slot and for the
-	// prefill of requests dispatched since the last report.
+	// Wait is the time until the first step gets a slot and the prompts
+	// dispatched since the last report are prefilled.
 	Wait float64
 	// Prefill is the time to run the prompt tokens that are not cached.
 	Prefill float64
@@ -21,25 +21,31 @@
 
 // terms estimates the request's cost on the replica. cached is the part of the
 // prompt, 0 to 1, expected in the prefix cache.
-func (r *replica) terms(now int64, req *Request, cached float64) Terms {
+//
+// A sequence holds its slot while all stages run its tokens, which takes a full
+// chain's time if the other stages are as fast per layer. With every slot held,
+// one is freed per hold time divided by the number of slots.
+func (t *Table) terms(now int64, req *Request, r *replica, cached float64) Terms {
 	slots := max(r.slots()*r.weight, 1)
 	occupancy := float64(r.occupancy(now))
 	slow := slowdown(occupancy+1, slots)
-	step := r.decodePace()
-	prefill := r.prefillPace()
+	step := r.decodePace() * slow
+	prefill := r.prefillPace() * slow
 
-	waiting := max(occupancy+1-slots, 0)
+	queued := max(occupancy+1-slots, 0)
 	backlog := 0.0
 	if r.fresh(now) {
-		waiting = max(waiting, float64(r.load.Waiting))
+		queued = max(queued, float64(r.load.Waiting))
 		backlog = float64(r.newTokens)
 	}
-	uncached := float64(req.PromptTokens) * (1 - cached)
 	steps := float64(max(req.OutputTokens, 1))
+	uncached := float64(req.PromptTokens) * (1 - cached)
+	chain := float64(t.layers) / float64(r.layers())
+	hold := (uncached*prefill + steps*step) * chain
 	return Terms{
-		Wait:    waiting*step/slots + backlog*prefill,
-		Prefill: uncached * prefill * slow,
-		Decode:  (steps - 1) * step * slow,
+		Wait:    queued*hold/slots + backlog*prefill,
+		Prefill: uncached * prefill,
+		Decode:  (steps - 1) * step,
 		Link:    2 * r.latency * steps,
 	}
 }
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -95,7 +95,7 @@
 		Occupancy:  r.occupancy(now),
 		ReportAge:  -1,
 	}
-	v.Terms = r.terms(now, req, v.CachedPart)
+	v.Terms = t.terms(now, req, r, v.CachedPart)
 	if r.reported {
 		v.ReportAge = time.Duration(now - r.reportedAt)
 	}
--- a/core/route/pace.go
+++ b/core/route/pace.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// addReported takes a reported value, which is used at once when nothing is known.
+func (m *mean) addReported(value float64) {
+	if !m.known() {
+		m.value = value
+		m.samples = minPaceSamples
+		return
+	}
+	m.add(value, reportGain)
+}
+
 func (m *mean) known() bool {
 	return m.samples >= minPaceSamples
 }
--- a/core/route/replica.go
+++ b/core/route/replica.go
@@ -72,14 +72,19 @@
 	r.newTokens = 0
 	slow := slowdown(float64(load.Running), r.slots())
 	if load.Step > 0 {
-		r.own.decode.add(load.Step.Seconds()/slow, reportGain)
+		r.own.decode.addReported(load.Step.Seconds() / slow)
 	}
 	if load.PrefillTokensPerSecond > 0 {
-		r.own.prefill.add(1/(load.PrefillTokensPerSecond*slow), reportGain)
+		r.own.prefill.addReported(1 / (load.PrefillTokensPerSecond * slow))
 	}
 }
 
+// observe ignores a prefill while no slot is free: its duration then includes the
+// wait for one.
 func (r *replica) observe(prefillTokens, decodeTokens int, seconds float64) {
+	if prefillTokens > 0 && float64(r.held()) > r.slots() {
+		return
+	}
 	steps := max(decodeTokens, 0)
 	if prefillTokens > 0 {
 		steps++
@@ -88,13 +93,13 @@
 		return
 	}
 	seconds = max(seconds-2*r.latency*float64(steps), 0)
-	seconds /= slowdown(float64(r.inFlight), r.slots())
+	seconds /= slowdown(float64(r.held()), r.slots())
 	prefill := r.prefillPace() * float64(max(prefillTokens, 0))
 	decode := r.decodePace() * float64(max(decodeTokens, 0))
 	// The duration is divided between prefill and decode as the current
 	// estimates divide it.
 	ratio := seconds / (prefill + decode)
-	layers := float64(r.Last - r.First + 1)
+	layers := float64(r.layers())
 	if prefillTokens > 0 {
 		sample := ratio * r.prefillPace()
 		r.own.prefill.add(sample, paceGain)
@@ -118,7 +123,7 @@
 }
 
 func (r *replica) choosePace(own, kind *mean, perLayer float64) float64 {
-	layers := float64(r.Last - r.First + 1)
+	layers := float64(r.layers())
 	var pace float64
 	switch {
 	case own.known():
@@ -136,6 +141,10 @@
 // minPace keeps estimates above zero, in seconds per token.
 const minPace = 1e-9
 
+func (r *replica) layers() int {
+	return r.Last - r.First + 1
+}
+
 func (r *replica) slots() float64 {
 	if r.reported && r.load.Slots > 0 {
 		return float64(r.load.Slots)
@@ -154,6 +163,11 @@
 	if !r.fresh(now) {
 		return r.inFlight
 	}
+	return r.held()
+}
+
+// held is occupancy whatever the age of the report.
+func (r *replica) held() int {
 	return max(r.load.Running+r.delta, r.inFlight)
 }
 
@@ -166,13 +180,8 @@
 	return r.occupancy(now) >= allowed
 }
 
-// slowdown returns by which factor a step takes longer than on an idle replica.
-// Up to the number of slots the batch slows the step linearly; beyond, sequences
-// take turns.
+// slowdown returns by which factor a step takes longer than on an idle replica:
+// each sequence in the batch slows it by the same amount.
 func slowdown(sequences, slots float64) float64 {
-	used := sequences / slots
-	if used > 1 {
-		return (1 + batchSlope) * used
-	}
-	return 1 + batchSlope*used
+	return 1 + batchSlope*min(sequences/slots, 1)
 }
--- a/core/route/search.go
+++ b/core/route/search.go
@@ -29,7 +29,7 @@
 		if !t.usable(r) || r.full(now) {
 			continue
 		}
-		r.cost = r.terms(now, req, t.cachedPart(r)).Total()
+		r.cost = t.terms(now, req, r, t.cachedPart(r)).Total()
 		r.free = max(r.slots()-float64(r.occupancy(now)), 1)
 		lowest = min(lowest, r.cost)
 	}
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -22,6 +23,7 @@
 
 	// best is the lowest cost from a layer boundary to the end.
 	best       []float64
+	source     rand.PCG
 	candidates []candidate
 	forward    []bool
 	backward   []bool
--- /dev/null
+++ b/core/route/table_test.go
@@ -0,0 +1,175 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func newTestTable(t *testing.T, ids ...string) *Table {
+	t.Helper()
+	table := NewTable(4, PolicyCost)
+	for _, id := range ids {
+		require.NoError(t, table.Upsert(Replica{ID: id, Last: 3, Accelerator: "a"}))
+	}
+	return table
+}
+
+func TestUpsertRefusesRangesOutsideTheModel(t *testing.T) {
+	table := newTestTable(t)
+	for _, bad := range []Replica{{First: -1}, {First: 2, Last: 1}, {Last: 4}} {
+		var wrong *RangeError
+		require.ErrorAs(t, table.Upsert(bad), &wrong)
+	}
+	require.Zero(t, table.Len())
+}
+
+// A report lags: what was dispatched since counts, until a newer report holds it.
+func TestOccupancyIsCorrectedByOwnDispatches(t *testing.T) {
+	table := newTestTable(t, "r")
+	r := table.replicas["r"]
+	table.Report(start, "r", Load{Running: 5, Slots: 8})
+	table.Begin("r", 10)
+	table.Begin("r", 10)
+	require.Equal(t, 7, r.occupancy(start.UnixNano()))
+	table.Report(start.Add(time.Second), "r", Load{Running: 1, Slots: 8})
+	require.Equal(t, 2, r.occupancy(start.UnixNano()), "the report cannot hold less than is in flight")
+	table.Report(start, "r", Load{Running: 8, Slots: 8})
+	require.Equal(t, 2, r.occupancy(start.UnixNano()), "an older report must not win")
+	table.End("r", 10)
+	table.End("r", 10)
+	table.End("r", 10)
+	require.Zero(t, r.inFlight)
+	stale := start.Add(time.Second + reportMaxAge + 1)
+	table.Begin("r", 10)
+	require.Equal(t, 1, r.occupancy(stale.UnixNano()))
+}
+
+// A replica of which nothing is known has its kind's pace per layer; its own
+// observations then replace it, without the link and whatever the load.
+func TestPaceFallsBackToTheKind(t *testing.T) {
+	table := newTestTable(t, "known", "fresh")
+	require.NoError(t, table.Upsert(Replica{ID: "half", Last: 1, Accelerator: "a"}))
+	table.Latency("known", 5*time.Millisecond)
+	for range 100 {
+		table.Observe("known", 0, 1, 50*time.Millisecond)
+	}
+	require.InDelta(t, 0.040, table.replicas["known"].decodePace(), 1e-9)
+	require.InDelta(t, 0.040, table.replicas["fresh"].decodePace(), 1e-9)
+	require.InDelta(t, 0.020, table.replicas["half"].decodePace(), 1e-9)
+	table.Report(start, "fresh", Load{Running: 8, Slots: 8})
+	for range 100 {
+		table.Observe("fresh", 0, 1, 100*time.Millisecond)
+	}
+	require.InDelta(t, 0.100/(1+batchSlope), table.replicas["fresh"].decodePace(), 1e-6)
+	table.Report(start, "half", Load{Step: 7 * time.Millisecond})
+	require.InDelta(t, 0.007, table.replicas["half"].decodePace(), 1e-9)
+}
+
+func TestChangedRangeForgetsTheOldOne(t *testing.T) {
+	table := newTestTable(t, "r")
+	table.CacheEvent(start, "r", 1, false)
+	table.Report(start, "r", Load{Running: 3})
+	table.SetLimit("r", 9)
+	table.Begin("r", 1)
+	require.NoError(t, table.Upsert(Replica{ID: "r", Last: 1}))
+	require.NoError(t, table.Upsert(Replica{ID: "s", First: 2, Last: 3}))
+	d := table.Choose(start, Request{Blocks: []uint64{1}}, 1)
+	require.Equal(t, Chosen, d.Outcome)
+	require.Len(t, d.Chain.Hops, 2)
+	r := table.replicas["r"]
+	require.Zero(t, r.cached)
+	require.False(t, r.reported)
+	require.Equal(t, []int{1, 9}, []int{r.inFlight, r.limit})
+	table.Remove("s")
+	d = table.Choose(start, Request{}, 1)
+	require.Equal(t, Decision{Outcome: NoTiling, Missing: Range{2, 3}}, d)
+}
+
+// TestCacheIndexMatchesList compares the index with a plain list of hints that
+// drops the oldest.
+func TestCacheIndexMatchesList(t *testing.T) {
+	type entry struct {
+		replica int
+		block   uint64
+		at      int64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 4
+		index := newCacheIndex(size)
+		replicas := []*replica{{}, {}, {}}
+		var list []entry
+		for now := range int64(rapid.IntRange(1, 40).Draw(t, "events")) {
+			e := entry{
+				replica: rapid.IntRange(0, 2).Draw(t, "replica"),
+				block:   rapid.Uint64Range(0, 5).Draw(t, "block"),
+				at:      now,
+			}
+			if rapid.IntRange(0, 3).Draw(t, "evict") == 0 {
+				index.evict(replicas[e.replica], e.block)
+				for i := range list {
+					if list[i].replica == e.replica && list[i].block == e.block {
+						list[i].replica = -1
+					}
+				}
+			} else {
+				index.store(now, replicas[e.replica], e.block)
+				list = append(list, e)
+				list = list[max(0, len(list)-size):]
+			}
+			held := make(map[entry]bool)
+			for _, e := range list {
+				if e.replica >= 0 {
+					held[entry{replica: e.replica, block: e.block}] = true
+				}
+			}
+			count := 0
+			for block, holders := range index.holders {
+				for _, h := range holders {
+					count++
+					for i, r := range replicas {
+						require.True(t, h.replica != r || held[entry{replica: i, block: block}])
+					}
+				}
+			}
+			require.Equal(t, len(held), count)
+			require.LessOrEqual(t, len(index.order), 2*size+1)
+		}
+	})
+}
+
+// A hint loses its worth with age, and is void at cacheHintAge.
+func TestCacheHintsFade(t *testing.T) {
+	table := newTestTable(t, "r")
+	table.CacheEvent(start, "r", 7, false)
+	cached := func(age time.Duration) float64 {
+		e := table.Explain(start.Add(age), Request{PromptTokens: 100, Blocks: []uint64{7}}, 1)
+		return e.Replicas[0].CachedPart
+	}
+	require.InDelta(t, 1, cached(0), 1e-9)
+	require.InDelta(t, 0.5, cached(cacheHintAge/2), 1e-9)
+	require.Zero(t, cached(cacheHintAge))
+}
+
+// Explain tells for each replica what the choice made of it.
+func TestExplainStandings(t *testing.T) {
+	table := newTestTable(t, "fast", "slow", "busy", "out", "barred")
+	require.NoError(t, table.Upsert(Replica{ID: "astray", First: 1, Last: 3}))
+	table.Report(start, "slow", Load{Step: time.Second})
+	table.SetLimit("busy", 1)
+	table.Begin("busy", 1)
+	table.SetWeight("out", 0)
+	e := table.Explain(start, Request{PromptTokens: 10, OutputTokens: 10, Exclude: []string{"barred"}}, 1)
+	got := make(map[string]Standing)
+	for _, r := range e.Replicas {
+		got[r.ID] = r.Standing
+	}
+	require.Equal(t, map[string]Standing{
+		"fast": Drawable, "slow": TooSlow, "busy": NoRoom, "out": OutOfUse,
+		"barred": IsExcluded, "astray": NoChain,
+	}, got)
+	require.Equal(t, "fast", e.Decision.Chain.Hops[0].ReplicaID)
+	require.Equal(t, e.Lowest, e.Decision.Chain.Expected)
+}
