--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -42,9 +42,11 @@
 	table.End("r", 10)
 	table.End("r", 10)
 	require.Zero(t, r.inFlight)
-	stale := start.Add(time.Second + reportMaxAge + 1)
 	table.Begin("r", 10)
-	require.Equal(t, 1, r.occupancy(stale.UnixNano()))
+	table.Report(start.Add(time.Second), "r", Load{Running: 8, Slots: 8})
+	fresh := start.Add(time.Second + reportMaxAge)
+	require.Equal(t, 8, r.occupancy(fresh.UnixNano()))
+	require.Equal(t, 1, r.occupancy(fresh.UnixNano()+1), "a report of this age must not count")
 }
 
 // A replica of which nothing is known has its kind's pace per layer; its own
@@ -173,3 +175,44 @@
 	require.Equal(t, "fast", e.Decision.Chain.Hops[0].ReplicaID)
 	require.Equal(t, e.Lowest, e.Decision.Chain.Expected)
 }
+
+// Each sign of a slower replica, taken alone, raises the term that stands for it
+// and the total, compared with an equal replica.
+func TestEachSignRaisesItsTerm(t *testing.T) {
+	usual := Load{Running: 2, Slots: 4, Step: 10 * time.Millisecond, PrefillTokensPerSecond: 1000}
+	change := func(f func(*Load)) func(*Table) {
+		return func(table *Table) {
+			load := usual
+			f(&load)
+			table.Report(start, "worse", load)
+		}
+	}
+	wait := func(c Terms) float64 { return c.Wait }
+	prefill := func(c Terms) float64 { return c.Prefill }
+	decode := func(c Terms) float64 { return c.Decode }
+	link := func(c Terms) float64 { return c.Link }
+	for name, sign := range map[string]struct {
+		apply func(*Table)
+		term  func(Terms) float64
+	}{
+		"waiting":      {change(func(l *Load) { l.Waiting = 2 }), wait},
+		"slots held":   {change(func(l *Load) { l.Running = 4 }), wait},
+		"slow start":   {func(table *Table) { table.SetWeight("worse", 0.5) }, wait},
+		"new prompt":   {func(table *Table) { table.Begin("worse", 500) }, wait},
+		"slow step":    {change(func(l *Load) { l.Step *= 2 }), decode},
+		"slow prefill": {change(func(l *Load) { l.PrefillTokensPerSecond /= 2 }), prefill},
+		"evicted":      {func(table *Table) { table.CacheEvent(start, "worse", 1, true) }, prefill},
+		"far":          {func(table *Table) { table.Latency("worse", time.Millisecond) }, link},
+	} {
+		table := newTestTable(t, "usual", "worse")
+		for _, id := range []string{"usual", "worse"} {
+			table.Report(start, id, usual)
+			table.CacheEvent(start, id, 1, false)
+		}
+		sign.apply(table)
+		req := Request{PromptTokens: 100, OutputTokens: 100, Blocks: []uint64{1, 2}}
+		views := table.Explain(start, req, 1).Replicas
+		require.Greater(t, sign.term(views[1].Terms), sign.term(views[0].Terms), name)
+		require.Greater(t, views[1].Terms.Total(), views[0].Terms.Total(), name)
+	}
+}
