Admission queue: ranks with minimum shares, fair queueing, deadlines

Queue orders the waiting requests of one pool. Between ranks: strict urgency, with credits that give each rank its minimum share of the dispatched cost. Inside a rank: start-time fair queueing by workspace in estimated tokens, corrected on completion. Requests whose deadline cannot be met at the measured service rate are refused at arrival or while they wait. Queues are bounded by workspace and in total. FIFO is the baseline behind the same interface.

A differential test against linear scans draws arrivals, completions, cancellations, returned requests, capacity and configuration changes. The first run found a difference: after a returned request the slow version enforced all workspaces' bounds at the next arrival, the queue only the newcomer's.

--- /dev/null
+++ b/core/admission/fifo.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"container/list"
+	"fmt"
+	"time"
+)
+
+// FIFO serves requests in order of arrival, without ranks, fairness, limits by
+// workspace or deadlines. It is the baseline that Queue is measured against.
+type FIFO struct {
+	maxQueued int
+	slots     int
+	waiting   list.List // of *fifoRequest
+	requests  map[string]*fifoRequest
+	inFlight  int
+	cost      float64 // tokens waiting
+	pace      pace
+	effects   []Effect
+}
+
+type fifoRequest struct {
+	Request
+	place        *list.Element // nil while running
+	dispatchedAt time.Time
+}
+
+// NewFIFO returns an empty FIFO that holds at most maxQueued waiting requests;
+// 0 means no bound.
+func NewFIFO(maxQueued int) *FIFO {
+	return &FIFO{maxQueued: maxQueued, requests: map[string]*fifoRequest{}}
+}
+
+// Arrive appends a request, or refuses it if the queue is full.
+func (f *FIFO) Arrive(now time.Time, r Request) []Effect {
+	f.effects = f.effects[:0]
+	if _, ok := f.requests[r.ID]; ok {
+		panic(fmt.Sprintf("admission: request %q arrived twice", r.ID))
+	}
+	if f.maxQueued > 0 && f.inFlight >= f.slots && f.waiting.Len() >= f.maxQueued {
+		wait, known := f.wait(f.cost)
+		return append(f.effects, Effect{Kind: Refuse, ID: r.ID, Reason: ReasonPoolFull, RetryAfter: retryAfter(wait, known)})
+	}
+	req := &fifoRequest{Request: r}
+	req.place = f.waiting.PushBack(req)
+	f.cost += r.Cost
+	f.requests[r.ID] = req
+	return f.fill(now)
+}
+
+// Capacity sets how many requests may run at once.
+func (f *FIFO) Capacity(now time.Time, slots int) []Effect {
+	f.effects = f.effects[:0]
+	f.slots = max(slots, 0)
+	return f.fill(now)
+}
+
+// Done reports that a dispatched request ended and what it cost in tokens.
+func (f *FIFO) Done(now time.Time, id string, cost float64) []Effect {
+	f.effects = f.effects[:0]
+	r, ok := f.requests[id]
+	if !ok || r.place != nil {
+		return f.effects
+	}
+	f.pace.observe(cost, now.Sub(r.dispatchedAt))
+	delete(f.requests, id)
+	f.inFlight--
+	return f.fill(now)
+}
+
+// Cancel reports that the caller of a request left.
+func (f *FIFO) Cancel(now time.Time, id string) []Effect {
+	f.effects = f.effects[:0]
+	r, ok := f.requests[id]
+	if !ok {
+		return f.effects
+	}
+	delete(f.requests, id)
+	if r.place != nil {
+		f.waiting.Remove(r.place)
+		f.cost -= r.Cost
+	} else {
+		f.inFlight--
+	}
+	return f.fill(now)
+}
+
+// Requeue returns a dispatched request to the front.
+func (f *FIFO) Requeue(_ time.Time, id string) []Effect {
+	f.effects = f.effects[:0]
+	if r, ok := f.requests[id]; ok && r.place == nil {
+		f.inFlight--
+		r.place = f.waiting.PushFront(r)
+		f.cost += r.Cost
+	}
+	return f.effects
+}
+
+// Configure takes the bound on waiting requests from c.
+func (f *FIFO) Configure(now time.Time, c Config) []Effect {
+	f.effects = f.effects[:0]
+	f.maxQueued = c.MaxQueued
+	return f.fill(now)
+}
+
+// Tick dispatches what came back.
+func (f *FIFO) Tick(now time.Time) []Effect {
+	f.effects = f.effects[:0]
+	return f.fill(now)
+}
+
+// Stats summarises the queue as a single rank, without workspaces.
+func (f *FIFO) Stats(int) Stats {
+	return Stats{
+		Slots:    f.slots,
+		InFlight: f.inFlight,
+		Queued:   f.waiting.Len(),
+		Rate:     f.pace.perSlot() * float64(f.slots),
+		Ranks:    []RankStats{{Queued: f.waiting.Len(), QueuedCost: f.cost}},
+	}
+}
+
+// Position tells where a waiting request stands in the whole queue.
+func (f *FIFO) Position(_ time.Time, id string) (Position, bool) {
+	p := Position{Place: 1}
+	for e := f.waiting.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*fifoRequest)
+		if r.ID == id {
+			wait, known := f.wait(p.CostAhead)
+			p.Wait, p.WaitKnown = duration(wait), known
+			return p, true
+		}
+		p.Place++
+		p.CostAhead += r.Cost
+	}
+	return Position{}, false
+}
+
+func (f *FIFO) fill(now time.Time) []Effect {
+	for f.inFlight < f.slots && f.waiting.Len() > 0 {
+		r := f.waiting.Remove(f.waiting.Front()).(*fifoRequest)
+		r.place = nil
+		f.cost -= r.Cost
+		r.dispatchedAt = now
+		f.inFlight++
+		f.effects = append(f.effects, Effect{Kind: Dispatch, ID: r.ID})
+	}
+	return f.effects
+}
+
+func (f *FIFO) wait(ahead float64) (seconds float64, known bool) {
+	rate := f.pace.perSlot() * float64(f.slots)
+	if rate == 0 {
+		return 0, false
+	}
+	return ahead / rate, true
+}
--- /dev/null
+++ b/core/admission/queue_test.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/config"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var epoch = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// drawConfig draws weights and shares that are exact in binary, so that both
+// sides of a differential test round alike.
+func drawConfig(t *rapid.T) Config {
+	c := Config{
+		Workspaces:    map[string]WorkspacePolicy{},
+		MaxQueued:     rapid.IntRange(1, 40).Draw(t, "max queued"),
+		UrgentReserve: rapid.SampledFrom([]float64{0, 0.25}).Draw(t, "reserve"),
+	}
+	for range 3 {
+		share := rapid.SampledFrom([]float64{0, 0.125, 0.25}).Draw(t, "share")
+		c.Ranks = append(c.Ranks, RankPolicy{MinShare: share})
+	}
+	for i := range 5 {
+		c.Workspaces[fmt.Sprint("w", i)] = WorkspacePolicy{
+			Weight:      rapid.SampledFrom([]float64{0.5, 1, 2, 4}).Draw(t, "weight"),
+			MaxQueued:   rapid.SampledFrom([]int{0, 3, 8}).Draw(t, "workspace queue"),
+			MaxInFlight: rapid.SampledFrom([]int{0, 1, 3}).Draw(t, "workspace running"),
+		}
+	}
+	return c
+}
+
+// drawRequest draws a request without a deadline.
+func drawRequest(t *rapid.T, n int) Request {
+	return Request{
+		ID:        fmt.Sprint("r", n),
+		Workspace: fmt.Sprint("w", rapid.IntRange(0, 4).Draw(t, "workspace")),
+		Rank:      config.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+		Cost:      float64(rapid.IntRange(1, 64).Draw(t, "cost")),
+	}
+}
+
+// drawHeld draws one of the requests that the naive version holds.
+func drawHeld(t *rapid.T, n *naive, running bool) *naiveRequest {
+	var held []*naiveRequest
+	for _, r := range n.all {
+		if r.running == running {
+			held = append(held, r)
+		}
+	}
+	if len(held) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(held).Draw(t, "request")
+}
+
+// checkDecisions compares the effects but for the advice on retries.
+func checkDecisions(t *rapid.T, want, got []Effect) {
+	got = slices.Clone(got)
+	for i := range got {
+		got[i].RetryAfter = 0
+	}
+	if !slices.Equal(want, got) {
+		t.Fatalf("decisions differ:\nwant %v\ngot  %v", want, got)
+	}
+}
+
+func TestQueueDecidesLikeLinearScans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawConfig(t)
+		q, n := New(c), newNaive(c)
+		now, arrived := epoch, 0
+		for range rapid.IntRange(1, 120).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			n.step(now)
+			event := rapid.SampledFrom([]string{
+				"arrive", "arrive", "arrive", "arrive", "done", "done", "capacity", "leave", "requeue", "configure", "tick",
+			}).Draw(t, "event")
+			var got []Effect
+			switch event {
+			case "arrive":
+				r := drawRequest(t, arrived)
+				arrived++
+				n.arrive(r)
+				got = q.Arrive(now, r)
+			case "done":
+				if r := drawHeld(t, n, true); r != nil {
+					cost := float64(rapid.IntRange(1, 64).Draw(t, "actual"))
+					n.end(r, cost)
+					got = q.Done(now, r.ID, cost)
+				}
+			case "capacity":
+				n.slots = rapid.IntRange(0, 9).Draw(t, "slots")
+				n.fill()
+				got = q.Capacity(now, n.slots)
+			case "leave":
+				if r := drawHeld(t, n, false); r != nil {
+					n.forget(r)
+					n.fill()
+					got = q.Cancel(now, r.ID)
+				}
+			case "requeue":
+				if r := drawHeld(t, n, true); r != nil {
+					n.requeue(r)
+					got = q.Requeue(now, r.ID)
+				}
+			case "configure":
+				n.configure(drawConfig(t))
+				got = q.Configure(now, n.cfg)
+			case "tick":
+				n.fill()
+				got = q.Tick(now)
+			}
+			checkDecisions(t, n.out, got)
+			checkQueue(t, q, n)
+		}
+	})
+}
+
+// checkQueue checks what must hold between events.
+func checkQueue(t *rapid.T, q *Queue, n *naive) {
+	running := n.count(true, func(*naiveRequest) bool { return true })
+	require.Equal(t, running, q.inFlight)
+	require.Equal(t, len(n.all)-running, q.queued)
+	require.Len(t, q.requests, len(n.all))
+	for i, r := range q.ranks {
+		require.Equal(t, n.credit[i], r.credit, "credit of rank %d", i)
+	}
+}
