Serve requests end to end: router, callers' API, administration, both programs

Cause: the decision cores and clients existed side by side; no request crossed them.

node/router carries a request through admission, a route over engines that hold layer ranges, the attempt machine, and back; node/api answers in the OpenAI format; node/app assembles an instance with configuration from the log or from a folder, peers and the instance list. masticctl dev runs it with stand-ins in one process.

Conclusion: the path is whole for models. Keyed orders are next; until then they are sent at most once by one instance, which does not hold across instances.

--- /dev/null
+++ b/cmd/internal/devmode/devmode_test.go
@@ -0,0 +1,181 @@
+package devmode
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/standin/fault"
+)
+
+func start(t *testing.T) *Dev {
+	t.Helper()
+	d, err := Start(Options{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", LogLevel: "error"})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		require.Empty(t, d.Fleet.Violations())
+		d.Close(context.Background())
+	})
+	return d
+}
+
+// reply is an HTTP answer that was read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (d *Dev) do(t *testing.T, method, path, body string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+d.App.CallerAddr()+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+Key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return reply{status: resp.StatusCode, header: resp.Header, body: data}
+}
+
+type textAnswer struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Error struct {
+		Code      string `json:"code"`
+		Execution string `json:"execution"`
+	} `json:"error"`
+}
+
+func (r reply) parse(t *testing.T) textAnswer {
+	t.Helper()
+	var a textAnswer
+	require.NoError(t, json.Unmarshal(r.body, &a), string(r.body))
+	return a
+}
+
+func (d *Dev) expected(prompt string, n int) string {
+	var b strings.Builder
+	for _, tok := range d.Fleet.Expected("dev", prompt, n) {
+		b.WriteString(tok.Text)
+	}
+	return b.String()
+}
+
+func TestWholeAndStreamedAnswers(t *testing.T) {
+	d := start(t)
+	whole := d.do(t, http.MethodPost, "/v1/completions", `{"model":"dev","prompt":"p","max_tokens":9}`)
+	require.Equal(t, http.StatusOK, whole.status, string(whole.body))
+	require.Equal(t, "ran", whole.header.Get("X-Masticbank-Execution"))
+	require.Equal(t, d.expected("p", 9), whole.parse(t).Choices[0].Text)
+
+	streamed := d.do(t, http.MethodPost, "/v1/completions", `{"model":"dev","prompt":"p","max_tokens":9,"stream":true}`)
+	text, done := readStream(t, streamed.body)
+	require.True(t, done)
+	require.Equal(t, d.expected("p", 9), text)
+}
+
+func readStream(t *testing.T, body []byte) (text string, done bool) {
+	t.Helper()
+	scanner := bufio.NewScanner(bytes.NewReader(body))
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var a textAnswer
+		require.NoError(t, json.Unmarshal([]byte(data), &a))
+		if len(a.Choices) > 0 {
+			text += a.Choices[0].Text
+		}
+	}
+	return text, false
+}
+
+func TestRefusalsSayNotRun(t *testing.T) {
+	d := start(t)
+	ok := `{"model":"dev","prompt":"p","max_tokens":1}`
+	cases := []struct {
+		name, path, body string
+		header           []string
+		status           int
+		code             string
+	}{
+		{"malformed", "/v1/completions", `{`, nil, http.StatusBadRequest, "invalid_request"},
+		{"unknown model", "/v1/completions", `{"model":"x","prompt":"p"}`, nil, http.StatusNotFound, "unknown_model"},
+		{"bad key", "/v1/completions", ok, []string{"Authorization", "Bearer x"}, http.StatusUnauthorized, "invalid_api_key"},
+		{"unknown rank", "/v1/completions", ok, []string{"X-Masticbank-Rank", "x"}, http.StatusBadRequest, "unknown_rank"},
+		{"past deadline", "/v1/completions", ok, []string{"X-Masticbank-Deadline", "-1"}, http.StatusGatewayTimeout, "deadline_passed"},
+		{"bad deadline", "/v1/completions", ok, []string{"X-Masticbank-Deadline", "soon"}, http.StatusBadRequest, "invalid_deadline"},
+		{"oversize", "/v1/completions", strings.Repeat("x", 1<<20+1), nil, http.StatusRequestEntityTooLarge, "body_too_large"},
+		{"unknown service", "/services/x/y", "", nil, http.StatusNotFound, "unknown_service"},
+	}
+	for _, tc := range cases {
+		r := d.do(t, http.MethodPost, tc.path, tc.body, tc.header...)
+		require.Equal(t, tc.status, r.status, tc.name)
+		require.Equal(t, "not_run", r.header.Get("X-Masticbank-Execution"), tc.name)
+		require.Equal(t, tc.code, r.parse(t).Error.Code, tc.name)
+	}
+	for _, e := range d.Fleet.Engines() {
+		require.Zero(t, e.Runs())
+	}
+}
+
+// TestFaultyAnswersNeverReachTheCaller injects one fault on one of the two
+// replicas of each range and requires the whole right answer.
+func TestFaultyAnswersNeverReachTheCaller(t *testing.T) {
+	kinds := []fault.Kind{fault.CloseMidAnswer, fault.ForeignIdentity, fault.AnswerTwice, fault.DelayedDuplicate, fault.Leaving}
+	for _, kind := range kinds {
+		t.Run(string(kind), func(t *testing.T) {
+			d := start(t)
+			for _, id := range []string{"dev-0-3-l0", "dev-4-8-m1", "dev-9-11-s0"} {
+				require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: id, Kind: kind, Count: 2}))
+			}
+			for range 6 {
+				r := d.do(t, http.MethodPost, "/v1/completions", `{"model":"dev","prompt":"p","max_tokens":9}`)
+				require.Equal(t, http.StatusOK, r.status, string(r.body))
+				require.Equal(t, d.expected("p", 9), r.parse(t).Choices[0].Text)
+			}
+		})
+	}
+}
+
+// TestCrashMidStream crashes a replica of every range after the first token;
+// the stream goes on with the next token on other replicas.
+func TestCrashMidStream(t *testing.T) {
+	d := start(t)
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.App.CallerAddr()+"/v1/completions",
+		strings.NewReader(`{"model":"dev","prompt":"p","max_tokens":30,"stream":true}`))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+Key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	r := bufio.NewReader(resp.Body)
+	first, err := r.ReadBytes('\n')
+	require.NoError(t, err)
+	for _, id := range []string{"dev-0-3-l0", "dev-4-8-m0", "dev-9-11-s0"} {
+		require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: id, Kind: fault.Crash}))
+	}
+	rest, err := io.ReadAll(r)
+	require.NoError(t, err)
+	text, done := readStream(t, append(first, rest...))
+	require.True(t, done, string(rest))
+	require.Equal(t, d.expected("p", 30), text)
+}
--- a/cmd/masticbank/main.go
+++ b/cmd/masticbank/main.go
@@ -2,27 +2,28 @@
 package main
 
 import (
-	"os"
+	"fmt"
 
-	"github.com/alecthomas/kong"
+	"masticbank.example/cmd/internal/command"
 )
 
 // version is set by the linker.
 var version = "dev"
 
 type cli struct {
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Run an entry instance until SIGTERM or SIGINT."`
+	Settings settingsCmd `cmd:"" help:"Print the reference of all settings as Markdown."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type versionCmd struct{}
 
 // Run prints the version.
 func (versionCmd) Run() error {
-	_, err := os.Stdout.WriteString(version + "\n")
+	_, err := fmt.Println(version)
 	return err
 }
 
 func main() {
-	ctx := kong.Parse(&cli{}, kong.Name("masticbank"), kong.Description("Router for model pipelines over mixed accelerators."))
-	ctx.FatalIfErrorf(ctx.Run())
+	command.Main("masticbank", "Router for model pipelines over mixed accelerators.", &cli{})
 }
--- /dev/null
+++ b/cmd/masticctl/dev.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"masticbank.example/cmd/internal/devmode"
+)
+
+// devStopTimeout bounds the end of the development mode.
+const devStopTimeout = 10 * time.Second
+
+type devCmd struct {
+	Listen   string `default:"127.0.0.1:8080" help:"Address for callers."`
+	Admin    string `default:"127.0.0.1:8081" help:"Address for administration."`
+	LogLevel string `default:"warn" enum:"debug,info,warn,error" help:"Lowest level logged."`
+}
+
+// Run serves until a signal.
+func (c *devCmd) Run() error {
+	d, err := devmode.Start(devmode.Options{Listen: c.Listen, Admin: c.Admin, LogLevel: c.LogLevel})
+	if err != nil {
+		return err
+	}
+	c.printHelp(d)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), devStopTimeout)
+	defer cancel()
+	d.Close(ctx)
+	return nil
+}
+
+func (c *devCmd) printHelp(d *devmode.Dev) {
+	fmt.Printf("callers:        http://%s\n", d.App.CallerAddr())
+	fmt.Printf("administration: http://%s (key %s)\n", d.App.AdminAddr(), devmode.AdminKey)
+	fmt.Printf("faults:         http://%s/faults\n\n", d.Fleet.Addresses().Control)
+	fmt.Printf("curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '%s'\n\n",
+		d.App.CallerAddr(), devmode.Key,
+		`{"model":"dev","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Price for a hutch with two doors?"}]}`)
+	fmt.Printf("curl http://%s/services/orders/orders -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -d '%s'\n",
+		d.App.CallerAddr(), devmode.Key, `{"item":"timber"}`)
+}
--- a/cmd/masticctl/main.go
+++ b/cmd/masticctl/main.go
@@ -2,27 +2,34 @@
 package main
 
 import (
-	"os"
+	"fmt"
 
-	"github.com/alecthomas/kong"
+	"masticbank.example/cmd/internal/command"
 )
 
 // version is set by the linker.
 var version = "dev"
 
 type cli struct {
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Validate validateCmd `cmd:"" help:"Check a folder of configuration files."`
+	Diff     diffCmd     `cmd:"" help:"Show how a folder differs from the configuration in force."`
+	Publish  publishCmd  `cmd:"" help:"Publish a folder as the next revision."`
+	Status   statusCmd   `cmd:"" help:"Show the state of an instance and of those it knows."`
+	Explain  explainCmd  `cmd:"" help:"Explain a request, or the route that a request would get."`
+	Drain    drainCmd    `cmd:"" help:"Stop new work to an upstream."`
+	LogLevel logLevelCmd `cmd:"" help:"Change the log level of an instance."`
+	Dev      devCmd      `cmd:"" help:"Run stand-ins and one entry instance in this process."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 type versionCmd struct{}
 
 // Run prints the version.
 func (versionCmd) Run() error {
-	_, err := os.Stdout.WriteString(version + "\n")
+	_, err := fmt.Println(version)
 	return err
 }
 
 func main() {
-	ctx := kong.Parse(&cli{}, kong.Name("masticctl"), kong.Description("Operators' tool of masticbank."))
-	ctx.FatalIfErrorf(ctx.Run())
+	command.Main("masticctl", "Operators' tool of masticbank.", &cli{})
 }
--- /dev/null
+++ b/node/admin/explain.go
@@ -0,0 +1,81 @@
+package admin
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// RequestExplanation tells what became of a request, or where it waits.
+type RequestExplanation struct {
+	RequestID string `json:"request_id"`
+	Pool      string `json:"pool"`
+	// State is "waiting", "complete" or "failed".
+	State               string  `json:"state"`
+	Place               int     `json:"place,omitempty"`
+	TokensAhead         float64 `json:"tokens_ahead,omitempty"`
+	ExpectedWaitSeconds float64 `json:"expected_wait_seconds,omitempty"`
+
+	Code              string   `json:"code,omitempty"`
+	Message           string   `json:"message,omitempty"`
+	Execution         string   `json:"execution,omitempty"`
+	Workspace         string   `json:"workspace,omitempty"`
+	Rank              int      `json:"rank"`
+	Attempts          int      `json:"attempts"`
+	Route             []string `json:"route,omitempty"`
+	QueueSeconds      float64  `json:"queue_seconds"`
+	FirstTokenSeconds float64  `json:"first_token_seconds"`
+	TotalSeconds      float64  `json:"total_seconds"`
+	EstimatedSeconds  float64  `json:"estimated_seconds"`
+}
+
+// RouteExplanation gives the grounds of a route choice made now.
+type RouteExplanation struct {
+	Outcome          string               `json:"outcome"`
+	Route            []string             `json:"route"`
+	EstimatedSeconds float64              `json:"estimated_seconds"`
+	LowestSeconds    float64              `json:"lowest_seconds"`
+	Replicas         []ReplicaExplanation `json:"replicas"`
+}
+
+// ReplicaExplanation is one replica in a RouteExplanation.
+type ReplicaExplanation struct {
+	ID         string  `json:"id"`
+	FirstLayer int     `json:"first_layer"`
+	LastLayer  int     `json:"last_layer"`
+	Standing   string  `json:"standing"`
+	Weight     float64 `json:"weight"`
+	Occupancy  int     `json:"occupancy"`
+	Limit      int     `json:"limit"`
+	CachedPart float64 `json:"cached_part"`
+	Seconds    float64 `json:"seconds"`
+}
+
+// explain answers for a request ID, or for a request with the given model and
+// numbers of tokens.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	if id := q.Get("request"); id != "" {
+		e, ok := s.opts.Instance.ExplainRequest(id)
+		if !ok {
+			writeError(w, http.StatusNotFound, "the request is neither waiting nor among the latest results of this instance")
+			return
+		}
+		writeJSON(w, http.StatusOK, e)
+		return
+	}
+	e, ok := s.opts.Instance.ExplainRoute(q.Get("model"), number(q.Get("prompt_tokens")), number(q.Get("output_tokens")))
+	if !ok {
+		writeError(w, http.StatusNotFound, "unknown model")
+		return
+	}
+	writeJSON(w, http.StatusOK, e)
+}
+
+// number reads a positive number; anything else counts as 1.
+func number(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 1
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/node/admin/message.go
@@ -0,0 +1,104 @@
+package admin
+
+import "masticbank.example/core/config"
+
+// ErrorBody is the body of an unsuccessful answer.
+type ErrorBody struct {
+	Error string `json:"error"`
+}
+
+// Readiness is the answer of /readyz.
+type Readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// LogLevel is the body of /admin/v1/log-level.
+type LogLevel struct {
+	Level string `json:"level"`
+}
+
+// Status describes one instance.
+type Status struct {
+	Instance string       `json:"instance"`
+	Zone     string       `json:"zone"`
+	Version  string       `json:"version"`
+	Ready    bool         `json:"ready"`
+	Reason   string       `json:"reason,omitempty"`
+	Revision uint64       `json:"revision"`
+	InFlight int          `json:"in_flight"`
+	Pools    []PoolStatus `json:"pools"`
+	Peers    []PeerStatus `json:"peers"`
+	// LogReason is empty while the log can be followed.
+	LogReason string `json:"log_reason,omitempty"`
+}
+
+// PeerStatus describes one other entry instance.
+type PeerStatus struct {
+	ID            string `json:"id"`
+	Zone          string `json:"zone"`
+	Connected     bool   `json:"connected"`
+	State         string `json:"state"`
+	Revision      uint64 `json:"revision"`
+	BytesSent     uint64 `json:"bytes_sent"`
+	BytesReceived uint64 `json:"bytes_received"`
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Revision uint64         `json:"revision"`
+	Config   *config.Config `json:"config"`
+}
+
+// Publish is the body of a proposal.
+type Publish struct {
+	// Author is shown to operators whose proposal lost.
+	Author string `json:"author"`
+	// Base is the revision that the proposal replaces.
+	Base   uint64         `json:"base"`
+	Config *config.Config `json:"config"`
+}
+
+// Published is the answer to an accepted proposal.
+type Published struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Lost is the answer to a proposal that another one came before.
+type Lost struct {
+	Error    string `json:"error"`
+	Revision uint64 `json:"revision"`
+	Winner   string `json:"winner"`
+}
+
+// Drain is the body of /admin/v1/drain.
+type Drain struct {
+	Upstream string `json:"upstream"`
+}
+
+// Drained is the answer of /admin/v1/drain.
+type Drained struct {
+	// Instances is the number of instances told, this one included.
+	Instances int `json:"instances"`
+}
+
+// PoolStatus describes the queue and the replicas of one model or service.
+type PoolStatus struct {
+	Name      string           `json:"name"`
+	Kind      string           `json:"kind"`
+	Slots     int              `json:"slots"`
+	InFlight  int              `json:"in_flight"`
+	Queued    int              `json:"queued"`
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
+// UpstreamStatus describes one upstream.
+type UpstreamStatus struct {
+	ID       string `json:"id"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Layers   string `json:"layers,omitempty"`
+	State    string `json:"state"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+}
--- /dev/null
+++ b/node/api/completion.go
@@ -0,0 +1,227 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/execution"
+	"masticbank.example/node/openai"
+	"masticbank.example/node/router"
+)
+
+// completion returns the handler of one completion endpoint.
+func (s *Server) completion(kind openai.Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, f := s.begin(r)
+		if f != nil {
+			s.fail(w, c.id, f)
+			return
+		}
+		req, parsed, f := s.readCompletion(kind, c, r)
+		if f != nil {
+			s.fail(w, c.id, f)
+			return
+		}
+		answer := openai.Answer{ID: c.id, Kind: kind, Model: parsed.Model, Created: c.arrived}
+		w.Header().Set(HeaderRequestID, c.id)
+		if parsed.Stream {
+			s.stream(w, r, req, parsed, answer)
+			return
+		}
+		s.whole(w, r, req, answer)
+	}
+}
+
+func (s *Server) readCompletion(kind openai.Kind, c *call, r *http.Request) (*router.Request, openai.Completion, *failure) {
+	body, f := s.readBody(r)
+	if f != nil {
+		return nil, openai.Completion{}, f
+	}
+	parsed, err := openai.Parse(kind, body)
+	if err != nil {
+		return nil, parsed, requestFailure(err)
+	}
+	model, ok := c.cfg.Models[parsed.Model]
+	if !ok {
+		return nil, parsed, &failure{status: http.StatusNotFound, code: string(router.CodeUnknownModel), message: "unknown model " + parsed.Model, param: "model"}
+	}
+	maxTokens := model.MaxOutput
+	if parsed.MaxTokens > 0 {
+		maxTokens = min(maxTokens, parsed.MaxTokens)
+	}
+	return &router.Request{
+		ID:        c.id,
+		Workspace: c.workspace,
+		Rank:      c.rank,
+		Model:     parsed.Model,
+		Prompt:    parsed.Prompt,
+		MaxTokens: maxTokens,
+		Deadline:  c.deadline,
+		Arrived:   c.arrived,
+	}, parsed, nil
+}
+
+func (s *Server) readBody(r *http.Request) ([]byte, *failure) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(s.opts.MaxBodyBytes)+1))
+	if err != nil {
+		return nil, &failure{status: http.StatusBadRequest, code: "malformed_request", message: "the body cannot be read"}
+	}
+	if len(body) > s.opts.MaxBodyBytes {
+		return nil, &failure{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "the body is too large"}
+	}
+	return body, nil
+}
+
+func requestFailure(err error) *failure {
+	f := &failure{status: http.StatusBadRequest, code: "invalid_request", message: err.Error()}
+	var re *openai.RequestError
+	if errors.As(err, &re) {
+		f.param = re.Param
+	}
+	return f
+}
+
+// textSink collects the tokens of a whole answer.
+type textSink struct {
+	text   strings.Builder
+	finish string
+}
+
+// Token implements router.Sink.
+func (t *textSink) Token(tok attempt.Token) error {
+	t.text.WriteString(tok.Text)
+	t.finish = tok.Finish
+	return nil
+}
+
+// whole answers with one JSON body, and only when every token is there.
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, req *router.Request, answer openai.Answer) {
+	sink := &textSink{}
+	result := s.opts.Router.Generate(r.Context(), req, sink)
+	if !result.Complete {
+		writeResultError(w, &result)
+		return
+	}
+	body, err := answer.Whole(sink.text.String(), sink.finish, usage(req, &result))
+	if err != nil {
+		writeResultError(w, &result)
+		return
+	}
+	w.Header().Set(HeaderExecution, execution.Ran.String())
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(body)
+}
+
+// streamSink writes each token as an event. The status line is sent with the
+// first token, so that a request that fails before it gets an error status.
+type streamSink struct {
+	w       http.ResponseWriter
+	answer  openai.Answer
+	started bool
+}
+
+// Token implements router.Sink.
+func (t *streamSink) Token(tok attempt.Token) error {
+	if !t.started {
+		t.started = true
+		t.w.Header().Set("Content-Type", "text/event-stream")
+		t.w.Header().Set("Cache-Control", "no-store")
+		t.w.WriteHeader(http.StatusOK)
+	}
+	if err := t.answer.WriteChunk(t.w, tok.Text, tok.Finish); err != nil {
+		return err
+	}
+	flush(t.w)
+	return nil
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// stream answers with server-sent events. Only a complete answer ends with the
+// end mark.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, req *router.Request, parsed openai.Completion, answer openai.Answer) {
+	sink := &streamSink{w: w, answer: answer}
+	result := s.opts.Router.Generate(r.Context(), req, sink)
+	switch {
+	case result.Complete:
+		if parsed.IncludeUsage {
+			_ = answer.WriteUsage(w, usage(req, &result))
+		}
+		_ = openai.WriteDone(w)
+		flush(w)
+	case sink.started:
+		_ = openai.WriteError(w, errorBody(&result))
+		flush(w)
+	default:
+		writeResultError(w, &result)
+	}
+}
+
+func usage(req *router.Request, result *router.Result) openai.Usage {
+	prompt := req.PromptTokens()
+	return openai.Usage{PromptTokens: prompt, CompletionTokens: result.Tokens, TotalTokens: prompt + result.Tokens}
+}
+
+// writeResultError answers a request that did not succeed.
+func writeResultError(w http.ResponseWriter, result *router.Result) {
+	if result.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(wholeSeconds(result.RetryAfter)))
+	}
+	w.Header().Set(HeaderRequestID, result.RequestID)
+	w.Header().Set(HeaderExecution, result.Execution.String())
+	writeJSON(w, statusOf(result.Code), errorBody(result))
+}
+
+func errorBody(result *router.Result) openai.ErrorBody {
+	return openai.ErrorBody{Error: openai.ErrorDetail{
+		Message:           result.Message,
+		Type:              errorType(statusOf(result.Code)),
+		Code:              string(result.Code),
+		Execution:         result.Execution.String(),
+		RequestID:         result.RequestID,
+		RetryAfterSeconds: wholeSeconds(result.RetryAfter),
+	}}
+}
+
+// wholeSeconds rounds up, as the Retry-After header holds whole seconds.
+func wholeSeconds(d time.Duration) int {
+	return int(math.Ceil(d.Seconds()))
+}
+
+func statusOf(code router.Code) int {
+	switch code {
+	case router.CodeUnknownModel, router.CodeUnknownService:
+		return http.StatusNotFound
+	case router.CodeWorkspaceFull:
+		return http.StatusTooManyRequests
+	case router.CodeDeadline:
+		return http.StatusGatewayTimeout
+	case router.CodePoison, router.CodeKeyReused:
+		return http.StatusUnprocessableEntity
+	case router.CodeKeyExpired:
+		return http.StatusConflict
+	case router.CodeAttempts, router.CodeUpstreamFailed, router.CodeRetryBudget:
+		return http.StatusBadGateway
+	case router.CodeCancelled:
+		return statusCallerLeft
+	case router.CodeRefused, router.CodePoolFull, router.CodeHopeless, router.CodeNoRoute,
+		router.CodeNoUpstream, router.CodeNotReady, router.CodeLogUnavailable:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// statusCallerLeft is logged for callers that closed their connection.
+const statusCallerLeft = 499
--- /dev/null
+++ b/node/app/explain.go
@@ -0,0 +1,74 @@
+package app
+
+import (
+	"masticbank.example/node/admin"
+	"masticbank.example/node/router"
+)
+
+// ExplainRequest implements admin.Instance.
+func (a *App) ExplainRequest(id string) (*admin.RequestExplanation, bool) {
+	e, ok := a.router.ExplainRequest(id)
+	if !ok {
+		return nil, false
+	}
+	out := &admin.RequestExplanation{RequestID: id, Pool: e.Pool}
+	if e.Waiting != nil {
+		out.State = "waiting"
+		out.Place = e.Waiting.Place
+		out.TokensAhead = e.Waiting.CostAhead
+		if e.Waiting.WaitKnown {
+			out.ExpectedWaitSeconds = e.Waiting.Wait.Seconds()
+		}
+		return out, true
+	}
+	explainResult(out, e.Finished)
+	return out, true
+}
+
+func explainResult(out *admin.RequestExplanation, r *router.Result) {
+	out.State = "complete"
+	if !r.Complete {
+		out.State = "failed"
+	}
+	out.Code = string(r.Code)
+	out.Message = r.Message
+	out.Execution = r.Execution.String()
+	out.Workspace = r.Workspace
+	out.Rank = int(r.Rank)
+	out.Attempts = r.Attempts
+	out.Route = r.Route
+	out.QueueSeconds = r.QueueWait.Seconds()
+	out.FirstTokenSeconds = r.FirstToken.Seconds()
+	out.TotalSeconds = r.Total.Seconds()
+	out.EstimatedSeconds = r.Expected.Seconds()
+}
+
+// ExplainRoute implements admin.Instance.
+func (a *App) ExplainRoute(model string, promptTokens, outputTokens int) (*admin.RouteExplanation, bool) {
+	e, ok := a.router.ExplainRoute(model, promptTokens, outputTokens)
+	if !ok {
+		return nil, false
+	}
+	out := &admin.RouteExplanation{
+		Outcome:          e.Decision.Outcome.String(),
+		EstimatedSeconds: e.Decision.Chain.Expected.Seconds(),
+		LowestSeconds:    e.Lowest.Seconds(),
+	}
+	for _, h := range e.Decision.Chain.Hops {
+		out.Route = append(out.Route, h.ReplicaID)
+	}
+	for _, v := range e.Replicas {
+		out.Replicas = append(out.Replicas, admin.ReplicaExplanation{
+			ID:         v.ID,
+			FirstLayer: v.First,
+			LastLayer:  v.Last,
+			Standing:   v.Standing.String(),
+			Weight:     v.Weight,
+			Occupancy:  v.Occupancy,
+			Limit:      v.Limit,
+			CachedPart: v.CachedPart,
+			Seconds:    v.Terms.Total(),
+		})
+	}
+	return out, true
+}
--- /dev/null
+++ b/node/router/explain.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"time"
+
+	"masticbank.example/core/admission"
+	"masticbank.example/core/route"
+)
+
+// Explanation tells what is known of one request.
+type Explanation struct {
+	// Finished is set for a request that ended recently.
+	Finished *Result
+	// Waiting is set for a request in a queue.
+	Waiting *admission.Position
+	// Pool names the queue that holds the request.
+	Pool string
+}
+
+// ExplainRequest finds a request by its ID in the queues and among the latest
+// results.
+func (r *Router) ExplainRequest(id string) (Explanation, bool) {
+	if res, ok := r.history.find(id); ok {
+		return Explanation{Finished: &res, Pool: res.Model}, true
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for name, p := range r.pools {
+		if pos, ok := p.queue.position(id); ok {
+			return Explanation{Waiting: &pos, Pool: name}, true
+		}
+	}
+	for name, s := range r.services {
+		if pos, ok := s.queue.position(id); ok {
+			return Explanation{Waiting: &pos, Pool: name}, true
+		}
+	}
+	return Explanation{}, false
+}
+
+// ExplainRoute makes the choice that a request with the given numbers of tokens
+// would get now and returns its grounds.
+func (r *Router) ExplainRoute(model string, promptTokens, outputTokens int) (route.Explanation, bool) {
+	p := r.pool(model)
+	if p == nil {
+		return route.Explanation{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	req := route.Request{PromptTokens: promptTokens, OutputTokens: outputTokens}
+	return p.table.Explain(time.Now(), req, p.random.Uint64()), true
+}
--- /dev/null
+++ b/node/router/load.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masticbank.example/node/engine"
+)
+
+// readLoad asks every replica for its load report in turn.
+func (r *Router) readLoad() {
+	ticker := time.NewTicker(loadPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+			r.readLoadOnce()
+		}
+	}
+}
+
+func (r *Router) readLoadOnce() {
+	var g errgroup.Group
+	g.SetLimit(loadReaders)
+	for _, p := range r.allPools() {
+		for _, t := range p.targets() {
+			g.Go(func() error {
+				r.readLoadOf(p, t)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
+func (r *Router) readLoadOf(p *pool, t engine.Target) {
+	ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
+	defer cancel()
+	report, err := p.engines.Load(ctx, t)
+	if err != nil {
+		return
+	}
+	p.report(t.ID, report)
+}
--- /dev/null
+++ b/node/router/pool.go
@@ -0,0 +1,236 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"masticbank.example/core/admission"
+	"masticbank.example/core/capacity"
+	"masticbank.example/core/config"
+	"masticbank.example/core/route"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+// defaultSlots is assumed of a replica that has not reported its slots.
+const defaultSlots = 4
+
+// pool holds the replicas and the queue of one model. It is safe for
+// concurrent use.
+type pool struct {
+	model   string
+	queue   *queue
+	engines engine.Client
+
+	mu        sync.Mutex
+	cfg       config.ModelConfig
+	table     *route.Table
+	upstreams map[string]*upstream
+	random    *rand.Rand
+}
+
+func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, engines engine.Client, seed uint64) *pool {
+	return &pool{
+		model:     model,
+		queue:     newQueue(adm),
+		engines:   engines,
+		cfg:       cfg,
+		table:     route.NewTable(cfg.Layers, policy),
+		upstreams: map[string]*upstream{},
+		random:    rand.New(rand.NewPCG(seed, uint64(len(model)))),
+	}
+}
+
+// setInstances puts the platform's list in force.
+func (p *pool) setInstances(list []wire.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := map[string]bool{}
+	for _, in := range list {
+		if in.Role != wire.RoleEngine || in.Model != p.model || in.Version != p.cfg.Version {
+			continue
+		}
+		listed[in.ID] = true
+		p.upsert(in)
+	}
+	for id, u := range p.upstreams {
+		if !listed[id] {
+			p.table.Remove(id)
+			p.engines.Forget(u.target())
+			delete(p.upstreams, id)
+		}
+	}
+	p.updateCapacity()
+}
+
+func (p *pool) upsert(in wire.Instance) {
+	r := route.Replica{ID: in.ID, First: in.FirstLayer, Last: in.LastLayer, Zone: in.Zone, Accelerator: in.Accelerator}
+	if err := p.table.Upsert(r); err != nil {
+		return
+	}
+	u, ok := p.upstreams[in.ID]
+	if !ok {
+		u = &upstream{slots: defaultSlots}
+		p.upstreams[in.ID] = u
+		p.table.SetLimit(in.ID, u.slots)
+	}
+	u.instance = in
+	if in.Leaving {
+		p.setLeaving(u)
+	}
+}
+
+func (p *pool) setLeaving(u *upstream) {
+	u.leaving = true
+	p.table.SetWeight(u.instance.ID, 0)
+}
+
+// markLeaving takes the word of the upstream itself or of a peer.
+func (p *pool) markLeaving(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.upstreams[id]; ok {
+		p.setLeaving(u)
+		p.updateCapacity()
+	}
+}
+
+// updateCapacity tells the queue how many requests the replicas in use carry
+// at once. The caller holds p.mu.
+func (p *pool) updateCapacity() {
+	edges := make([]capacity.Edge, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		if !u.leaving {
+			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.slots})
+		}
+	}
+	slots := capacity.Max(p.cfg.Layers, edges)
+	p.queue.setCapacity(slots)
+}
+
+// report takes the load report of one replica.
+func (p *pool) report(id string, r *wire.LoadReport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[id]
+	if !ok {
+		return
+	}
+	p.table.Report(time.Now(), id, route.Load{
+		Running:                r.Running,
+		Waiting:                r.Waiting,
+		Slots:                  r.Slots,
+		Step:                   time.Duration(r.StepMillis * float64(time.Millisecond)),
+		PrefillTokensPerSecond: r.PrefillTokensPerSecond,
+	})
+	changed := false
+	if r.Slots > 0 && r.Slots != u.slots {
+		u.slots = r.Slots
+		p.table.SetLimit(id, r.Slots)
+		changed = true
+	}
+	if r.Leaving && !u.leaving {
+		p.setLeaving(u)
+		changed = true
+	}
+	if changed {
+		p.updateCapacity()
+	}
+}
+
+// targets returns the replicas to ask for load reports.
+func (p *pool) targets() []engine.Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]engine.Target, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		out = append(out, u.target())
+	}
+	return out
+}
+
+// target returns the address of a replica.
+func (p *pool) target(id string) (engine.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[id]
+	if !ok {
+		return engine.Target{}, false
+	}
+	return u.target(), true
+}
+
+// choose picks a chain and counts it as dispatched.
+func (p *pool) choose(req route.Request) route.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	d := p.table.Choose(now, req, p.random.Uint64())
+	if d.Outcome == route.OnlyExcluded {
+		req.Exclude = nil
+		d = p.table.Choose(now, req, p.random.Uint64())
+	}
+	if d.Outcome != route.Chosen {
+		return d
+	}
+	for _, h := range d.Chain.Hops {
+		p.table.Begin(h.ReplicaID, req.PromptTokens)
+	}
+	return d
+}
+
+// end takes back what choose counted for one replica.
+func (p *pool) end(id string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.End(id, tokens)
+}
+
+// observe records the duration of one step.
+func (p *pool) observe(id string, prefill, decode int, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Observe(id, prefill, decode, d)
+}
+
+// release ends an attempt on its replicas and then frees their places.
+func (p *pool) release(requestID string, attemptNumber int, hops []route.Hop, tokens int) {
+	var wg sync.WaitGroup
+	for _, h := range hops {
+		wg.Go(func() {
+			p.cancelAttempt(requestID, attemptNumber, h.ReplicaID)
+			p.end(h.ReplicaID, tokens)
+		})
+	}
+	wg.Wait()
+}
+
+func (p *pool) cancelAttempt(requestID string, attemptNumber int, replica string) {
+	t, ok := p.target(replica)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	// The engine drops idle attempts by itself when the message is lost.
+	_ = p.engines.Cancel(ctx, t, &wire.CancelRequest{RequestID: requestID, Attempt: attemptNumber})
+}
+
+// configure puts a changed configuration in force; the layers stay the same.
+// Replicas of another version than the configured one leave the pool.
+func (p *pool) configure(cfg config.ModelConfig, policy admission.Config, list []wire.Instance) {
+	p.mu.Lock()
+	p.cfg = cfg
+	p.mu.Unlock()
+	p.queue.configure(policy)
+	p.setInstances(list)
+}
+
+// version returns the model version that the replicas hold.
+func (p *pool) version() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.Version
+}
--- /dev/null
+++ b/node/router/queue.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"masticbank.example/core/admission"
+)
+
+// queue lets goroutines wait for the decisions of one admission.Admitter. It
+// is safe for concurrent use.
+type queue struct {
+	mu      sync.Mutex
+	adm     admission.Admitter
+	waiting map[string]chan admission.Effect
+}
+
+func newQueue(adm admission.Admitter) *queue {
+	return &queue{adm: adm, waiting: map[string]chan admission.Effect{}}
+}
+
+// enter waits until the request is dispatched or refused. When ctx ends first,
+// the request leaves the queue and the error of ctx is returned.
+func (q *queue) enter(ctx context.Context, r admission.Request) (admission.Effect, error) {
+	q.mu.Lock()
+	ch := q.expect(r.ID)
+	q.deliver(q.adm.Arrive(time.Now(), r))
+	q.mu.Unlock()
+	return q.wait(ctx, r.ID, ch)
+}
+
+// reenter returns a dispatched request to its place and waits again.
+func (q *queue) reenter(ctx context.Context, id string) (admission.Effect, error) {
+	q.mu.Lock()
+	ch := q.expect(id)
+	q.deliver(q.adm.Requeue(time.Now(), id))
+	q.mu.Unlock()
+	return q.wait(ctx, id, ch)
+}
+
+func (q *queue) expect(id string) chan admission.Effect {
+	ch := make(chan admission.Effect, 1)
+	q.waiting[id] = ch
+	return ch
+}
+
+func (q *queue) wait(ctx context.Context, id string, ch chan admission.Effect) (admission.Effect, error) {
+	select {
+	case e := <-ch:
+		return e, nil
+	case <-ctx.Done():
+		q.cancel(id)
+		return admission.Effect{}, ctx.Err()
+	}
+}
+
+// cancel takes a request out of the queue, whether it waits or runs.
+func (q *queue) cancel(id string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, id)
+	q.deliver(q.adm.Cancel(time.Now(), id))
+}
+
+// done reports that a dispatched request ended after cost tokens.
+func (q *queue) done(id string, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.adm.Done(time.Now(), id, cost))
+}
+
+func (q *queue) setCapacity(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.adm.Capacity(time.Now(), slots))
+}
+
+func (q *queue) configure(c admission.Config) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.adm.Configure(time.Now(), c))
+}
+
+func (q *queue) tick() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.deliver(q.adm.Tick(time.Now()))
+}
+
+func (q *queue) stats(top int) admission.Stats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.adm.Stats(top)
+}
+
+func (q *queue) position(id string) (admission.Position, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.adm.Position(time.Now(), id)
+}
+
+// deliver hands effects to the goroutines that wait for them. The caller holds
+// q.mu.
+func (q *queue) deliver(effects []admission.Effect) {
+	for _, e := range effects {
+		ch, ok := q.waiting[e.ID]
+		if !ok {
+			continue
+		}
+		delete(q.waiting, e.ID)
+		ch <- e
+	}
+}
--- /dev/null
+++ b/node/router/router.go
@@ -0,0 +1,258 @@
+// Package router carries callers' requests to upstreams: it connects the
+// decisions of core with the clients of engines and services.
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/admission"
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/config"
+	"masticbank.example/core/route"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/service"
+	"masticbank.example/node/wire"
+)
+
+const (
+	// tickPeriod is the time between two checks of the queues' deadlines.
+	tickPeriod = 50 * time.Millisecond
+	// loadPeriod is the time between two load reports of one upstream.
+	loadPeriod = 250 * time.Millisecond
+	// loadTimeout bounds the reading of one load report.
+	loadTimeout = time.Second
+	// loadReaders bounds the load reports read at once.
+	loadReaders = 16
+	// retryAfterFailure is the hint given when upstreams failed.
+	retryAfterFailure = 2 * time.Second
+)
+
+// Metrics takes measurements. Implementations are safe for concurrent use.
+type Metrics interface {
+	// Dropped counts an answer that was not used.
+	Dropped(k attempt.DropKind)
+	// TokenGap records the time between two tokens of one answer.
+	TokenGap(workspace string, rank config.Rank, d time.Duration)
+	// Finished records the result of a request.
+	Finished(r *Result)
+}
+
+// Options configures a Router.
+type Options struct {
+	Engines  engine.Client
+	Services *service.Client
+	Metrics  Metrics
+	Logger   *zap.Logger
+	// RoutePolicy and FIFO select baselines for measurement.
+	RoutePolicy route.Policy
+	FIFO        bool
+	// Seed makes the choices among near-equal routes differ between instances.
+	Seed uint64
+}
+
+// Router serves requests under the configuration in force. It is safe for
+// concurrent use.
+type Router struct {
+	opts    Options
+	metrics Metrics
+	history *history
+	cfg     atomic.Pointer[config.Config]
+
+	mu        sync.RWMutex
+	pools     map[string]*pool
+	services  map[string]*servicePool
+	instances []wire.Instance
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// New returns a router without configuration; Configure and SetInstances make
+// it serve. Close ends it.
+func New(o Options) *Router {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Router{
+		opts:     o,
+		metrics:  o.Metrics,
+		history:  newHistory(),
+		pools:    map[string]*pool{},
+		services: map[string]*servicePool{},
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+	r.background(r.tick)
+	r.background(r.readLoad)
+	return r
+}
+
+// Config returns the configuration in force, or nil.
+func (r *Router) Config() *config.Config {
+	return r.cfg.Load()
+}
+
+// Configure puts a validated configuration in force.
+func (r *Router) Configure(c *config.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.Store(c)
+	policy := admission.FromConfig(c)
+	r.configurePools(c, policy)
+	r.configureServices(c, policy)
+}
+
+func (r *Router) configurePools(c *config.Config, policy admission.Config) {
+	for name, m := range c.Models {
+		p, ok := r.pools[name]
+		if ok && p.cfg.Layers == m.Layers {
+			p.configure(m, policy, r.instances)
+			continue
+		}
+		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), r.opts.Engines, r.opts.Seed)
+		p.setInstances(r.instances)
+		r.pools[name] = p
+	}
+	for name := range r.pools {
+		if _, ok := c.Models[name]; !ok {
+			delete(r.pools, name)
+		}
+	}
+}
+
+func (r *Router) configureServices(c *config.Config, policy admission.Config) {
+	for name, s := range c.Services {
+		sp, ok := r.services[name]
+		if !ok {
+			sp = newServicePool(name, s, r.admitter(policy))
+			sp.setInstances(r.instances)
+			r.services[name] = sp
+		}
+		sp.configure(s, policy)
+	}
+	for name := range r.services {
+		if _, ok := c.Services[name]; !ok {
+			delete(r.services, name)
+		}
+	}
+}
+
+func (r *Router) admitter(policy admission.Config) admission.Admitter {
+	if r.opts.FIFO {
+		return admission.NewFIFO(policy.MaxQueued)
+	}
+	return admission.New(policy)
+}
+
+// SetInstances puts the platform's list of instances in force.
+func (r *Router) SetInstances(list []wire.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = list
+	for _, p := range r.pools {
+		p.setInstances(list)
+	}
+	for _, s := range r.services {
+		s.setInstances(list)
+	}
+}
+
+// MarkLeaving stops new work to an upstream on its own word or on a peer's.
+func (r *Router) MarkLeaving(upstream string) {
+	for _, p := range r.allPools() {
+		p.markLeaving(upstream)
+	}
+}
+
+// Generate serves one completion request. Tokens go to sink as they come. The
+// context ends when the caller leaves.
+func (r *Router) Generate(ctx context.Context, req *Request, sink Sink) Result {
+	p := r.pool(req.Model)
+	if p == nil {
+		return Result{RequestID: req.ID, Workspace: req.Workspace, Rank: req.Rank, Code: CodeUnknownModel, Message: "unknown model " + req.Model}
+	}
+	x := &run{
+		router: r,
+		pool:   p,
+		req:    req,
+		sink:   sink,
+		machine: attempt.New(attempt.Config{
+			RequestID:   req.ID,
+			MaxAttempts: maxAttempts,
+			MaxTokens:   req.MaxTokens,
+		}),
+	}
+	result := x.serve(ctx)
+	r.finished(result)
+	return result
+}
+
+// finished records the result of a request.
+func (r *Router) finished(res Result) {
+	r.history.add(res)
+	r.metrics.Finished(&res)
+}
+
+func (r *Router) pool(model string) *pool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.pools[model]
+}
+
+func (r *Router) allPools() []*pool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*pool, 0, len(r.pools))
+	for _, p := range r.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (r *Router) queues() []*queue {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*queue, 0, len(r.pools)+len(r.services))
+	for _, p := range r.pools {
+		out = append(out, p.queue)
+	}
+	for _, s := range r.services {
+		out = append(out, s.queue)
+	}
+	return out
+}
+
+// stepTimeout bounds one step of a stage.
+func (r *Router) stepTimeout() time.Duration {
+	return r.cfg.Load().Limits.StepTimeout
+}
+
+// background runs f in a goroutine that Close waits for.
+func (r *Router) background(f func()) {
+	r.work.Go(f)
+}
+
+// Close ends background work. Requests must have ended before.
+func (r *Router) Close() {
+	r.cancel()
+	r.work.Wait()
+}
+
+func (r *Router) tick() {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+			for _, q := range r.queues() {
+				q.tick()
+			}
+		}
+	}
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -158,7 +159,8 @@
 		{"admin", s.Listen.Admin},
 		{"peers", s.Listen.Peers},
 	} {
-		if l.address == "" {
+		// Port 0 takes a free port each time.
+		if l.address == "" || strings.HasSuffix(l.address, ":0") {
 			continue
 		}
 		if other, ok := seen[l.address]; ok {
