One package runs stand-ins and any number of instances; masticctl standin

Cause: tests and measurements need several instances and real processes on ports; the development mode had one instance and no log.

Conclusion: dev, tests and measurements share one start.

--- a/cmd/internal/devmode/devmode_test.go
+++ b/cmd/internal/local/local_test.go
@@ -1,4 +1,4 @@
-package devmode
+package local
 
 import (
 	"bufio"
@@ -13,11 +13,12 @@
 	"github.com/stretchr/testify/require"
 
 	"masticbank.example/standin/fault"
+	"masticbank.example/standin/fleet"
 )
 
-func start(t *testing.T) *Dev {
+func start(t *testing.T) *Cluster {
 	t.Helper()
-	d, err := Start(Options{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", LogLevel: "error"})
+	d, err := Start(Options{Spec: fleet.Dev(), Configuration: DevConfiguration})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		require.Empty(t, d.Fleet.Violations())
@@ -33,9 +34,9 @@
 	body   []byte
 }
 
-func (d *Dev) do(t *testing.T, method, path, body string, header ...string) reply {
+func (d *Cluster) do(t *testing.T, method, path, body string, header ...string) reply {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+d.App.CallerAddr()+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+d.Apps[0].CallerAddr()+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer "+Key)
 	for i := 0; i+1 < len(header); i += 2 {
@@ -67,7 +68,7 @@
 	return a
 }
 
-func (d *Dev) expected(prompt string, n int) string {
+func (d *Cluster) expected(prompt string, n int) string {
 	var b strings.Builder
 	for _, tok := range d.Fleet.Expected("dev", prompt, n) {
 		b.WriteString(tok.Text)
@@ -160,7 +161,7 @@
 // the stream goes on with the next token on other replicas.
 func TestCrashMidStream(t *testing.T) {
 	d := start(t)
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.App.CallerAddr()+"/v1/completions",
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.Apps[0].CallerAddr()+"/v1/completions",
 		strings.NewReader(`{"model":"dev","prompt":"p","max_tokens":30,"stream":true}`))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer "+Key)
--- a/cmd/masticctl/dev.go
+++ b/cmd/masticctl/dev.go
@@ -8,21 +8,30 @@
 	"syscall"
 	"time"
 
-	"masticbank.example/cmd/internal/devmode"
+	"masticbank.example/cmd/internal/local"
+	"masticbank.example/standin/fleet"
 )
 
 // devStopTimeout bounds the end of the development mode.
 const devStopTimeout = 10 * time.Second
 
 type devCmd struct {
-	Listen   string `default:"127.0.0.1:8080" help:"Address for callers."`
-	Admin    string `default:"127.0.0.1:8081" help:"Address for administration."`
-	LogLevel string `default:"warn" enum:"debug,info,warn,error" help:"Lowest level logged."`
+	Listen    string `default:"127.0.0.1:8080" help:"Address for callers."`
+	Admin     string `default:"127.0.0.1:8081" help:"Address for administration."`
+	Instances int    `default:"1" help:"Number of entry instances."`
+	LogLevel  string `default:"warn" enum:"debug,info,warn,error" help:"Lowest level logged."`
 }
 
 // Run serves until a signal.
 func (c *devCmd) Run() error {
-	d, err := devmode.Start(devmode.Options{Listen: c.Listen, Admin: c.Admin, LogLevel: c.LogLevel})
+	d, err := local.Start(local.Options{
+		Instances:     c.Instances,
+		Spec:          fleet.Dev(),
+		Configuration: local.DevConfiguration,
+		Listen:        c.Listen,
+		Admin:         c.Admin,
+		LogLevel:      c.LogLevel,
+	})
 	if err != nil {
 		return err
 	}
@@ -36,13 +45,13 @@
 	return nil
 }
 
-func (c *devCmd) printHelp(d *devmode.Dev) {
-	fmt.Printf("callers:        http://%s\n", d.App.CallerAddr())
-	fmt.Printf("administration: http://%s (key %s)\n", d.App.AdminAddr(), devmode.AdminKey)
+func (c *devCmd) printHelp(d *local.Cluster) {
+	fmt.Printf("callers:        http://%s\n", d.Apps[0].CallerAddr())
+	fmt.Printf("administration: http://%s (key %s)\n", d.Apps[0].AdminAddr(), local.AdminKey)
 	fmt.Printf("faults:         http://%s/faults\n\n", d.Fleet.Addresses().Control)
 	fmt.Printf("curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '%s'\n\n",
-		d.App.CallerAddr(), devmode.Key,
+		d.Apps[0].CallerAddr(), local.Key,
 		`{"model":"dev","stream":true,"max_tokens":16,"messages":[{"role":"user","content":"Price for a hutch with two doors?"}]}`)
 	fmt.Printf("curl http://%s/services/orders/orders -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' -d '%s'\n",
-		d.App.CallerAddr(), devmode.Key, `{"item":"timber"}`)
+		d.Apps[0].CallerAddr(), local.Key, `{"item":"timber"}`)
 }
--- a/cmd/masticctl/main.go
+++ b/cmd/masticctl/main.go
@@ -18,6 +18,7 @@
 	Explain  explainCmd  `cmd:"" help:"Explain a request, or the route that a request would get."`
 	Drain    drainCmd    `cmd:"" help:"Stop new work to an upstream."`
 	LogLevel logLevelCmd `cmd:"" help:"Change the log level of an instance."`
+	Standin  standinCmd  `cmd:"" help:"Serve stand-ins of the upstreams and the platform on loopback ports."`
 	Dev      devCmd      `cmd:"" help:"Run stand-ins and one entry instance in this process."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/standin/fleet/query.go
+++ b/standin/fleet/query.go
@@ -70,3 +70,22 @@
 		s.Close()
 	}
 }
+
+// RepeatedOrders returns the keys of orders that a service recorded more than
+// once.
+func (f *Fleet) RepeatedOrders() []string {
+	var all []string
+	for _, r := range f.records {
+		all = append(all, r.Repeated()...)
+	}
+	return all
+}
+
+// Orders returns the number of orders recorded by all services.
+func (f *Fleet) Orders() int {
+	total := 0
+	for _, r := range f.records {
+		total += r.Total()
+	}
+	return total
+}
