--- /dev/null
+++ b/core/health/bench_test.go
@@ -0,0 +1,15 @@
+package health
+
+import "testing"
+
+// BenchmarkProgress is the cost of one answer on a connection.
+func BenchmarkProgress(b *testing.B) {
+	u := NewUpstream(DefaultConfig(), NewGroup(0.5), 1)
+	u.Step(start, Listed{})
+	u.Step(start, ProbeAnswered{1})
+	var event Event = Progress{7}
+	b.ReportAllocs()
+	for b.Loop() {
+		u.Step(start, event)
+	}
+}
--- /dev/null
+++ b/core/health/pace_test.go
@@ -0,0 +1,48 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// A steady stage of any pace never exceeds its timeout, and its silence is noticed
+// within a small multiple of a step.
+func TestProgressTimeoutFollowsThePace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const initial = 10 * time.Second
+		step := time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond
+		var p Pace
+		require.Equal(t, initial, p.ProgressTimeout(0, initial))
+		for range 60 {
+			took := time.Duration(rapid.Float64Range(0.5, 1.5).Draw(t, "jitter") * float64(step))
+			require.Greater(t, p.ProgressTimeout(0, initial), took)
+			require.Greater(t, p.ProgressTimeout(100, initial), took)
+			p.ObserveDecode(took)
+			p.ObservePrefill(100, took)
+		}
+		timeout := p.ProgressTimeout(0, initial)
+		require.Less(t, timeout, max(MinProgressTimeout+1, 12*step))
+		require.GreaterOrEqual(t, p.ProgressTimeout(200, initial), p.ProgressTimeout(100, initial))
+		p.Expired()
+		require.Equal(t, min(2*timeout, MaxProgressTimeout), p.ProgressTimeout(0, initial))
+		p.ObserveDecode(step)
+		require.Less(t, p.ProgressTimeout(0, initial), max(2*MinProgressTimeout, 2*timeout))
+	})
+}
+
+// A stage that takes eight times as long at every fifth step is not silent.
+func TestProgressTimeoutCoversDeviation(t *testing.T) {
+	const initial = 10 * time.Second
+	var p Pace
+	for i := range 100 {
+		took := time.Second
+		if i%5 == 0 {
+			took = 8 * time.Second
+		}
+		require.Greater(t, p.ProgressTimeout(0, initial), took, "step %d", i)
+		p.ObserveDecode(took)
+	}
+}
