Membership: which entry instances are live

The platform's list lags, and peers know of themselves at once. The machine merges both: the list proposes, messages decide. A peer's own word for leaving counts at once and is not taken back within an incarnation; messages of a former incarnation are left out; an instance without a message for 4 heartbeats of 500 ms is gone, which leaves 3 s of the 5 s within which others must use its slots. A listed instance that was never heard counts as live for one timeout, so that a starting instance does not take everybody's slots for itself.

--- /dev/null
+++ b/core/membership/membership.go
@@ -0,0 +1,292 @@
+// Package membership keeps which entry instances are live. It merges the
+// platform's list, which lags, with what peers tell of themselves.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is the state of an instance. Within one incarnation it only rises, but
+// for Gone, from which an instance that is heard again returns.
+type State int
+
+// States of an instance.
+const (
+	// Unheard means that the instance is listed and has told nothing.
+	Unheard State = iota
+	// Joining means that the instance runs and takes no work yet.
+	Joining
+	// Ready means that the instance takes work.
+	Ready
+	// Leaving means that the instance finishes its work and takes no more.
+	Leaving
+	// Gone means that too many heartbeats of the instance were missed.
+	Gone
+)
+
+// String returns the name of the state in lower case.
+func (s State) String() string {
+	names := [...]string{"unheard", "joining", "ready", "leaving", "gone"}
+	if s < 0 || int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
+// Config holds the fixed settings of a Members.
+type Config struct {
+	// Self is the ID of this instance.
+	Self string
+	// HeartbeatInterval is the longest time between two messages of a peer.
+	HeartbeatInterval time.Duration
+	// MissedHeartbeats is the number of intervals without a message after
+	// which an instance is Gone.
+	MissedHeartbeats int
+}
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatInterval = 500 * time.Millisecond
+	DefaultMissedHeartbeats  = 4
+)
+
+// Event is one of Listed, Heard, SelfChanged and Tick.
+type Event interface{ isEvent() }
+
+// Listed is a copy of the platform's list of entry instances.
+type Listed struct{ Instances []ListedInstance }
+
+// ListedInstance is one entry instance of the platform's list.
+type ListedInstance struct {
+	ID      string
+	Address string
+	Zone    string
+	// Leaving is true when the platform is about to stop the instance.
+	Leaving bool
+}
+
+// Heard says that a message of a peer came, and the state that it claims.
+type Heard struct {
+	ID          string
+	Incarnation uint64
+	Zone        string
+	// State is Joining, Ready or Leaving.
+	State State
+}
+
+// SelfChanged sets the state of this instance.
+type SelfChanged struct{ State State }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Listed) isEvent()      {}
+func (Heard) isEvent()       {}
+func (SelfChanged) isEvent() {}
+func (Tick) isEvent()        {}
+
+// Changed is the effect of an event: an instance has another state, or was
+// replaced by another incarnation.
+type Changed struct {
+	ID          string
+	Incarnation uint64
+	From        State
+	To          State
+}
+
+// Member is what is known of one instance.
+type Member struct {
+	ID          string
+	Address     string
+	Zone        string
+	Incarnation uint64
+	State       State
+	// Listed tells whether the last copy of the list names the instance.
+	Listed bool
+	// LastHeard is when the last message came, zero if none has.
+	LastHeard time.Time
+
+	// told is the highest state that this incarnation has claimed.
+	told State
+	// listedLeaving tells whether the last copy of the list says so.
+	listedLeaving bool
+	// since is when the instance was first listed without having been heard.
+	since time.Time
+}
+
+// Members is the state machine. It is not safe for concurrent use.
+type Members struct {
+	config  Config
+	members map[string]*Member
+}
+
+// New returns a machine that knows this instance only, as Joining. Fields of
+// config that are not positive get their defaults.
+func New(config Config) *Members {
+	if config.HeartbeatInterval <= 0 {
+		config.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if config.MissedHeartbeats <= 0 {
+		config.MissedHeartbeats = DefaultMissedHeartbeats
+	}
+	self := &Member{ID: config.Self, State: Joining, told: Joining}
+	return &Members{config: config, members: map[string]*Member{config.Self: self}}
+}
+
+// Timeout returns the time without a message after which an instance is Gone.
+func (m *Members) Timeout() time.Duration {
+	return time.Duration(m.config.MissedHeartbeats) * m.config.HeartbeatInterval
+}
+
+// Step lets time pass until now and then applies event. The effects of either
+// are in the order of instance IDs.
+func (m *Members) Step(now time.Time, event Event) []Changed {
+	expired := m.refresh(now, "")
+	replaced := ""
+	switch e := event.(type) {
+	case Listed:
+		m.applyList(now, e.Instances)
+	case Heard:
+		if m.applyHeard(now, e) {
+			replaced = e.ID
+		}
+	case SelfChanged:
+		self := m.members[m.config.Self]
+		self.told = max(self.told, e.State)
+	case Tick:
+	}
+	return append(expired, m.refresh(now, replaced)...)
+}
+
+func (m *Members) applyList(now time.Time, list []ListedInstance) {
+	for _, member := range m.members {
+		member.Listed, member.listedLeaving = false, false
+	}
+	for _, entry := range list {
+		if entry.ID == "" {
+			continue
+		}
+		member := m.members[entry.ID]
+		if member == nil {
+			member = &Member{ID: entry.ID, since: now}
+			m.members[entry.ID] = member
+		}
+		member.Listed = true
+		member.listedLeaving = member.listedLeaving || entry.Leaving
+		member.Address, member.Zone = entry.Address, entry.Zone
+	}
+}
+
+// applyHeard tells whether the message is the first of a higher incarnation.
+func (m *Members) applyHeard(now time.Time, e Heard) (replaced bool) {
+	if e.ID == m.config.Self || e.ID == "" || e.State < Joining || e.State > Leaving {
+		return false
+	}
+	member := m.members[e.ID]
+	if member == nil {
+		member = &Member{ID: e.ID}
+		m.members[e.ID] = member
+	}
+	if e.Incarnation < member.Incarnation {
+		return false
+	}
+	if e.Incarnation > member.Incarnation {
+		replaced = !member.LastHeard.IsZero()
+		member.Incarnation = e.Incarnation
+		member.told = Unheard
+	}
+	member.told = max(member.told, e.State)
+	member.LastHeard = now
+	if e.Zone != "" {
+		member.Zone = e.Zone
+	}
+	return replaced
+}
+
+// refresh works out all states at now and drops instances that are neither
+// listed nor heard.
+func (m *Members) refresh(now time.Time, replaced string) []Changed {
+	var changes []Changed
+	for id, member := range m.members {
+		from := member.State
+		member.State = m.stateOf(member, now)
+		if member.State != from || id == replaced {
+			changes = append(changes, Changed{ID: id, Incarnation: member.Incarnation, From: from, To: member.State})
+		}
+		silent := member.State == Gone || member.State == Unheard
+		if silent && !member.Listed {
+			delete(m.members, id)
+		}
+	}
+	slices.SortFunc(changes, func(a, b Changed) int { return cmp.Compare(a.ID, b.ID) })
+	return changes
+}
+
+func (m *Members) stateOf(member *Member, now time.Time) State {
+	if member.ID == m.config.Self {
+		return member.told
+	}
+	if member.LastHeard.IsZero() {
+		return Unheard
+	}
+	if now.Sub(member.LastHeard) >= m.Timeout() {
+		return Gone
+	}
+	if member.listedLeaving {
+		return Leaving
+	}
+	return member.told
+}
+
+// Live returns the IDs of the instances that hold or may take work, this one
+// among them, in order: those that are Ready or Leaving, and those that were
+// listed less than a timeout ago and have told nothing yet.
+func (m *Members) Live(now time.Time) []string {
+	var live []string
+	for id, member := range m.members {
+		if id == m.config.Self || m.holdsWork(member, now) {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func (m *Members) holdsWork(member *Member, now time.Time) bool {
+	switch m.stateOf(member, now) {
+	case Ready, Leaving:
+		return true
+	case Unheard:
+		return !member.listedLeaving && now.Sub(member.since) < m.Timeout()
+	default:
+		return false
+	}
+}
+
+// Candidates returns the instances to choose neighbours from, without this one,
+// in the order of IDs: those that are listed and not leaving. An instance whose
+// heartbeats are missed stays a candidate while it is listed, so that it is
+// found again.
+func (m *Members) Candidates() []Member {
+	return m.collect(func(member *Member) bool {
+		return member.ID != m.config.Self && member.Listed && member.State != Leaving && !member.listedLeaving
+	})
+}
+
+// All returns every known instance in the order of IDs.
+func (m *Members) All() []Member {
+	return m.collect(func(*Member) bool { return true })
+}
+
+func (m *Members) collect(keep func(*Member) bool) []Member {
+	var kept []Member
+	for _, member := range m.members {
+		if keep(member) {
+			kept = append(kept, *member)
+		}
+	}
+	slices.SortFunc(kept, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return kept
+}
--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,152 @@
+package membership
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+var start = time.Unix(1_000_000, 0)
+
+// stamped is one event of a history.
+type stamped struct {
+	at    time.Time
+	event Event
+}
+
+// naiveLive works out who is live from the whole history, by the rules as they
+// are stated and without any state of its own.
+func naiveLive(history []stamped, self string, now time.Time, timeout time.Duration) []string {
+	live := []string{self}
+	for _, id := range []string{"a", "b", "c"} {
+		if naiveHoldsWork(history, id, now, timeout) {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+func naiveHoldsWork(history []stamped, id string, now time.Time, timeout time.Duration) bool {
+	var incarnation uint64
+	var lastHeard, listedSince time.Time
+	told := Unheard
+	listed, leaving := false, false
+	for _, h := range history {
+		silent := lastHeard.IsZero() || h.at.Sub(lastHeard) >= timeout
+		if silent && !listed {
+			incarnation, lastHeard, told = 0, time.Time{}, Unheard
+		}
+		switch e := h.event.(type) {
+		case Listed:
+			was := listed || !lastHeard.IsZero()
+			at := slices.IndexFunc(e.Instances, func(l ListedInstance) bool { return l.ID == id })
+			listed = at >= 0
+			leaving = listed && e.Instances[at].Leaving
+			if listed && !was {
+				listedSince = h.at
+			}
+			if !listed && silent {
+				incarnation, lastHeard, told = 0, time.Time{}, Unheard
+			}
+		case Heard:
+			if e.ID != id || e.Incarnation < incarnation {
+				continue
+			}
+			if e.Incarnation > incarnation {
+				told = Unheard
+			}
+			incarnation, lastHeard, told = e.Incarnation, h.at, max(told, e.State)
+		}
+	}
+	if lastHeard.IsZero() {
+		return listed && !leaving && now.Sub(listedSince) < timeout
+	}
+	return now.Sub(lastHeard) < timeout && (told >= Ready || leaving)
+}
+
+func drawEvent(t *rapid.T) Event {
+	ids := []string{"a", "b", "c"}
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		var list Listed
+		for _, id := range ids {
+			if rapid.Bool().Draw(t, "listed") {
+				list.Instances = append(list.Instances, ListedInstance{ID: id, Leaving: rapid.IntRange(0, 3).Draw(t, "leaving") == 0})
+			}
+		}
+		return list
+	case 1:
+		return Tick{}
+	default:
+		return Heard{
+			ID:          rapid.SampledFrom(ids).Draw(t, "id"),
+			Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+			State:       State(rapid.IntRange(int(Joining), int(Leaving)).Draw(t, "state")),
+		}
+	}
+}
+
+func TestLiveMatchesWholeHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := New(Config{Self: "self"})
+		var history []stamped
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			event := drawEvent(t)
+			history = append(history, stamped{now, event})
+			members.Step(now, event)
+			want := naiveLive(history, "self", now, members.Timeout())
+			if got := members.Live(now); !slices.Equal(got, want) {
+				t.Fatalf("live %v, by the whole history %v", got, want)
+			}
+		}
+	})
+}
+
+func heard(id string, incarnation uint64, state State) Heard {
+	return Heard{ID: id, Incarnation: incarnation, State: state}
+}
+
+func TestKilledInstanceIsGoneAfterMissedHeartbeats(t *testing.T) {
+	members := New(Config{Self: "self"})
+	list := Listed{Instances: []ListedInstance{{ID: "a"}, {ID: "self"}}}
+	members.Step(start, list)
+	members.Step(start, heard("a", 1, Ready))
+	last := start.Add(time.Minute)
+	members.Step(last, heard("a", 1, Ready))
+	gone := last.Add(DefaultMissedHeartbeats * DefaultHeartbeatInterval)
+	require.Less(t, gone.Sub(last), 5*time.Second, "slots of a killed instance are used by others in under 5 s")
+	require.Empty(t, members.Step(gone.Add(-1), list))
+	require.Equal(t, []string{"a", "self"}, members.Live(gone.Add(-1)))
+	require.Equal(t, []Changed{{ID: "a", Incarnation: 1, From: Ready, To: Gone}}, members.Step(gone, list))
+	require.Equal(t, []string{"self"}, members.Live(gone))
+	require.Len(t, members.Candidates(), 1, "still listed, so still dialed")
+	require.Equal(t, []Changed{{ID: "a", Incarnation: 1, From: Gone, To: Ready}}, members.Step(gone, heard("a", 1, Ready)))
+}
+
+func TestLeavingIsSeenAtOnceAndNeverTakenBack(t *testing.T) {
+	members := New(Config{Self: "self"})
+	members.Step(start, Listed{Instances: []ListedInstance{{ID: "a"}}})
+	members.Step(start, heard("a", 5, Ready))
+	require.Equal(t, []Changed{{ID: "a", Incarnation: 5, From: Ready, To: Leaving}}, members.Step(start, heard("a", 5, Leaving)))
+	require.Empty(t, members.Candidates())
+	require.Empty(t, members.Step(start, heard("a", 5, Ready)), "crossed with the later message")
+	require.Empty(t, members.Step(start, heard("a", 4, Ready)), "former incarnation")
+	require.Equal(t, []Changed{{ID: "a", Incarnation: 6, From: Leaving, To: Joining}}, members.Step(start, heard("a", 6, Joining)))
+	require.Equal(t, []string{"self"}, members.Live(start), "joining takes no work")
+}
+
+func TestReplacedInstanceIsReportedInSameState(t *testing.T) {
+	members := New(Config{Self: "self"})
+	members.Step(start, heard("a", 1, Ready))
+	require.Equal(t, []Changed{{ID: "a", Incarnation: 2, From: Ready, To: Ready}}, members.Step(start, heard("a", 2, Ready)))
+	require.Equal(t, []Changed{{ID: "self", From: Joining, To: Ready}}, members.Step(start, SelfChanged{State: Ready}))
+}
