Health of upstreams decides weights, ejections and replaced connections

Cause: a step without progress was probed by its own request only; nothing learnt of it reached later choices, and a dead replica was chosen again.

Each replica now has the health state machine behind the pool's lock: joining replicas are probed before use, a silent connection is replaced when a probe on a new one is answered, a silent or lost upstream is ejected, its open attempts end at once and resume elsewhere, and a sign of leaving stops new work. Fixed on the way: connections that fail together counted as a row of faults and ejected a replica that answered probes (test added); the race detector saw no order between nbio's accepting and polling goroutines.

Conclusion: health is in the running instance.

--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return "", trace.Wrap(err)
 	}
-	defer ln.Close()
+	defer func() { _ = ln.Close() }()
 	return ln.Addr().String(), nil
 }
 
--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -180,3 +180,51 @@
 	require.True(t, done, string(rest))
 	require.Equal(t, d.expected("p", 30), text)
 }
+
+// post sends a completion request and requires the whole right answer.
+func (d *Cluster) post(t *testing.T, prompt string) {
+	t.Helper()
+	r := d.do(t, http.MethodPost, "/v1/completions", `{"model":"dev","prompt":"`+prompt+`","max_tokens":12}`)
+	require.Equal(t, http.StatusOK, r.status, string(r.body))
+	require.Equal(t, d.expected(prompt, 12), r.parse(t).Choices[0].Text)
+}
+
+// states returns the state of each upstream as the first instance shows it.
+func (d *Cluster) states() map[string]string {
+	out := map[string]string{}
+	for _, p := range d.Apps[0].Status().Pools {
+		for _, u := range p.Upstreams {
+			out[u.ID] = u.State
+		}
+	}
+	return out
+}
+
+// TestSilentConnectionIsReplaced lets every open connection to one replica of a
+// range go silent while new ones work. The replica stays in use.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	d := start(t)
+	for range 8 {
+		d.post(t, "warm")
+	}
+	require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: "dev-4-8-m0", Kind: fault.HangConnections}))
+	for range 8 {
+		d.post(t, "p")
+	}
+	require.Equal(t, "live", d.states()["dev-4-8-m0"])
+}
+
+// TestSilentUpstreamIsEjected lets one replica of a range stop answering at all.
+func TestSilentUpstreamIsEjected(t *testing.T) {
+	d := start(t)
+	for range 8 {
+		d.post(t, "warm")
+	}
+	require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: "dev-4-8-m0", Kind: fault.HangAll}))
+	for i := 0; d.states()["dev-4-8-m0"] == "live"; i++ {
+		require.Less(t, i, 100)
+		d.post(t, "p")
+	}
+	require.Equal(t, "ejected", d.states()["dev-4-8-m0"])
+	d.post(t, "p")
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -34,9 +34,9 @@
 	// HeldWeight is the weight of an upstream that fails its probes while the
 	// group allows no more ejections.
 	HeldWeight float64
-	// MaxFaults is the number of faulty connections in a row, without progress on
-	// any connection in between, after which the upstream is ejected although it
-	// answers probes.
+	// MaxFaults is the number of probes in a row that faulty connections gave rise
+	// to, without progress on any connection in between, after which the upstream
+	// is ejected although it answers them.
 	MaxFaults int
 }
 
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -366,3 +366,22 @@
 	require.Equal(t, members, g.Members())
 	require.Equal(t, out, g.Ejected())
 }
+
+// TestConnectionsThatFailTogetherDoNotEject lets every open connection go silent
+// at once while the upstream answers probes.
+func TestConnectionsThatFailTogetherDoNotEject(t *testing.T) {
+	now := time.Unix(0, 0)
+	u := NewUpstream(DefaultConfig(), NewGroup(1), 1)
+	u.Step(now, Listed{})
+	u.Step(now, ProbeAnswered{Probe: 1})
+	require.Equal(t, 1.0, u.Weight())
+	for c := range uint64(3 * DefaultConfig().MaxFaults) {
+		u.Step(now, Silent{Connection: c})
+	}
+	effects := u.Step(now, ProbeAnswered{Probe: 2})
+	require.Len(t, effects, 3*DefaultConfig().MaxFaults)
+	for _, e := range effects {
+		require.IsType(t, ReplaceConnection{}, e)
+	}
+	require.Equal(t, 1.0, u.Weight())
+}
--- a/core/health/probe.go
+++ b/core/health/probe.go
@@ -14,7 +14,11 @@
 		return
 	}
 	u.suspects = append(u.suspects, connection)
-	u.faults++
+	// Connections that fail together count once: what lies between the two ends
+	// may lose track of all of them at the same time.
+	if !u.probe.open {
+		u.faults++
+	}
 	u.sendProbe(now)
 }
 
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -68,7 +68,7 @@
 	a.router = router.New(router.Options{
 		Engines:     httpjson.New(),
 		Services:    a.services,
-		Metrics:     &observer{registry: a.metrics, log: a.log},
+		Metrics:     &observer{registry: a.metrics, log: a.log, leaving: a.announceLeaving},
 		Logger:      a.log,
 		RoutePolicy: policy,
 		FIFO:        o.Settings.Policy.Admission == "fifo",
--- a/node/app/observer.go
+++ b/node/app/observer.go
@@ -16,6 +16,8 @@
 type observer struct {
 	registry *metrics.Registry
 	log      *zap.Logger
+	// leaving tells the peers that an upstream leaves.
+	leaving func(upstream string)
 }
 
 var _ router.Metrics = (*observer)(nil)
@@ -25,6 +27,21 @@
 	o.registry.Add(metrics.LateAnswers, 1)
 }
 
+// ConnectionReplaced implements router.Metrics.
+func (o *observer) ConnectionReplaced(string) {
+	o.registry.Add(metrics.ReplacedConnections, 1)
+}
+
+// Ejected implements router.Metrics.
+func (o *observer) Ejected(string) {
+	o.registry.Add(metrics.Ejections, 1)
+}
+
+// Leaving implements router.Metrics.
+func (o *observer) Leaving(upstream string) {
+	o.leaving(upstream)
+}
+
 // TokenGap implements router.Metrics.
 func (o *observer) TokenGap(workspace string, rank config.Rank, d time.Duration) {
 	o.registry.Request(int(rank), workspace).Observe(metrics.BetweenTokens, d)
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"masticbank.example/core/record"
 	"masticbank.example/node/peer"
@@ -85,12 +86,22 @@
 // Drain implements admin.Instance.
 func (a *App) Drain(upstream string) int {
 	a.router.MarkLeaving(upstream)
+	return a.broadcast(&peerpb.Leaving{Upstream: upstream}) + 1
+}
+
+// announceLeaving tells the peers that an upstream leaves.
+func (a *App) announceLeaving(upstream string) {
+	a.broadcast(&peerpb.Leaving{Upstream: upstream})
+}
+
+// broadcast sends a message to every peer and returns their number.
+func (a *App) broadcast(m proto.Message) int {
 	if a.peers == nil {
-		return 1
+		return 0
 	}
-	n, err := a.peers.Broadcast(&peerpb.Leaving{Upstream: upstream})
+	n, err := a.peers.Broadcast(m)
 	if err != nil {
-		a.log.Error("drain cannot be sent to peers", zap.Error(err))
+		a.log.Error("message to peers cannot be sent", zap.Error(err))
 	}
-	return n + 1
+	return n
 }
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -51,14 +51,18 @@
 
 // Server is a running HTTP server. It is safe for concurrent use.
 type Server struct {
-	engine    *nbhttp.Engine
-	opts      Options
-	active    sync.WaitGroup
-	inFlight  atomic.Int64
-	closing   atomic.Bool
-	mu        sync.Mutex
-	requests  map[*nbio.Conn]context.CancelFunc
-	rejected  sync.Map // *nbio.Conn -> struct{}
+	engine   *nbhttp.Engine
+	opts     Options
+	active   sync.WaitGroup
+	inFlight atomic.Int64
+	closing  atomic.Bool
+	mu       sync.Mutex
+	requests map[*nbio.Conn]context.CancelFunc
+	rejected sync.Map // *nbio.Conn -> struct{}
+	// opened counts connections. The accepting goroutine adds to it before the
+	// polling goroutine sees the connection, and that one loads it: the kernel
+	// orders the two already, the counter tells the race detector so.
+	opened    atomic.Uint64
 	stopWatch context.CancelFunc
 	watchDone chan struct{}
 }
@@ -79,6 +83,7 @@
 		Handler:                 http.HandlerFunc(s.serve),
 		SupportServerOnly:       true,
 	})
+	s.engine.OnOpen(func(net.Conn) { s.opened.Add(1) })
 	s.engine.OnData(s.onData)
 	if err := s.engine.Start(); err != nil {
 		return nil, trace.Wrap(err, "listening on %s", o.Address)
@@ -201,6 +206,7 @@
 // onData parses input; a message that cannot be parsed gets an answer before
 // its connection is closed.
 func (s *Server) onData(c *nbio.Conn, data []byte) {
+	s.opened.Load()
 	if _, ok := s.rejected.Load(c); ok {
 		return
 	}
--- /dev/null
+++ b/node/router/health.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/health"
+	"masticbank.example/node/engine"
+)
+
+// maxEjectedShare is the largest part of the replicas of one layer range that
+// is ejected at once.
+const maxEjectedShare = 0.5
+
+// verdictTimeout bounds the wait for a verdict on a silent connection.
+const verdictTimeout = 3 * time.Second
+
+// begin prepares a step of prefill tokens, 0 for a decode step, on a replica.
+func (p *pool) begin(id string, prefill int, initial time.Duration) (call, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[id]
+	if !ok {
+		return call{}, false
+	}
+	p.calls++
+	return call{number: p.calls, target: u.target(), timeout: u.pace.ProgressTimeout(prefill, initial), live: u.live}, true
+}
+
+// progressed records an answered step of prefill tokens, 0 for a decode step.
+func (p *pool) progressed(c call, prefill, cached int, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[c.target.ID]
+	if !ok {
+		return
+	}
+	if prefill > 0 {
+		computed := max(prefill-cached, 0)
+		p.table.Observe(c.target.ID, computed, 0, d)
+		u.pace.ObservePrefill(max(computed, 1), d)
+	} else {
+		p.table.Observe(c.target.ID, 0, 1, d)
+		u.pace.ObserveDecode(d)
+	}
+	p.step(u, health.Progress{Connection: c.number})
+}
+
+// lost records a connection that was refused, reset or closed.
+func (p *pool) lost(c call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.upstreams[c.target.ID]; ok {
+		p.step(u, health.Lost{Connection: c.number})
+	}
+}
+
+// leaving records a sign that a replica leaves.
+func (p *pool) leaving(id string, source health.Source) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.upstreams[id]; ok {
+		p.step(u, health.Leaving{Source: source})
+	}
+}
+
+// suspect reports that a call made no progress and waits until a probe on a new
+// connection has told whether the replica answers.
+func (p *pool) suspect(ctx context.Context, c call) bool {
+	ch := make(chan bool, 1)
+	p.mu.Lock()
+	u, ok := p.upstreams[c.target.ID]
+	if !ok {
+		p.mu.Unlock()
+		return false
+	}
+	u.pace.Expired()
+	u.verdicts[c.number] = ch
+	p.step(u, health.Silent{Connection: c.number})
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	select {
+	case alive := <-ch:
+		return alive
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tick gives every replica whose time has come its event.
+func (p *pool) tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.upstreams {
+		if at, ok := u.health.Deadline(); ok && !now.Before(at) {
+			p.step(u, health.Tick{})
+		}
+	}
+}
+
+// step feeds one event to a replica's state machine and carries out its effects.
+// The caller holds p.mu.
+func (p *pool) step(u *upstream, e health.Event) {
+	changed := false
+	for _, effect := range u.health.Step(time.Now(), e) {
+		switch effect := effect.(type) {
+		case health.Probe:
+			p.probe(u.target(), effect)
+		case health.ReplaceConnection:
+			p.events.ConnectionReplaced(u.instance.ID)
+			p.engines.ReplaceConnections(u.target())
+			u.decide(effect.Connection, true)
+		case health.SetWeight:
+			p.table.SetWeight(u.instance.ID, effect.Weight)
+			changed = true
+		case health.FailAttempts:
+			u.failAttempts()
+		case health.Eject:
+			p.log.Warn("upstream ejected", zap.String("upstream", u.instance.ID), zap.Time("until", effect.Until))
+			p.events.Ejected(u.instance.ID)
+		case health.AnnounceLeaving:
+			p.log.Info("upstream leaves", zap.String("upstream", u.instance.ID))
+			p.events.Leaving(u.instance.ID)
+		case health.Remove:
+			p.remove(u)
+			changed = true
+		}
+	}
+	if changed {
+		p.updateCapacity()
+	}
+}
+
+// probe asks a replica on a new connection in the background whether it answers.
+func (p *pool) probe(t engine.Target, e health.Probe) {
+	p.background(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
+		defer cancel()
+		err := p.engines.Probe(ctx, t)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		u, ok := p.upstreams[t.ID]
+		if !ok {
+			return
+		}
+		if err == nil || refused(err) {
+			p.step(u, health.ProbeAnswered{Probe: e.Number})
+			return
+		}
+		p.step(u, health.ProbeFailed{Probe: e.Number})
+	})
+}
+
+// remove forgets a replica that is no longer listed. Attempts still open on it
+// go on until they end or their connections fail.
+func (p *pool) remove(u *upstream) {
+	for number := range u.verdicts {
+		u.decide(number, false)
+	}
+	p.table.Remove(u.instance.ID)
+	p.engines.Forget(u.target())
+	delete(p.upstreams, u.instance.ID)
+}
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"masticbank.example/core/admission"
 	"masticbank.example/core/capacity"
 	"masticbank.example/core/config"
+	"masticbank.example/core/health"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
@@ -17,29 +20,42 @@
 // defaultSlots is assumed of a replica that has not reported its slots.
 const defaultSlots = 4
 
+// poolOptions is what a pool shares with its router.
+type poolOptions struct {
+	engines engine.Client
+	log     *zap.Logger
+	events  Metrics
+	// background runs a function that the router's Close waits for.
+	background func(func())
+	seed       uint64
+}
+
 // pool holds the replicas and the queue of one model. It is safe for
 // concurrent use.
 type pool struct {
-	model   string
-	queue   *queue
-	engines engine.Client
+	poolOptions
+	model string
+	queue *queue
 
 	mu        sync.Mutex
 	cfg       config.ModelConfig
 	table     *route.Table
 	upstreams map[string]*upstream
+	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
+	calls     uint64 // number of the last call
 }
 
-func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, engines engine.Client, seed uint64) *pool {
+func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, o poolOptions) *pool {
 	return &pool{
-		model:     model,
-		queue:     newQueue(adm),
-		engines:   engines,
-		cfg:       cfg,
-		table:     route.NewTable(cfg.Layers, policy),
-		upstreams: map[string]*upstream{},
-		random:    rand.New(rand.NewPCG(seed, uint64(len(model)))),
+		poolOptions: o,
+		model:       model,
+		queue:       newQueue(adm),
+		cfg:         cfg,
+		table:       route.NewTable(cfg.Layers, policy),
+		upstreams:   map[string]*upstream{},
+		groups:      map[route.Range]*health.Group{},
+		random:      rand.New(rand.NewPCG(o.seed, uint64(len(model)))),
 	}
 }
 
@@ -57,44 +73,49 @@
 	}
 	for id, u := range p.upstreams {
 		if !listed[id] {
-			p.table.Remove(id)
-			p.engines.Forget(u.target())
-			delete(p.upstreams, id)
+			p.step(u, health.Unlisted{})
 		}
 	}
 	p.updateCapacity()
 }
 
+// upsert takes one entry of the list. A replica that moved to another address
+// or range begins anew.
 func (p *pool) upsert(in wire.Instance) {
+	u, ok := p.upstreams[in.ID]
+	if ok && moved(u.instance, in) {
+		u.failAttempts()
+		p.remove(u)
+		ok = false
+	}
 	r := route.Replica{ID: in.ID, First: in.FirstLayer, Last: in.LastLayer, Zone: in.Zone, Accelerator: in.Accelerator}
 	if err := p.table.Upsert(r); err != nil {
+		p.log.Warn("replica does not fit the model", zap.String("upstream", in.ID), zap.Error(err))
 		return
 	}
-	u, ok := p.upstreams[in.ID]
 	if !ok {
-		u = &upstream{slots: defaultSlots}
+		u = newUpstream(in, health.NewUpstream(health.DefaultConfig(), p.group(r), p.random.Uint64()))
 		p.upstreams[in.ID] = u
 		p.table.SetLimit(in.ID, u.slots)
+		p.table.SetWeight(in.ID, 0)
 	}
 	u.instance = in
-	if in.Leaving {
-		p.setLeaving(u)
-	}
+	p.step(u, health.Listed{Leaving: in.Leaving})
 }
 
-func (p *pool) setLeaving(u *upstream) {
-	u.leaving = true
-	p.table.SetWeight(u.instance.ID, 0)
+func moved(old, now wire.Instance) bool {
+	return old.Address != now.Address || old.FirstLayer != now.FirstLayer || old.LastLayer != now.LastLayer
 }
 
-// markLeaving takes the word of the upstream itself or of a peer.
-func (p *pool) markLeaving(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if u, ok := p.upstreams[id]; ok {
-		p.setLeaving(u)
-		p.updateCapacity()
+// group returns the replicas that stand in for r.
+func (p *pool) group(r route.Replica) *health.Group {
+	key := route.Range{First: r.First, Last: r.Last}
+	g, ok := p.groups[key]
+	if !ok {
+		g = health.NewGroup(maxEjectedShare)
+		p.groups[key] = g
 	}
+	return g
 }
 
 // updateCapacity tells the queue how many requests the replicas in use carry
@@ -102,7 +123,7 @@
 func (p *pool) updateCapacity() {
 	edges := make([]capacity.Edge, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
-		if !u.leaving {
+		if u.usable() {
 			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.slots})
 		}
 	}
@@ -125,17 +146,12 @@
 		Step:                   time.Duration(r.StepMillis * float64(time.Millisecond)),
 		PrefillTokensPerSecond: r.PrefillTokensPerSecond,
 	})
-	changed := false
+	if r.Leaving {
+		p.step(u, health.Leaving{Source: health.FromUpstream})
+	}
 	if r.Slots > 0 && r.Slots != u.slots {
 		u.slots = r.Slots
 		p.table.SetLimit(id, r.Slots)
-		changed = true
-	}
-	if r.Leaving && !u.leaving {
-		p.setLeaving(u)
-		changed = true
-	}
-	if changed {
 		p.updateCapacity()
 	}
 }
@@ -188,13 +204,6 @@
 	p.table.End(id, tokens)
 }
 
-// observe records the duration of one step.
-func (p *pool) observe(id string, prefill, decode int, d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.table.Observe(id, prefill, decode, d)
-}
-
 // release ends an attempt on its replicas and then frees their places.
 func (p *pool) release(requestID string, attemptNumber int, hops []route.Hop, tokens int) {
 	var wg sync.WaitGroup
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -13,6 +13,7 @@
 	"masticbank.example/core/admission"
 	"masticbank.example/core/attempt"
 	"masticbank.example/core/config"
+	"masticbank.example/core/health"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/service"
@@ -40,6 +41,12 @@
 	TokenGap(workspace string, rank config.Rank, d time.Duration)
 	// Finished records the result of a request.
 	Finished(r *Result)
+	// ConnectionReplaced counts a silent connection to an upstream.
+	ConnectionReplaced(upstream string)
+	// Ejected counts an upstream that was taken out of use.
+	Ejected(upstream string)
+	// Leaving tells that an upstream said that it leaves. It must not block.
+	Leaving(upstream string)
 }
 
 // Options configures a Router.
@@ -113,7 +120,13 @@
 			p.configure(m, policy, r.instances)
 			continue
 		}
-		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), r.opts.Engines, r.opts.Seed)
+		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), poolOptions{
+			engines:    r.opts.Engines,
+			log:        r.opts.Logger,
+			events:     r.metrics,
+			background: r.background,
+			seed:       r.opts.Seed,
+		})
 		p.setInstances(r.instances)
 		r.pools[name] = p
 	}
@@ -161,10 +174,10 @@
 	}
 }
 
-// MarkLeaving stops new work to an upstream on its own word or on a peer's.
+// MarkLeaving stops new work to an upstream on the word of a peer or operator.
 func (r *Router) MarkLeaving(upstream string) {
 	for _, p := range r.allPools() {
-		p.markLeaving(upstream)
+		p.leaving(upstream, health.FromPeer)
 	}
 }
 
@@ -242,6 +255,16 @@
 	r.work.Wait()
 }
 
+func (r *Router) tickOnce() {
+	now := time.Now()
+	for _, q := range r.queues() {
+		q.tick()
+	}
+	for _, p := range r.allPools() {
+		p.tick(now)
+	}
+}
+
 func (r *Router) tick() {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -250,9 +273,7 @@
 		case <-r.ctx.Done():
 			return
 		case <-ticker.C:
-			for _, q := range r.queues() {
-				q.tick()
-			}
+			r.tickOnce()
 		}
 	}
 }
--- a/node/router/run.go
+++ b/node/router/run.go
@@ -10,6 +10,7 @@
 	"masticbank.example/core/admission"
 	"masticbank.example/core/attempt"
 	"masticbank.example/core/execution"
+	"masticbank.example/core/health"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
@@ -17,7 +18,6 @@
 
 const (
 	cancelTimeout = time.Second
-	probeTimeout  = time.Second
 	// maxAttempts bounds the routes tried for one request.
 	maxAttempts = 6
 	// backoffBase and backoffCap bound the wait before a new route, in full
@@ -41,6 +41,8 @@
 	lastToken  time.Time
 	// releases counts the attempts that replicas still have to forget.
 	releases sync.WaitGroup
+	// call is the step under way, or the last one.
+	call call
 	// version is the model version of the current attempt.
 	version string
 	// lastFailure describes the last step that failed.
@@ -176,20 +178,26 @@
 
 // send runs one step and translates its end.
 func (x *run) send(ctx context.Context, s attempt.Send) attempt.Event {
-	target, ok := x.pool.target(s.Hop.ReplicaID)
+	req := x.stepRequest(s)
+	prefill := 0
+	if s.Prefill {
+		prefill = req.CoveredTokens
+	}
+	c, ok := x.pool.begin(s.Hop.ReplicaID, prefill, x.router.stepTimeout())
 	if !ok {
 		return attempt.Refused{Asked: s.Step, Reason: "not_listed"}
 	}
-	req := x.stepRequest(s)
-	timeout := x.router.stepTimeout()
-	stepCtx, cancel := context.WithTimeout(ctx, timeout)
+	x.call = c
+	stepCtx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	stop := context.AfterFunc(c.live, cancel)
+	defer stop()
 	start := time.Now()
-	resp, err := x.pool.engines.Step(stepCtx, target, req)
+	resp, err := x.pool.engines.Step(stepCtx, c.target, req)
 	if err != nil {
 		return x.stepFailed(ctx, s, err)
 	}
-	x.observe(s, req, resp, time.Since(start))
+	x.pool.progressed(c, prefill, resp.CachedTokens, time.Since(start))
 	return answered(s, resp)
 }
 
@@ -219,14 +227,6 @@
 	return req
 }
 
-func (x *run) observe(s attempt.Send, req *wire.StepRequest, resp *wire.StepResponse, d time.Duration) {
-	if s.Prefill {
-		x.pool.observe(s.Hop.ReplicaID, max(req.CoveredTokens-resp.CachedTokens, 0), 0, d)
-		return
-	}
-	x.pool.observe(s.Hop.ReplicaID, 0, 1, d)
-}
-
 func answered(s attempt.Send, resp *wire.StepResponse) attempt.Event {
 	a := attempt.Answered{
 		Asked: s.Step,
@@ -250,9 +250,7 @@
 		return attempt.Failed{Asked: s.Step, Reason: engine.CodeProtocol}
 	}
 	x.lastFailure = s.Hop.ReplicaID + ": " + ce.Error()
-	if ce.Code == wire.CodeLeaving {
-		x.pool.markLeaving(s.Hop.ReplicaID)
-	}
+	x.reportFailure(ce)
 	switch {
 	case ce.Proof != engine.ProofNone:
 		return attempt.Refused{Asked: s.Step, Reason: ce.Code}
@@ -263,23 +261,23 @@
 	}
 }
 
-// probe asks the replica on a new connection whether it answers. If it does,
-// the old connections to it are at fault.
-func (x *run) probe(ctx context.Context, e attempt.Probe) attempt.Event {
-	target, ok := x.pool.target(e.Hop.ReplicaID)
-	if !ok {
-		return attempt.Probed{Asked: e.Step}
+// reportFailure tells the replica's state machine about a failed step.
+func (x *run) reportFailure(ce *engine.CallError) {
+	switch ce.Code {
+	case wire.CodeLeaving:
+		x.pool.leaving(x.call.target.ID, health.FromUpstream)
+	case engine.CodeConnection:
+		x.pool.lost(x.call)
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	err := x.pool.engines.Probe(probeCtx, target)
+}
+
+// probe waits for the verdict on a replica whose step made no progress.
+func (x *run) probe(ctx context.Context, e attempt.Probe) attempt.Event {
+	alive := x.pool.suspect(ctx, x.call)
 	if ctx.Err() != nil {
 		return contextEvent(ctx)
 	}
-	if err == nil {
-		x.pool.engines.ReplaceConnections(target)
-	}
-	return attempt.Probed{Asked: e.Step, Alive: err == nil}
+	return attempt.Probed{Asked: e.Step, Alive: alive}
 }
 
 func (x *run) emit(e attempt.Emit) attempt.Event {
@@ -369,6 +367,12 @@
 	}
 }
 
+// refused tells whether an engine refused a call in its protocol.
+func refused(err error) bool {
+	var ce *engine.CallError
+	return errors.As(err, &ce) && ce.Proof == engine.ProofRefused
+}
+
 func contextEvent(ctx context.Context) attempt.Event {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return attempt.Expired{}
--- a/node/router/status.go
+++ b/node/router/status.go
@@ -72,7 +72,7 @@
 			Address:  u.instance.Address,
 			Zone:     u.instance.Zone,
 			Layers:   fmt.Sprintf("%d-%d", u.instance.FirstLayer, u.instance.LastLayer),
-			Leaving:  u.leaving,
+			Leaving:  u.health.Leaving(),
 			Slots:    u.slots,
 			InFlight: views[id].InFlight,
 			Weight:   views[id].Weight,
--- a/node/router/upstream.go
+++ b/node/router/upstream.go
@@ -1,17 +1,70 @@
 package router
 
 import (
+	"context"
+	"time"
+
+	"masticbank.example/core/health"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
 
-// upstream is one engine replica as the router knows it.
+// upstream is one engine replica as its pool knows it. The pool's lock guards
+// it.
 type upstream struct {
 	instance wire.Instance
 	slots    int
-	leaving  bool
+	health   *health.Upstream
+	pace     health.Pace
+	// verdicts are waited for by steps that made no progress, by call number.
+	verdicts map[uint64]chan bool
+	// live ends when the open attempts on the replica are to end.
+	live context.Context
+	fail context.CancelFunc
+}
+
+func newUpstream(in wire.Instance, h *health.Upstream) *upstream {
+	u := &upstream{instance: in, slots: defaultSlots, health: h, verdicts: map[uint64]chan bool{}}
+	u.revive()
+	return u
+}
+
+// revive begins a new period in which attempts may run on the replica.
+func (u *upstream) revive() {
+	u.live, u.fail = context.WithCancel(context.Background())
 }
 
 func (u *upstream) target() engine.Target {
 	return engine.Target{ID: u.instance.ID, Address: u.instance.Address}
 }
+
+// usable tells whether the replica gets new work.
+func (u *upstream) usable() bool {
+	return u.health.Weight() > 0
+}
+
+// decide tells the step of one call whether the replica answers.
+func (u *upstream) decide(number uint64, alive bool) {
+	if ch, ok := u.verdicts[number]; ok {
+		delete(u.verdicts, number)
+		ch <- alive
+	}
+}
+
+// failAttempts ends every open attempt on the replica.
+func (u *upstream) failAttempts() {
+	for number := range u.verdicts {
+		u.decide(number, false)
+	}
+	u.fail()
+	u.revive()
+}
+
+// call is one step under way on a replica.
+type call struct {
+	number  uint64
+	target  engine.Target
+	timeout time.Duration
+	// live ends when the replica's open attempts are to end.
+	live context.Context
+}
