--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -4,7 +4,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,7 +26,8 @@
 	Weights   string
 	// Log is empty when the fleet serves no log.
 	Log string
-	// Control takes a fault.Fault for any instance at fault.Path.
+	// Control takes a fault.Fault for any instance at fault.Path and answers a
+	// Check at PathCheck.
 	Control string
 	// Upstreams maps instance IDs of engines and services to addresses.
 	Upstreams map[string]string
@@ -208,21 +208,3 @@
 	f.servers = append(f.servers, server)
 	return server, nil
 }
-
-// control returns the handler of the control address.
-func (f *Fleet) control() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+fault.Path, func(w http.ResponseWriter, r *http.Request) {
-		var x fault.Fault
-		err := json.NewDecoder(r.Body).Decode(&x)
-		if err == nil {
-			err = f.Inject(x)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	return mux
-}
