--- a/standin/fleet/control.go
+++ b/standin/fleet/control.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 
 	"masticbank.example/standin/engine"
 	"masticbank.example/standin/fault"
@@ -24,13 +23,11 @@
 
 // Check returns what the stand-ins have seen.
 func (f *Fleet) Check() Check {
-	c := Check{Violations: f.Violations()}
-	for _, r := range f.records {
-		c.Orders += r.Total()
-		c.RepeatedKeys = append(c.RepeatedKeys, r.Repeated()...)
+	return Check{
+		Violations:   f.Violations(),
+		Orders:       f.Orders(),
+		RepeatedKeys: f.RepeatedOrders(),
 	}
-	slices.Sort(c.RepeatedKeys)
-	return c
 }
 
 // control returns the handler of the control address.
