Admission: a configuration change no longer takes credit from a rank with work

Cause: Configure updated one flow after another and took the credit of a rank that had no eligible flow in between, although another flow of it became eligible in the same change. Now credit expires after all flows are placed.

--- a/core/admission/naive_test.go
+++ b/core/admission/naive_test.go
@@ -284,15 +284,6 @@
 	n.evict(names...)
 }
 
-func (n *naive) find(id string) *naiveRequest {
-	for _, r := range n.all {
-		if r.ID == id {
-			return r
-		}
-	}
-	return nil
-}
-
 // end settles a running request at its actual cost.
 func (n *naive) end(r *naiveRequest, cost float64) {
 	r.running = false
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -307,7 +307,8 @@
 func (q *Queue) reindex(w *workspace) {
 	for _, f := range w.flows {
 		if f != nil {
-			f.rank.reindex(f)
+			f.rank.place(f)
+			f.rank.expireCredit()
 		}
 	}
 }
--- a/core/admission/rank.go
+++ b/core/admission/rank.go
@@ -32,9 +32,9 @@
 	return r.byStart.min()
 }
 
-// reindex updates the places of f after any change to f or its workspace. A
-// flow that becomes eligible starts at the current virtual time.
-func (r *rank) reindex(f *flow) {
+// place updates the places of f after any change to f or its workspace. A flow
+// that becomes eligible starts at the current virtual time.
+func (r *rank) place(f *flow) {
 	head := f.head()
 	eligible := head != nil && !f.workspace.held()
 	if eligible && !f.byStart.linked {
@@ -52,6 +52,10 @@
 	} else {
 		r.byVictim.set(&f.byVictim, true, f.lastStart(), f.last.seq)
 	}
+}
+
+// expireCredit takes the credit of a rank without work that may run.
+func (r *rank) expireCredit() {
 	if r.ready() == nil {
 		r.credit = min(r.credit, 0)
 	}
--- a/core/admission/setup.go
+++ b/core/admission/setup.go
@@ -21,7 +21,10 @@
 		f.workspace.policy = c.policy(f.workspace.name)
 	}
 	for _, f := range q.flows {
-		f.rank.reindex(f)
+		f.rank.place(f)
+	}
+	for _, r := range q.ranks {
+		r.expireCredit()
 	}
 }
 
