--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -18,6 +18,7 @@
 
 func start(t *testing.T) *Cluster {
 	t.Helper()
+	t.Parallel()
 	d, err := Start(Options{Spec: fleet.Dev(), Configuration: DevConfiguration})
 	require.NoError(t, err)
 	t.Cleanup(func() {
