Add the machine of non-idempotent calls

The first valid claim of a key in log order holds it until an outcome or a release; time frees nothing, so a claimant may pause at any step. Found on the way: with releases alone, a paused earlier attempt could claim and run after a later one was told not_run. A claim therefore names the offset read when its call arrived, and a release at or above it voids the claim; this also makes late copies of claims harmless. not_run is told only where this attempt's claim held the key or the caller vouches for a first send; a key that another instance may have run gets unknown.

--- /dev/null
+++ b/core/order/attempt.go
@@ -0,0 +1,273 @@
+package order
+
+import (
+	"time"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/core/record"
+)
+
+// Event is an input of an Attempt.
+type Event uint8
+
+const (
+	// Wake reports that the key's state may have changed, or that time passed.
+	Wake Event = iota
+	// ConfirmSend asks at the last moment whether the call may be sent.
+	ConfirmSend
+	// QueueFull reports that the claim was not queued for append.
+	QueueFull
+	// CallerGone reports that nobody waits for the result.
+	CallerGone
+)
+
+// Effect is what the shell is to do. Append effects must be queued in order and
+// before the shell waits.
+type Effect interface{ effect() }
+
+// AppendClaim appends a claim, until the time Until at the latest.
+type AppendClaim struct {
+	Record record.Record
+	Until  time.Time
+}
+
+// Append appends an outcome or a release, however long it takes.
+type Append struct{ Record record.Record }
+
+// Wait waits for a change of the key or until the time Until, then steps Wake.
+type Wait struct{ Until time.Time }
+
+// Confirm steps ConfirmSend immediately before the call is sent.
+type Confirm struct{}
+
+// Send sends the call and passes the answer to Answered.
+type Send struct{}
+
+// Reply ends the attempt with a result.
+type Reply struct{ Result Result }
+
+func (AppendClaim) effect() {}
+func (Append) effect()      {}
+func (Wait) effect()        {}
+func (Confirm) effect()     {}
+func (Send) effect()        {}
+func (Reply) effect()       {}
+
+type phase uint8
+
+const (
+	phaseWaiting phase = iota
+	phaseClaiming
+	phaseHolding
+	phaseSent
+	phaseDone
+)
+
+// Attempt takes one call from its arrival to its result. It is not safe for
+// concurrent use; the Table must not change during a step.
+type Attempt struct {
+	call     Call
+	claim    record.ID
+	claimant string
+	table    *Table
+
+	phase   phase
+	began   uint64
+	started time.Time
+}
+
+// NewAttempt returns an Attempt for a call that has just arrived. claim is the
+// unique ID for its claim.
+func NewAttempt(table *Table, call Call, claim record.ID, claimant string) *Attempt {
+	return &Attempt{call: call, claim: claim, claimant: claimant, table: table, began: table.next}
+}
+
+// Begin starts the attempt.
+func (a *Attempt) Begin(now time.Time) []Effect { return a.decide(now) }
+
+// Step takes one event.
+func (a *Attempt) Step(now time.Time, ev Event) []Effect {
+	switch {
+	case a.phase == phaseSent || a.phase == phaseDone:
+		return nil
+	case ev == CallerGone:
+		return a.giveUp(ReasonCallerGone)
+	case a.phase == phaseWaiting:
+		return a.decide(now)
+	case a.phase == phaseClaiming && ev == QueueFull:
+		return a.reply(a.refusal(ReasonOverloaded))
+	case a.phase == phaseClaiming:
+		return a.checkClaim(now)
+	case ev == ConfirmSend:
+		return a.confirm(now)
+	default:
+		return nil
+	}
+}
+
+// Answered takes the answer to the call after Send.
+func (a *Attempt) Answered(answer Answer) []Effect {
+	if a.phase != phaseSent {
+		return nil
+	}
+	result := Result{Answer: answer, Execution: answer.Execution}
+	if answer.Execution == execution.NotRun {
+		return append([]Effect{a.release()}, a.reply(result)...)
+	}
+	return append([]Effect{Append{Record: a.outcome(answer)}}, a.reply(result)...)
+}
+
+// decide acts on the key's state while the attempt has no claim.
+func (a *Attempt) decide(now time.Time) []Effect {
+	a.phase = phaseWaiting
+	e := a.table.lookup(a.call.key())
+	switch {
+	case e.claim == "":
+		return a.tryClaim(now, e)
+	case e.fingerprint != a.call.Fingerprint:
+		return a.reply(Result{Execution: execution.NotRun, Reason: ReasonKeyReused})
+	case e.outcome != nil:
+		return a.reply(replay(e.outcome))
+	case !now.Before(e.expires):
+		return a.reply(Result{Execution: execution.Unknown, Reason: ReasonClaimantGone})
+	case !now.Before(a.call.Deadline):
+		return a.reply(Result{Execution: execution.Unknown, Reason: ReasonRunning})
+	default:
+		return []Effect{Wait{Until: earlier(e.expires, a.call.Deadline)}}
+	}
+}
+
+func (a *Attempt) tryClaim(now time.Time, e entry) []Effect {
+	if e.released > a.began {
+		return a.reply(a.refusal(ReasonReleased))
+	}
+	reason := a.table.policy.checkKey(now, a.call)
+	switch {
+	case reason == ReasonMalformed:
+		return a.reply(Result{Execution: execution.NotRun, Reason: reason})
+	case reason != ReasonNone:
+		return a.reply(a.refusal(reason))
+	case a.table.blocked:
+		return a.reply(a.refusal(ReasonVersion))
+	case a.table.away:
+		return a.reply(a.refusal(ReasonLogUnavailable))
+	case !now.Before(a.call.Deadline):
+		return a.reply(a.refusal(ReasonTooLate))
+	}
+	a.phase = phaseClaiming
+	a.started = now
+	until := earlier(now.Add(a.table.policy.Dispatch), a.call.Deadline)
+	return []Effect{AppendClaim{Record: a.claimRecord(now), Until: until}, Wait{Until: until}}
+}
+
+// checkClaim looks for the attempt's own claim among the records read.
+func (a *Attempt) checkClaim(now time.Time) []Effect {
+	e := a.table.lookup(a.call.key())
+	switch {
+	case e.claim == a.claim:
+		a.phase = phaseHolding
+		return []Effect{Confirm{}}
+	case e.claim != "":
+		return a.decide(now)
+	case e.released > a.began:
+		return a.reply(a.refusal(ReasonReleased))
+	case !a.inTime(now):
+		return a.giveUp(ReasonLogUnavailable)
+	default:
+		return []Effect{Wait{Until: earlier(a.started.Add(a.table.policy.Dispatch), a.call.Deadline)}}
+	}
+}
+
+// confirm is the last check before the call is sent.
+func (a *Attempt) confirm(now time.Time) []Effect {
+	if !a.inTime(now) {
+		return a.giveUp(ReasonTooLate)
+	}
+	a.phase = phaseSent
+	return []Effect{Send{}}
+}
+
+func (a *Attempt) inTime(now time.Time) bool {
+	return now.Sub(a.started) < a.table.policy.Dispatch && now.Before(a.call.Deadline)
+}
+
+// giveUp ends an attempt that has not sent and will not. A claim is released,
+// whether or not it has reached the log.
+func (a *Attempt) giveUp(reason Reason) []Effect {
+	result := a.refusal(reason)
+	if a.phase == phaseWaiting {
+		return a.reply(result)
+	}
+	if a.phase == phaseHolding {
+		result.Execution = execution.NotRun
+	}
+	return append([]Effect{a.release()}, a.reply(result)...)
+}
+
+// refusal is the result of a call whose earlier attempts, if any, are not known.
+func (a *Attempt) refusal(reason Reason) Result {
+	if a.call.First {
+		return Result{Execution: execution.NotRun, Reason: reason}
+	}
+	return Result{Execution: execution.Unknown, Reason: reason}
+}
+
+func (a *Attempt) reply(result Result) []Effect {
+	a.phase = phaseDone
+	return []Effect{Reply{Result: result}}
+}
+
+func (a *Attempt) claimRecord(now time.Time) record.Record {
+	return record.Record{ID: a.claim, Claim: &record.Claim{
+		Key:         a.call.key(),
+		Fingerprint: a.call.Fingerprint,
+		Claimant:    a.claimant,
+		Began:       a.began,
+		Expiry:      a.call.Deadline.Sub(now) + a.table.policy.Grace,
+	}}
+}
+
+func (a *Attempt) release() Append {
+	return Append{Record: record.Record{
+		ID:      a.claim + "/release",
+		Release: &record.Release{Key: a.call.key(), Claim: a.claim},
+	}}
+}
+
+func (a *Attempt) outcome(answer Answer) record.Record {
+	o := &record.Outcome{
+		Key:    a.call.key(),
+		Claim:  a.claim,
+		Known:  answer.Execution == execution.Ran,
+		Answer: record.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body},
+	}
+	if len(answer.Body) > record.MaxAnswer {
+		o.Oversize = true
+		o.Answer = record.Answer{Status: answer.Status}
+	}
+	return record.Record{ID: a.claim + "/outcome", Outcome: o}
+}
+
+// replay returns the result of a key that has an outcome.
+func replay(o *record.Outcome) Result {
+	if !o.Known {
+		return Result{Execution: execution.Unknown, Replayed: true, Reason: ReasonClaimantGone}
+	}
+	if o.Oversize {
+		return Result{Execution: execution.Ran, Replayed: true, Reason: ReasonAnswerTooLarge}
+	}
+	answer := Answer{
+		Status:      o.Answer.Status,
+		ContentType: o.Answer.ContentType,
+		Body:        o.Answer.Body,
+		Execution:   execution.Ran,
+	}
+	return Result{Answer: answer, Execution: execution.Ran, Replayed: true}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,419 @@
+package order_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/core/order"
+	"masticbank.example/core/record"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "400")
+}
+
+const (
+	instances = 3
+	keys      = 2
+	maxSteps  = 600
+	callTime  = 120 * time.Millisecond
+	maxSkew   = 10 * time.Millisecond
+)
+
+var policy = order.Policy{
+	Window:    700 * time.Millisecond,
+	Retention: 1000 * time.Millisecond,
+	Dispatch:  60 * time.Millisecond,
+	Skew:      4 * maxSkew,
+	Grace:     50 * time.Millisecond,
+}
+
+type stored struct {
+	at   time.Time
+	data []byte
+}
+
+type instance struct {
+	table *order.Table
+	skew  time.Duration
+}
+
+// call is one attempt with the effects that its instance has not carried out.
+type call struct {
+	key     *key
+	on      *instance
+	attempt *order.Attempt
+	todo    []order.Effect
+	claimed time.Time
+	serial  int
+}
+
+// key is one order and its caller, who repeats it after giving up the last call.
+type key struct {
+	name     string
+	made     time.Time
+	dated    bool
+	waiting  *call
+	calls    int
+	recorded int
+	body     string
+	// notRun is the serial number at which the caller was last told NotRun.
+	notRun int
+}
+
+type world struct {
+	rng       *rand.Rand
+	now       time.Time
+	log       []stored
+	first     int
+	down      bool
+	flight    []record.Record
+	instances []*instance
+	calls     []*call
+	keys      []*key
+	serial    int
+	names     int
+}
+
+func newWorld(t *rapid.T) *world {
+	rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "schedule"), 0))
+	w := &world{rng: rng, now: time.UnixMilli(1_000_000), names: keys}
+	for range instances {
+		w.instances = append(w.instances, w.newInstance(t))
+	}
+	for i := range keys {
+		dated := w.rng.IntN(2) == 0
+		w.keys = append(w.keys, &key{name: strconv.Itoa(i), dated: dated})
+	}
+	return w
+}
+
+func (w *world) newInstance(t *rapid.T) *instance {
+	skew := time.Duration(w.rng.Int64N(2*int64(maxSkew))) - maxSkew
+	return &instance{table: order.NewTable(policy), skew: skew}
+}
+
+func pick[T any](rng *rand.Rand, from []T) T { return from[rng.IntN(len(from))] }
+
+func (w *world) time(i *instance) time.Time { return w.now.Add(i.skew) }
+
+func (w *world) read(i *instance, limit int) {
+	if w.down {
+		i.table.SetAway(true)
+		return
+	}
+	from := max(int(i.table.Next()), w.first)
+	b := record.Batch{First: uint64(w.first)}
+	for o := from; o < len(w.log) && o < from+limit; o++ {
+		b.Entries = append(b.Entries, record.Entry{Offset: uint64(o), Data: w.log[o].data})
+	}
+	b.Next = uint64(from + len(b.Entries))
+	i.table.Apply(w.time(i), b)
+}
+
+func (w *world) truncate() {
+	for w.first < len(w.log) && w.now.Sub(w.log[w.first].at) > policy.Retention {
+		w.first++
+	}
+}
+
+// send is the caller's first call or a repeat, which gives up the last call.
+func (w *world) send(t *rapid.T, k *key) *call {
+	if k.calls == 0 {
+		k.made = w.now
+	}
+	w.serial++
+	k.calls++
+	i := pick(w.rng, w.instances)
+	c := order.Call{
+		Workspace: "w", Service: "s", Key: k.name, Fingerprint: "f",
+		First:    k.calls == 1,
+		Deadline: w.time(i).Add(callTime),
+	}
+	if k.dated {
+		c.Date = k.made
+	}
+	claim := record.ID(fmt.Sprint("claim", w.serial))
+	made := &call{key: k, on: i, attempt: order.NewAttempt(i.table, c, claim, "i"), serial: w.serial}
+	made.todo = made.attempt.Begin(w.time(i))
+	k.waiting = made
+	w.calls = append(w.calls, made)
+	return made
+}
+
+// run carries out the next effect of c; wake steps a waiting attempt.
+func (w *world) run(t *rapid.T, c *call) {
+	next := c.todo[0]
+	switch e := next.(type) {
+	case order.AppendClaim:
+		c.claimed = w.now
+		w.flight = append(w.flight, e.Record)
+		c.todo = c.todo[1:]
+	case order.Append:
+		w.flight = append(w.flight, e.Record)
+		c.todo = c.todo[1:]
+	case order.Wait:
+		c.todo = c.attempt.Step(w.time(c.on), order.Wake)
+	case order.Confirm:
+		c.todo = c.attempt.Step(w.time(c.on), order.ConfirmSend)
+		if _, ok := c.todo[0].(order.Send); ok {
+			require.Less(t, w.now.Sub(c.claimed), policy.Dispatch, "sent after the dispatch window")
+		}
+	case order.Send:
+		c.todo = c.attempt.Answered(w.serve(t, c))
+	case order.Reply:
+		w.reply(t, c, e.Result)
+		c.todo = nil
+	}
+}
+
+func (w *world) serve(t *rapid.T, c *call) order.Answer {
+	fate := pick(w.rng, []string{"ran", "ran", "lost answer", "lost call", "refused"})
+	if fate == "refused" {
+		return order.Answer{Status: 503, Execution: execution.NotRun}
+	}
+	if fate == "lost call" {
+		return order.Answer{Execution: execution.Unknown}
+	}
+	c.key.recorded++
+	c.key.body = fmt.Sprint("answer", c.serial)
+	require.Equal(t, 1, c.key.recorded, "key %s recorded twice", c.key.name)
+	require.Greater(t, c.serial, c.key.notRun, "key %s recorded after not_run", c.key.name)
+	if fate == "lost answer" {
+		return order.Answer{Execution: execution.Unknown}
+	}
+	return order.Answer{Status: 200, Body: []byte(c.key.body), Execution: execution.Ran}
+}
+
+func (w *world) reply(t *rapid.T, c *call, r order.Result) {
+	k := c.key
+	if k.waiting != c {
+		return
+	}
+	k.waiting = nil
+	switch r.Execution {
+	case execution.NotRun:
+		require.Zero(t, k.recorded, "not_run told of recorded key %s: %s", k.name, r.Reason)
+		k.notRun = w.serial
+	case execution.Ran:
+		require.Equal(t, 1, k.recorded)
+		require.Equal(t, k.body, string(r.Answer.Body))
+	case execution.Unknown:
+	}
+}
+
+func (w *world) drop(c *call) {
+	for i, other := range w.calls {
+		if other == c {
+			w.calls = append(w.calls[:i], w.calls[i+1:]...)
+			return
+		}
+	}
+}
+
+func (w *world) crash(t *rapid.T) {
+	i := w.rng.IntN(len(w.instances))
+	for _, c := range append([]*call(nil), w.calls...) {
+		if c.on == w.instances[i] {
+			w.drop(c)
+		}
+	}
+	w.instances[i] = w.newInstance(t)
+}
+
+func (w *world) deliver(t *rapid.T) {
+	i := w.rng.IntN(len(w.flight))
+	r := w.flight[i]
+	data, err := record.Encode(r)
+	require.NoError(t, err)
+	w.log = append(w.log, stored{at: w.now, data: data})
+	repeated := w.rng.IntN(4) == 0
+	if !repeated {
+		w.flight = append(w.flight[:i], w.flight[i+1:]...)
+	}
+}
+
+func (w *world) step(t *rapid.T) {
+	if len(w.calls) == 0 {
+		return
+	}
+	c := pick(w.rng, w.calls)
+	for range 1 + w.rng.IntN(3) {
+		if len(c.todo) > 0 {
+			w.run(t, c)
+		}
+	}
+	if len(c.todo) == 0 {
+		w.drop(c)
+	}
+}
+
+// act takes one action; those above the last case leave the world as it is.
+func (w *world) act(t *rapid.T) {
+	switch n := w.rng.IntN(40); {
+	case n < 14:
+		w.step(t)
+	case n < 20 && len(w.flight) > 0 && !w.down:
+		w.deliver(t)
+	case n < 28:
+		w.read(pick(w.rng, w.instances), 1+w.rng.IntN(8))
+	case n < 31:
+		w.repeat(t)
+	case n < 35:
+		w.now = w.now.Add(time.Duration(pick(w.rng, []int{1, 1, 5, 5, 10, 20, 60, 200})) * time.Millisecond)
+	case n == 35 && w.rng.IntN(3) == 0:
+		w.now = w.now.Add(policy.Retention + policy.Window*time.Duration(w.rng.IntN(2)))
+	case n == 36:
+		w.down = !w.down && w.rng.IntN(6) == 0
+	case n == 37:
+		w.truncate()
+	case n == 38 && w.rng.IntN(4) == 0:
+		w.crash(t)
+	case n == 39:
+		w.callerGone(t)
+	}
+}
+
+// repeat sends a key, of which a new one may take the place.
+func (w *world) repeat(t *rapid.T) {
+	i := w.rng.IntN(len(w.keys))
+	k := w.keys[i]
+	promised := k.dated || k.calls == 0 || w.now.Sub(k.made) <= policy.Window
+	replaced := w.now.Sub(k.made) > policy.Window && w.rng.IntN(3) == 0
+	if promised && (k.calls == 0 || !replaced) {
+		w.send(t, k)
+		return
+	}
+	w.names++
+	w.keys[i] = &key{name: strconv.Itoa(w.names), dated: w.rng.IntN(2) == 0}
+}
+
+func (w *world) callerGone(t *rapid.T) {
+	c := pick(w.rng, w.keys).waiting
+	if c == nil {
+		return
+	}
+	if effects := c.attempt.Step(w.time(c.on), order.CallerGone); len(effects) > 0 {
+		c.todo = effects
+	}
+}
+
+// Through crashes, pauses at any step, lost answers, outages, forgotten records
+// and repeats through other instances, no order is recorded twice, none that was
+// told not_run is recorded, and a recorded answer is replayed.
+func TestOrdersAreRecordedAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range maxSteps {
+			w.act(t)
+		}
+		w.settle(t)
+	})
+}
+
+// settle ends all attempts and repeats each key whose outcome is in the log.
+func (w *world) settle(t *rapid.T) {
+	w.down = false
+	for len(w.calls) > 0 {
+		w.now = w.now.Add(policy.Dispatch)
+		w.step(t)
+		for _, i := range w.instances {
+			w.read(i, len(w.log))
+		}
+	}
+	ended := map[string]bool{}
+	for _, s := range w.log[w.first:] {
+		r, err := record.Decode(s.data)
+		require.NoError(t, err)
+		if r.Outcome != nil && r.Outcome.Known {
+			ended[r.Outcome.Key.Key] = true
+		}
+	}
+	for _, i := range w.instances {
+		w.read(i, len(w.log))
+	}
+	for _, k := range w.keys {
+		tooOld := w.now.Sub(k.made) > policy.Window-policy.Skew
+		if !ended[k.name] || tooOld {
+			continue
+		}
+		c := w.send(t, k)
+		reply, ok := c.todo[0].(order.Reply)
+		require.True(t, ok)
+		require.True(t, reply.Result.Replayed)
+		w.reply(t, c, reply.Result)
+	}
+}
+
+// An attempt that was paused before its claim comes to nothing if a later call
+// with the same key was told not_run meanwhile.
+func TestReleaseEndsEarlierAttempts(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	table := order.NewTable(policy)
+	offset := uint64(0)
+	write := func(effects ...order.Effect) {
+		for _, e := range effects {
+			var r record.Record
+			switch e := e.(type) {
+			case order.AppendClaim:
+				r = e.Record
+			case order.Append:
+				r = e.Record
+			default:
+				continue
+			}
+			data, err := record.Encode(r)
+			require.NoError(t, err)
+			table.Apply(now, record.Batch{Next: offset + 1, Entries: []record.Entry{{Offset: offset, Data: data}}})
+			offset++
+		}
+	}
+	c := order.Call{Workspace: "w", Service: "s", Key: "k", Fingerprint: "f", Deadline: now.Add(callTime)}
+	paused := order.NewAttempt(table, c, "paused", "a")
+	pausedClaim := paused.Begin(now)
+	repeat := order.NewAttempt(table, c, "repeat", "b")
+	write(repeat.Begin(now)...)
+	require.Equal(t, []order.Effect{order.Confirm{}}, repeat.Step(now, order.Wake))
+	require.Equal(t, []order.Effect{order.Send{}}, repeat.Step(now, order.ConfirmSend))
+	ended := repeat.Answered(order.Answer{Status: 503, Execution: execution.NotRun})
+	require.Equal(t, execution.NotRun, ended[1].(order.Reply).Result.Execution)
+	write(ended...)
+
+	write(pausedClaim...)
+	require.Equal(t,
+		[]order.Effect{order.Reply{Result: order.Result{Execution: execution.Unknown, Reason: order.ReasonReleased}}},
+		paused.Step(now, order.Wake))
+	later := order.NewAttempt(table, c, "later", "a")
+	write(later.Begin(now)...)
+	require.Equal(t, []order.Effect{order.Confirm{}}, later.Step(now, order.Wake))
+
+	c.Fingerprint = "other"
+	reused := order.NewAttempt(table, c, "reused", "a")
+	require.Equal(t,
+		[]order.Effect{order.Reply{Result: order.Result{Execution: execution.NotRun, Reason: order.ReasonKeyReused}}},
+		reused.Begin(now))
+}
+
+func TestKeyDate(t *testing.T) {
+	date, ok := order.KeyDate("017F22E2-79B0-7CC3-98C4-DC0C0C07398F") // RFC 9562, appendix A.6
+	require.True(t, ok)
+	require.Equal(t, "2022-02-22T19:22:22Z", date.UTC().Format(time.RFC3339))
+	_, ok = order.KeyDate("919108f7-52d1-4320-9bac-f847db4148a8")
+	require.False(t, ok)
+}
+
+func TestPolicyMustFitRetention(t *testing.T) {
+	require.NoError(t, policy.Validate())
+	long := policy
+	long.Window = policy.Retention - policy.Dispatch
+	require.ErrorIs(t, long.Validate(), order.ErrPolicy)
+}
--- /dev/null
+++ b/core/order/table.go
@@ -0,0 +1,150 @@
+package order
+
+import (
+	"container/list"
+	"errors"
+	"time"
+
+	"masticbank.example/core/record"
+)
+
+// Table is the state of all keys whose records the orders stream may still keep.
+// It is not safe for concurrent use.
+type Table struct {
+	policy  Policy
+	next    uint64
+	entries map[record.OrderKey]*entry
+	// ages holds the entries in the order of their last record.
+	ages    *list.List
+	away    bool
+	blocked bool
+}
+
+type entry struct {
+	key  record.OrderKey
+	age  *list.Element
+	read time.Time
+
+	// claim is the ID of the claim that holds the key, or empty.
+	claim       record.ID
+	fingerprint string
+	expires     time.Time
+	outcome     *record.Outcome
+	// released is the offset after the last release.
+	released uint64
+}
+
+// NewTable returns an empty Table at the start of the stream.
+func NewTable(policy Policy) *Table {
+	return &Table{policy: policy, entries: map[record.OrderKey]*entry{}, ages: list.New()}
+}
+
+// Next returns the offset to read next.
+func (t *Table) Next() uint64 { return t.next }
+
+// Len returns the number of keys held.
+func (t *Table) Len() int { return len(t.entries) }
+
+// SetAway notes whether the log can be read.
+func (t *Table) SetAway(away bool) { t.away = away }
+
+// Apply takes the batch that a read from Next returned at now. It returns the
+// keys that changed, and whether records were missed and the Table began anew.
+func (t *Table) Apply(now time.Time, b record.Batch) (changed []record.OrderKey, gap bool) {
+	t.away = false
+	if b.First > t.next {
+		gap = t.reset(b.First)
+	}
+	for _, e := range b.Entries {
+		if e.Offset < t.next || t.blocked {
+			continue
+		}
+		r, err := record.Decode(e.Data)
+		if errors.Is(err, record.ErrVersion) {
+			t.blocked = true
+			continue
+		}
+		t.next = e.Offset + 1
+		if err != nil {
+			continue
+		}
+		if key, ok := t.applyRecord(now, e.Offset, r); ok {
+			changed = append(changed, key)
+		}
+	}
+	t.forget(now)
+	return changed, gap
+}
+
+// reset starts again at first. It reports whether anything had been read.
+func (t *Table) reset(first uint64) bool {
+	started := t.next > 0
+	t.next = first
+	t.entries = map[record.OrderKey]*entry{}
+	t.ages.Init()
+	return started
+}
+
+func (t *Table) applyRecord(now time.Time, offset uint64, r record.Record) (record.OrderKey, bool) {
+	switch {
+	case r.Claim != nil:
+		t.applyClaim(now, r.ID, r.Claim)
+		return r.Claim.Key, true
+	case r.Outcome != nil:
+		e := t.touch(now, r.Outcome.Key)
+		if e.claim == r.Outcome.Claim && e.outcome == nil {
+			e.outcome = r.Outcome
+		}
+		return r.Outcome.Key, true
+	case r.Release != nil:
+		e := t.touch(now, r.Release.Key)
+		e.released = offset + 1
+		if e.claim == r.Release.Claim && e.outcome == nil {
+			e.claim = ""
+		}
+		return r.Release.Key, true
+	default:
+		return record.OrderKey{}, false
+	}
+}
+
+func (t *Table) applyClaim(now time.Time, id record.ID, c *record.Claim) {
+	e := t.touch(now, c.Key)
+	if e.claim != "" || c.Began < e.released {
+		return
+	}
+	e.claim = id
+	e.fingerprint = c.Fingerprint
+	e.expires = now.Add(c.Expiry)
+}
+
+func (t *Table) touch(now time.Time, key record.OrderKey) *entry {
+	e, ok := t.entries[key]
+	if !ok {
+		e = &entry{key: key}
+		e.age = t.ages.PushBack(e)
+		t.entries[key] = e
+	}
+	e.read = now
+	t.ages.MoveToBack(e.age)
+	return e
+}
+
+// forget drops keys whose records are older than the log keeps them.
+func (t *Table) forget(now time.Time) {
+	for front := t.ages.Front(); front != nil; front = t.ages.Front() {
+		e, ok := front.Value.(*entry)
+		if !ok || now.Sub(e.read) <= t.policy.Retention {
+			return
+		}
+		t.ages.Remove(front)
+		delete(t.entries, e.key)
+	}
+}
+
+func (t *Table) lookup(key record.OrderKey) entry {
+	if e, ok := t.entries[key]; ok {
+		return *e
+	}
+	return entry{key: key}
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -72,6 +72,9 @@
 	// Fingerprint is the hash of the request.
 	Fingerprint string `json:"fingerprint"`
 	Claimant    string `json:"claimant"`
+	// Began is the offset up to which the claimant had read when the call
+	// arrived. A release at or above it voids the claim.
+	Began uint64 `json:"began"`
 	// Expiry is how long after reading the claim a reader may expect an outcome.
 	Expiry time.Duration `json:"expiry"`
 }
