--- a/node/logstream/appender.go
+++ b/node/logstream/appender.go
@@ -18,6 +18,7 @@
 	defaultMinInterval = 20 * time.Millisecond
 	minBackoff         = 20 * time.Millisecond
 	maxBackoff         = time.Second
+	failingPeriod      = time.Second
 )
 
 // AppenderOptions sets up an Appender. The zero value takes the defaults.
@@ -48,6 +49,11 @@
 	queue   []*pending
 	appends int64
 	records int64
+	// failed is when the last append had no answer, or zero; retrying is set
+	// while its records wait to be repeated.
+	failed   time.Time
+	retrying bool
+	stopped  bool
 }
 
 type pending struct {
@@ -77,16 +83,13 @@
 // Start queues data and returns a channel that yields one result: nil once the
 // record is in the log; an error matching ErrRejected if it will never be; or
 // the error of ctx, after which the record may or may not be in the log. It
-// fails at once with ErrQueueFull if there is no room.
+// fails at once with ErrQueueFull if there is no room, and with ErrStopped after
+// Run has ended.
 func (a *Appender) Start(ctx context.Context, data []byte) (<-chan error, error) {
 	p := &pending{ctx: ctx, data: data, done: make(chan error, 1)}
-	a.mu.Lock()
-	if len(a.queue) >= a.opts.MaxQueued {
-		a.mu.Unlock()
-		return nil, trace.Wrap(ErrQueueFull)
+	if err := a.enqueue(p); err != nil {
+		return nil, trace.Wrap(err)
 	}
-	a.queue = append(a.queue, p)
-	a.mu.Unlock()
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -94,6 +97,19 @@
 	return p.done, nil
 }
 
+func (a *Appender) enqueue(p *pending) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopped {
+		return ErrStopped
+	}
+	if len(a.queue) >= a.opts.MaxQueued {
+		return ErrQueueFull
+	}
+	a.queue = append(a.queue, p)
+	return nil
+}
+
 // Append queues data and waits for the result described at Start.
 func (a *Appender) Append(ctx context.Context, data []byte) error {
 	done, err := a.Start(ctx, data)
@@ -154,15 +170,30 @@
 		records = append(records, p.data)
 	}
 	_, err := a.log.Append(ctx, a.stream, records)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if errors.Is(err, ErrUnavailable) {
+		a.failed = time.Now()
+		a.retrying = true
+	}
 	if err == nil {
-		a.mu.Lock()
+		a.failed = time.Time{}
+		a.retrying = false
 		a.appends++
 		a.records += int64(len(batch))
-		a.mu.Unlock()
 	}
 	return err
 }
 
+// Failing tells whether the last append had no answer and is being repeated, or
+// had none less than a second ago. Later a caller may try again.
+func (a *Appender) Failing() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	recent := !a.failed.IsZero() && time.Since(a.failed) < failingPeriod
+	return a.retrying || recent
+}
+
 // fill drops the records whose callers gave up and adds queued ones.
 func (a *Appender) fill(batch []*pending) []*pending {
 	a.mu.Lock()
@@ -184,6 +215,9 @@
 		size += len(p.data)
 	}
 	a.queue = nil
+	if len(kept) == 0 {
+		a.retrying = false
+	}
 	return kept
 }
 
@@ -192,6 +226,7 @@
 	defer a.mu.Unlock()
 	finish(append(batch, a.queue...), ctx.Err())
 	a.queue = nil
+	a.stopped = true
 }
 
 func finish(batch []*pending, err error) {
--- a/node/logstream/logstream.go
+++ b/node/logstream/logstream.go
@@ -21,6 +21,8 @@
 	// ErrQueueFull means that the Appender's queue has no room; nothing was
 	// appended.
 	ErrQueueFull = errors.New("append queue full")
+	// ErrStopped means that the Appender has ended; nothing was appended.
+	ErrStopped = errors.New("appender stopped")
 )
 
 // Log is the platform's log. Implementations are safe for concurrent use.
--- /dev/null
+++ b/node/orders/orders_test.go
@@ -0,0 +1,149 @@
+package orders_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/core/order"
+	"masticbank.example/node/logstream"
+	"masticbank.example/node/logstream/logtest"
+	"masticbank.example/node/orders"
+)
+
+const (
+	stream   = "orders"
+	callTime = 10 * time.Second
+)
+
+var policy = order.Policy{
+	Window:    10 * time.Minute,
+	Retention: time.Hour,
+	Dispatch:  2 * time.Second,
+	Skew:      time.Minute,
+	Grace:     time.Second,
+}
+
+func start(ctx context.Context, t testing.TB, log logstream.Log, name string, opts logstream.AppenderOptions) (*orders.Coordinator, *logstream.Appender) {
+	appender := logstream.NewAppender(log, stream, opts)
+	c, err := orders.New(orders.Options{Log: log, Appender: appender, Stream: stream, Policy: policy, Claimant: name})
+	require.NoError(t, err)
+	go func() { _ = appender.Run(ctx) }()
+	go func() { _ = c.Run(ctx) }()
+	return c, appender
+}
+
+func pair(t *testing.T, run func(ctx context.Context, log *logtest.Log, a, b *orders.Coordinator)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := &logtest.Log{Delay: time.Millisecond}
+		a, _ := start(ctx, t, log, "a", logstream.AppenderOptions{})
+		b, _ := start(ctx, t, log, "b", logstream.AppenderOptions{})
+		synctest.Wait()
+		run(ctx, log, a, b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func call(key string) order.Call {
+	return order.Call{Workspace: "w", Service: "s", Key: key, Fingerprint: "f", Deadline: time.Now().Add(callTime)}
+}
+
+// service counts the calls that it runs.
+type service struct {
+	mu   sync.Mutex
+	runs int
+}
+
+func (s *service) run(context.Context) order.Answer {
+	time.Sleep(100 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	return order.Answer{Status: 200, Body: fmt.Appendf(nil, "run %d", s.runs), Execution: execution.Ran}
+}
+
+func unused(context.Context) order.Answer { panic("sent") }
+
+// Calls with one key through two instances at once run once, and all get the
+// same answer, although the answers of the log are lost.
+func TestOneRunForOneKey(t *testing.T) {
+	pair(t, func(ctx context.Context, log *logtest.Log, a, b *orders.Coordinator) {
+		log.LoseNext(2)
+		s := &service{}
+		results := make([]order.Result, 6)
+		var wg sync.WaitGroup
+		for i := range results {
+			wg.Go(func() { results[i] = []*orders.Coordinator{a, b}[i%2].Do(ctx, call("k"), s.run) })
+		}
+		wg.Wait()
+		replayed := 0
+		for _, r := range results {
+			require.Equal(t, execution.Ran, r.Execution, r.Reason)
+			require.Equal(t, "run 1", string(r.Answer.Body))
+			if r.Replayed {
+				replayed++
+			}
+		}
+		require.Equal(t, len(results)-1, replayed)
+		other := call("k")
+		other.Fingerprint = "g"
+		require.Equal(t, order.Result{Reason: order.ReasonKeyReused}, b.Do(ctx, other, unused))
+	})
+}
+
+// With the log away a call is refused at once, and a first send is told not_run;
+// an order that is known to have run is still replayed.
+func TestLogAway(t *testing.T) {
+	pair(t, func(ctx context.Context, log *logtest.Log, a, b *orders.Coordinator) {
+		s := &service{}
+		a.Do(ctx, call("before"), s.run)
+		synctest.Wait()
+		time.Sleep(time.Second)
+		log.SetDown(true)
+		synctest.Wait()
+		started := time.Now()
+		repeat, first := call("k"), call("k")
+		first.First = true
+		require.Equal(t, order.Result{Execution: execution.Unknown, Reason: order.ReasonLogUnavailable}, b.Do(ctx, repeat, unused))
+		require.Equal(t, order.Result{Execution: execution.NotRun, Reason: order.ReasonLogUnavailable}, b.Do(ctx, first, unused))
+		r := b.Do(ctx, call("before"), unused)
+		require.True(t, r.Replayed)
+		require.Zero(t, time.Since(started))
+		log.SetDown(false)
+		time.Sleep(time.Second)
+		require.Equal(t, execution.Ran, b.Do(ctx, call("k"), s.run).Execution)
+	})
+}
+
+// A caller that leaves does not stop its call, whose answer is replayed; a call
+// that the service refused is free again.
+func TestCallerLeavesAndServiceRefuses(t *testing.T) {
+	pair(t, func(ctx context.Context, _ *logtest.Log, a, b *orders.Coordinator) {
+		s := &service{}
+		left, leave := context.WithCancel(ctx)
+		a.Do(left, call("k"), func(ctx context.Context) order.Answer {
+			leave()
+			require.NoError(t, ctx.Err())
+			return s.run(ctx)
+		})
+		require.NoError(t, a.Flush(ctx))
+		r := b.Do(ctx, call("k"), unused)
+		require.True(t, r.Replayed)
+		require.Equal(t, "run 1", string(r.Answer.Body))
+
+		refuse := func(context.Context) order.Answer { return order.Answer{Status: 503} }
+		require.Equal(t, order.Result{Answer: order.Answer{Status: 503}}, a.Do(ctx, call("l"), refuse))
+		require.NoError(t, a.Flush(ctx))
+		synctest.Wait()
+		require.Equal(t, execution.Ran, b.Do(ctx, call("l"), s.run).Execution)
+		require.Equal(t, 2, s.runs)
+	})
+}
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -83,11 +83,14 @@
 	}
 }
 
-// SetFaults replaces the fault switches.
+// SetFaults replaces the fault switches. Reads that wait notice at once.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	for _, st := range s.streams {
+		st.wake()
+	}
 }
 
 // Stats returns the counters.
--- a/standin/logservice/service_test.go
+++ b/standin/logservice/service_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -136,5 +135,7 @@
 	require.ErrorIs(t, err, logstream.ErrQueueFull)
 	cancel()
 	require.ErrorIs(t, appender.Run(ctx), context.Canceled)
-	require.True(t, errors.Is(<-first, context.Canceled))
+	require.ErrorIs(t, <-first, context.Canceled)
+	_, err = appender.Start(ctx, []byte("d"))
+	require.ErrorIs(t, err, logstream.ErrStopped)
 }
--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -25,9 +25,14 @@
 	for _, data := range records {
 		st.records = append(st.records, stored{at: now, data: data})
 	}
+	st.wake()
+	return offset
+}
+
+// wake ends the waits of reads.
+func (st *stream) wake() {
 	close(st.changed)
 	st.changed = make(chan struct{})
-	return offset
 }
 
 func (st *stream) expire(now time.Time, opts Options) {
