--- /dev/null
+++ b/node/peer/digest.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"math"
+	"time"
+
+	"masticbank.example/core/demand"
+	"masticbank.example/core/membership"
+	"masticbank.example/node/peer/peerpb"
+)
+
+// Bounds of what is taken from one digest of a peer.
+const (
+	maxDigestPools      = 256
+	maxDigestRanks      = 16
+	maxDigestWorkspaces = 64
+)
+
+// EncodeDigest returns the message for a digest whose figures are age old. The
+// instance is left out when it is the sender's own.
+func EncodeDigest(digest demand.Digest, sender string, age time.Duration) *peerpb.Digest {
+	message := &peerpb.Digest{
+		Incarnation: digest.Incarnation,
+		Sequence:    digest.Sequence,
+		AgeMs:       clampUint32(age.Milliseconds()),
+		Members:     clampUint32(int64(digest.Members)),
+	}
+	if digest.Instance != sender {
+		message.Instance = digest.Instance
+	}
+	for i := range digest.Pools {
+		message.Pools = append(message.Pools, encodePool(&digest.Pools[i]))
+	}
+	return message
+}
+
+func encodePool(pool *demand.PoolDemand) *peerpb.PoolDemand {
+	message := &peerpb.PoolDemand{Pool: pool.Pool}
+	for _, rank := range pool.Ranks {
+		message.Ranks = append(message.Ranks, &peerpb.RankDemand{
+			Queued:     clampUint32(int64(rank.Queued)),
+			InFlight:   clampUint32(int64(rank.InFlight)),
+			Backlog:    uint64(max(rank.Backlog, 0)),
+			RestWeight: uint64(max(rank.RestWeight, 0)),
+		})
+	}
+	for _, w := range pool.Workspaces {
+		message.Workspaces = append(message.Workspaces, &peerpb.WorkspaceDemand{
+			Workspace: w.Workspace,
+			Rank:      clampUint32(int64(w.Rank)),
+			Slots:     clampUint32(int64(w.Slots)),
+			Weight:    uint64(max(w.Weight, 0)),
+		})
+	}
+	return message
+}
+
+// DecodeDigest returns the digest in a message from sender and the age of its
+// figures when it was sent. Lists that are too long are cut.
+func DecodeDigest(message *peerpb.Digest, sender string) (digest demand.Digest, age time.Duration) {
+	digest = demand.Digest{
+		Instance:    message.GetInstance(),
+		Incarnation: message.GetIncarnation(),
+		Sequence:    message.GetSequence(),
+		Members:     int(message.GetMembers()),
+	}
+	if digest.Instance == "" {
+		digest.Instance = sender
+	}
+	for _, pool := range cut(message.GetPools(), maxDigestPools) {
+		digest.Pools = append(digest.Pools, decodePool(pool))
+	}
+	return digest, time.Duration(message.GetAgeMs()) * time.Millisecond
+}
+
+func decodePool(message *peerpb.PoolDemand) demand.PoolDemand {
+	pool := demand.PoolDemand{Pool: message.GetPool()}
+	for _, rank := range cut(message.GetRanks(), maxDigestRanks) {
+		pool.Ranks = append(pool.Ranks, demand.RankDemand{
+			Queued:     int(rank.GetQueued()),
+			InFlight:   int(rank.GetInFlight()),
+			Backlog:    clampInt64(rank.GetBacklog()),
+			RestWeight: clampInt64(rank.GetRestWeight()),
+		})
+	}
+	for _, w := range cut(message.GetWorkspaces(), maxDigestWorkspaces) {
+		pool.Workspaces = append(pool.Workspaces, demand.WorkspaceDemand{
+			Workspace: w.GetWorkspace(),
+			Rank:      int(w.GetRank()),
+			Slots:     int(w.GetSlots()),
+			Weight:    clampInt64(w.GetWeight()),
+		})
+	}
+	return pool
+}
+
+// Member returns the state of a peer as membership knows it. It is false for a
+// state that this version does not know.
+func (i Info) Member() (membership.Heard, bool) {
+	states := map[peerpb.InstanceState]membership.State{
+		peerpb.InstanceState_INSTANCE_STATE_JOINING: membership.Joining,
+		peerpb.InstanceState_INSTANCE_STATE_READY:   membership.Ready,
+		peerpb.InstanceState_INSTANCE_STATE_LEAVING: membership.Leaving,
+	}
+	state, ok := states[i.State]
+	return membership.Heard{ID: i.ID, Incarnation: i.Incarnation, Zone: i.Zone, State: state}, ok
+}
+
+func cut[T any](list []T, limit int) []T { return list[:min(limit, len(list))] }
+
+func clampUint32(n int64) uint32 { return uint32(min(max(n, 0), math.MaxUint32)) }
+
+func clampInt64(n uint64) int64 { return int64(min(n, math.MaxInt64)) }
