--- a/core/demand/demand_test.go
+++ b/core/demand/demand_test.go
@@ -132,7 +132,7 @@
 func (s scene) demandOf(id string, rank int) (int, bool) {
 	for i := range s.digests {
 		if s.digests[i].Instance == id {
-			demand := s.digests[i].Pool(testPool)
+			demand := s.digests[i].Pool(KeyOf(testPool))
 			return demand.rank(rank).slots(), true
 		}
 	}
@@ -143,7 +143,7 @@
 func (s scene) unchanged(id string) Row {
 	for i := range s.digests {
 		if s.digests[i].Instance == id {
-			return Shares(s.pool, s.live, s.digests, id, s.digests[i].Pool(testPool))
+			return Shares(s.pool, s.live, s.digests, id, s.digests[i].Pool(KeyOf(testPool)))
 		}
 	}
 	return Shares(s.pool, s.live, s.digests, id, PoolDemand{})
@@ -251,7 +251,7 @@
 		for i := range s.digests {
 			id := s.digests[i].Instance
 			current := drawDigest(t, id, ranks).Pools[0]
-			told := s.digests[i].Pool(testPool)
+			told := s.digests[i].Pool(KeyOf(testPool))
 			for rank := range ranks {
 				untold += max(0, current.rank(rank).slots()-told.rank(rank).slots())
 			}
@@ -289,7 +289,7 @@
 			var told PoolDemand
 			for i := range s.digests {
 				if s.digests[i].Instance == row.Instance {
-					told = s.digests[i].Pool(testPool)
+					told = s.digests[i].Pool(KeyOf(testPool))
 					held = told.InFlight()
 				}
 			}
--- a/core/demand/digest.go
+++ b/core/demand/digest.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Bounds of what is taken from a digest, so that products stay within int64.
@@ -19,6 +21,14 @@
 	WeightUnit = 1000
 )
 
+// Key stands for the name of a pool or a workspace in a digest. Two names with
+// the same key are counted as one, which makes shares less exact and breaks
+// nothing.
+type Key uint32
+
+// KeyOf returns the key of name.
+func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+
 // Digest is the demand of one instance, or the summed demand of several.
 type Digest struct {
 	// Instance is the ID of the instance, or the name of the group.
@@ -31,22 +41,22 @@
 	Pools   []PoolDemand
 }
 
-// Pool returns the demand for the pool called name, which is empty if the digest
-// names no such pool.
-func (d *Digest) Pool(name string) PoolDemand {
+// Pool returns the demand for the pool with key, which is empty if the digest
+// has no such pool.
+func (d *Digest) Pool(key Key) PoolDemand {
 	for i := range d.Pools {
-		if d.Pools[i].Pool == name {
+		if d.Pools[i].Pool == key {
 			return d.Pools[i]
 		}
 	}
-	return PoolDemand{Pool: name}
+	return PoolDemand{Pool: key}
 }
 
 func (d *Digest) members() int { return max(1, d.Members) }
 
 // PoolDemand is the demand for the slots of one pool.
 type PoolDemand struct {
-	Pool string
+	Pool Key
 	// Ranks is indexed by rank, the most urgent first.
 	Ranks []RankDemand
 	// Workspaces holds the heaviest workspaces by slots.
@@ -89,7 +99,7 @@
 
 // WorkspaceDemand is the demand of one workspace in one rank.
 type WorkspaceDemand struct {
-	Workspace string
+	Workspace Key
 	Rank      int
 	// Slots counts the requests queued and in flight.
 	Slots int
@@ -113,7 +123,7 @@
 // lists at most maxWorkspaces of them, those with the most slots, and sums up
 // the others. Loads with a rank outside 0 to ranks-1 are left out.
 func Summarize(pool string, ranks int, loads []Load, maxWorkspaces int) PoolDemand {
-	summary := PoolDemand{Pool: pool, Ranks: make([]RankDemand, ranks)}
+	summary := PoolDemand{Pool: KeyOf(pool), Ranks: make([]RankDemand, ranks)}
 	listed := make([]WorkspaceDemand, 0, len(loads))
 	for _, load := range loads {
 		if load.Rank < 0 || load.Rank >= ranks || load.Queued+load.InFlight == 0 {
@@ -124,7 +134,7 @@
 		rank.InFlight += load.InFlight
 		rank.Backlog += load.Backlog
 		listed = append(listed, WorkspaceDemand{
-			Workspace: load.Workspace,
+			Workspace: KeyOf(load.Workspace),
 			Rank:      load.Rank,
 			Slots:     load.Queued + load.InFlight,
 			Weight:    load.Weight,
@@ -150,7 +160,7 @@
 // at most maxWorkspaces workspaces in each pool. The result carries sequence.
 func Merge(group string, sequence uint64, digests []Digest, maxWorkspaces int) Digest {
 	merged := Digest{Instance: group, Sequence: sequence}
-	index := map[string]int{}
+	index := map[Key]int{}
 	for i := range digests {
 		merged.Members += digests[i].members()
 		for _, pool := range digests[i].Pools {
@@ -188,7 +198,7 @@
 
 // workspaceRank names one workspace in one rank.
 type workspaceRank struct {
-	workspace string
+	workspace Key
 	rank      int
 }
 
--- a/core/demand/pace.go
+++ b/core/demand/pace.go
@@ -21,6 +21,7 @@
 func toldPart(pool Pool, live []string, told []Digest, self string) (held, part int) {
 	rows := Table(pool, live, told)
 	byID := newestByInstance(told)
+	key := KeyOf(pool.Name)
 	free := clampSlots(pool.Capacity)
 	missing := make([]int, len(rows))
 	weights := make([]int64, len(rows))
@@ -29,7 +30,7 @@
 		inFlight := rows[i].Total()
 		weights[i] = 1
 		if digest := byID[rows[i].Instance]; digest != nil {
-			demand := digest.Pool(pool.Name)
+			demand := digest.Pool(key)
 			inFlight = demand.InFlight()
 			weights[i] = int64(digest.members())
 		}
--- a/core/demand/shares.go
+++ b/core/demand/shares.go
@@ -87,6 +87,7 @@
 func newTable(pool Pool, live []string, digests []Digest) *table {
 	byID := newestByInstance(digests)
 	ids := slices.Compact(slices.Sorted(slices.Values(live)))
+	key := KeyOf(pool.Name)
 	t := &table{pool: pool}
 	t.rows = make([]Row, len(ids))
 	t.members = make([]int64, len(ids))
@@ -99,7 +100,7 @@
 		}
 		t.members[i] = int64(clampSlots(digest.members()))
 		t.heard = append(t.heard, i)
-		t.demands = append(t.demands, digest.Pool(pool.Name))
+		t.demands = append(t.demands, digest.Pool(key))
 	}
 	t.weights = instanceWeights(t.demands, len(pool.MinShares))
 	return t
--- a/node/peer/digest.go
+++ b/node/peer/digest.go
@@ -35,7 +35,7 @@
 }
 
 func encodePool(pool *demand.PoolDemand) *peerpb.PoolDemand {
-	message := &peerpb.PoolDemand{Pool: pool.Pool}
+	message := &peerpb.PoolDemand{Pool: uint32(pool.Pool)}
 	for _, rank := range pool.Ranks {
 		message.Ranks = append(message.Ranks, &peerpb.RankDemand{
 			Queued:     clampUint32(int64(rank.Queued)),
@@ -46,7 +46,7 @@
 	}
 	for _, w := range pool.Workspaces {
 		message.Workspaces = append(message.Workspaces, &peerpb.WorkspaceDemand{
-			Workspace: w.Workspace,
+			Workspace: uint32(w.Workspace),
 			Rank:      clampUint32(int64(w.Rank)),
 			Slots:     clampUint32(int64(w.Slots)),
 			Weight:    uint64(max(w.Weight, 0)),
@@ -74,7 +74,7 @@
 }
 
 func decodePool(message *peerpb.PoolDemand) demand.PoolDemand {
-	pool := demand.PoolDemand{Pool: message.GetPool()}
+	pool := demand.PoolDemand{Pool: demand.Key(message.GetPool())}
 	for _, rank := range cut(message.GetRanks(), maxDigestRanks) {
 		pool.Ranks = append(pool.Ranks, demand.RankDemand{
 			Queued:     int(rank.GetQueued()),
@@ -85,7 +85,7 @@
 	}
 	for _, w := range cut(message.GetWorkspaces(), maxDigestWorkspaces) {
 		pool.Workspaces = append(pool.Workspaces, demand.WorkspaceDemand{
-			Workspace: w.GetWorkspace(),
+			Workspace: demand.Key(w.GetWorkspace()),
 			Rank:      int(w.GetRank()),
 			Slots:     int(w.GetSlots()),
 			Weight:    clampInt64(w.GetWeight()),
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -129,17 +129,20 @@
 }
 
 // SetConfigState sets the configuration that is in force here and announces its
-// revision to all peers, which ask for the content if they need it. A revision
-// that is not higher than the present one changes nothing.
+// revision to all peers, which ask for the content if they need it. The present
+// revision with a higher offset replaces the state without an announcement; a
+// lower revision or offset changes nothing.
 func (n *Node) SetConfigState(state *peerpb.ConfigState) {
 	n.mu.Lock()
-	if state.GetRevision() <= n.config.GetRevision() {
-		n.mu.Unlock()
-		return
+	higher := state.GetRevision() > n.config.GetRevision()
+	same := state.GetRevision() == n.config.GetRevision()
+	if higher || (same && state.GetAsOfOffset() > n.config.GetAsOfOffset()) {
+		n.config = state
 	}
-	n.config = state
 	n.mu.Unlock()
-	n.broadcast(n.heartbeat())
+	if higher {
+		n.broadcast(n.heartbeat())
+	}
 }
 
 // Broadcast queues message, such as *peerpb.Digest or *peerpb.Poison, for every
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -88,7 +88,7 @@
 		&peerpb.Poison{Fingerprint: []byte{1, 2}, TtlMs: 500},
 		&peerpb.Suspicion{Upstream: "replica-1"},
 		&peerpb.Leaving{Upstream: "replica-2"},
-		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: "asistente"}}},
+		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: 7}}},
 	} {
 		require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
 		got := receive(t, atB.messages)
@@ -116,6 +116,9 @@
 	require.True(t, proto.Equal(second, receive(t, atB.messages)))
 	a.SetConfigState(first)
 	require.Equal(t, uint64(4), a.config.GetRevision())
+	a.SetConfigState(&peerpb.ConfigState{Revision: 4, AsOfOffset: 99})
+	a.SetConfigState(&peerpb.ConfigState{Revision: 4, AsOfOffset: 98})
+	require.Equal(t, uint64(99), a.config.GetAsOfOffset(), "the log moved on within the revision")
 }
 
 func TestRestartedPeerTakesPlaceOfFormerIncarnation(t *testing.T) {
