--- a/node/peer/digest.go
+++ b/node/peer/digest.go
@@ -17,16 +17,17 @@
 )
 
 // EncodeDigest returns the message for a digest whose figures are age old. The
-// instance is left out when it is the sender's own.
+// instance and its incarnation are left out when they are the sender's own: the
+// receiver knows them from the session.
 func EncodeDigest(digest demand.Digest, sender string, age time.Duration) *peerpb.Digest {
 	message := &peerpb.Digest{
-		Incarnation: digest.Incarnation,
-		Sequence:    digest.Sequence,
-		AgeMs:       clampUint32(age.Milliseconds()),
-		Members:     clampUint32(int64(digest.Members)),
+		Sequence: digest.Sequence,
+		AgeMs:    clampUint32(age.Milliseconds()),
+		Members:  clampUint32(int64(digest.Members)),
 	}
 	if digest.Instance != sender {
 		message.Instance = digest.Instance
+		message.Incarnation = digest.Incarnation
 	}
 	for i := range digest.Pools {
 		message.Pools = append(message.Pools, encodePool(&digest.Pools[i]))
@@ -55,18 +56,15 @@
 	return message
 }
 
-// DecodeDigest returns the digest in a message from sender and the age of its
-// figures when it was sent. Lists that are too long are cut.
-func DecodeDigest(message *peerpb.Digest, sender string) (digest demand.Digest, age time.Duration) {
+// DecodeDigest returns the digest in a message that a Handler got, and the age
+// of its figures when it was sent. Lists that are too long are cut.
+func DecodeDigest(message *peerpb.Digest) (digest demand.Digest, age time.Duration) {
 	digest = demand.Digest{
 		Instance:    message.GetInstance(),
 		Incarnation: message.GetIncarnation(),
 		Sequence:    message.GetSequence(),
 		Members:     int(message.GetMembers()),
 	}
-	if digest.Instance == "" {
-		digest.Instance = sender
-	}
 	for _, pool := range cut(message.GetPools(), maxDigestPools) {
 		digest.Pools = append(digest.Pools, decodePool(pool))
 	}
--- a/node/peer/digest_test.go
+++ b/node/peer/digest_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -44,7 +45,8 @@
 		require.NoError(t, err)
 		received := &peerpb.Digest{}
 		require.NoError(t, proto.Unmarshal(data, received))
-		got, age := DecodeDigest(received, sender)
+		receiving := &session{agreement: agreement{remoteID: sender, incarnation: digest.Incarnation}}
+		got, age := DecodeDigest(receiving.fillIn(received))
 		require.Equal(t, digest, got)
 		require.Equal(t, 150*time.Millisecond, age)
 	})
@@ -52,7 +54,7 @@
 		Workspaces: make([]*peerpb.WorkspaceDemand, 10*maxDigestWorkspaces),
 		Ranks:      make([]*peerpb.RankDemand, 10*maxDigestRanks),
 	}}}
-	cutDown, _ := DecodeDigest(long, "m1")
+	cutDown, _ := DecodeDigest(long)
 	require.Len(t, cutDown.Pools[0].Workspaces, maxDigestWorkspaces)
 	require.Len(t, cutDown.Pools[0].Ranks, maxDigestRanks)
 }
@@ -129,7 +131,7 @@
 func BenchmarkDigests(b *testing.B) {
 	for _, peers := range []int{2, 4, 8, 16} {
 		for _, workspaces := range []int{10, 100, 1000} {
-			for _, limit := range []int{8, 32} {
+			for _, limit := range []int{0, 8, 32} {
 				name := fmt.Sprintf("peers=%d/workspaces=%d/limit=%d", peers, workspaces, limit)
 				b.Run(name, func(b *testing.B) { benchmarkDigests(b, peers, workspaces, limit) })
 			}
@@ -137,6 +139,29 @@
 	}
 }
 
+// BenchmarkEncodeDigest gives the bytes of one digest on its stream, yamux
+// framing included, by number of pools and of workspaces listed in each.
+func BenchmarkEncodeDigest(b *testing.B) {
+	const muxHeaderBytes = 12
+	for _, pools := range []int{1, 4, 16} {
+		for _, limit := range []int{0, 1, 8, 32} {
+			b.Run(fmt.Sprintf("pools=%d/limit=%d", pools, limit), func(b *testing.B) {
+				digest := digestOf(100, limit)
+				for range pools - 1 {
+					digest.Pools = append(digest.Pools, digest.Pools[0])
+				}
+				for b.Loop() {
+					_ = EncodeDigest(digest, "m1", 0)
+				}
+				message := &peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: EncodeDigest(digest, "m1", 0)}}
+				size := proto.Size(message)
+				size += protowire.SizeVarint(uint64(size))
+				b.ReportMetric(float64(size+muxHeaderBytes), "B/message")
+			})
+		}
+	}
+}
+
 func benchmarkDigests(b *testing.B, count, workspaces, limit int) {
 	handler := benchHandler{got: make(chan struct{}, count), up: make(chan Info, 2*count)}
 	options := func(id string) Options {
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -25,7 +25,8 @@
 	PeerUp(info Info)
 	// PeerDown is called when the last session with a peer has ended.
 	PeerDown(info Info)
-	// Heard is called for every message: the peer is alive in this state.
+	// Heard is called for every message, the first one included: the peer is
+	// alive in this state.
 	Heard(info Info)
 	// Digest is called for a digest of demand.
 	Digest(from string, digest *peerpb.Digest)
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -92,6 +92,11 @@
 	} {
 		require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
 		got := receive(t, atB.messages)
+		if digest, ok := got.(*peerpb.Digest); ok {
+			require.Equal(t, "a", digest.GetInstance())
+			require.Equal(t, info.Incarnation, digest.GetIncarnation())
+			digest.Instance, digest.Incarnation = "", 0
+		}
 		require.True(t, proto.Equal(message, got), "sent %v, got %v", message, got)
 	}
 	require.Error(t, a.Send("c", &peerpb.Digest{}))
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -57,6 +57,8 @@
 		return false, trace.Wrap(err)
 	}
 	n.notifyUp(r, s)
+	info, _ := s.snapshot()
+	n.options.Handler.Heard(info)
 	n.logger.Info("peer session established", zap.String("peer", r.id), zap.Bool("dialed", s.dialed))
 	return true, n.exchange(s, w, reader)
 }
@@ -157,7 +159,7 @@
 	case *peerpb.Envelope_Hello:
 		return trace.BadParameter("a second Hello from %q", s.remoteID)
 	case *peerpb.Envelope_Digest:
-		handler.Digest(s.remoteID, body.Digest)
+		handler.Digest(s.remoteID, s.fillIn(body.Digest))
 	case *peerpb.Envelope_ConfigState:
 		n.noteReceived(body.ConfigState.GetRevision())
 		handler.ConfigState(s.remoteID, body.ConfigState)
@@ -174,6 +176,15 @@
 	return nil
 }
 
+// fillIn names the instance of a digest that is the sender's own.
+func (s *session) fillIn(digest *peerpb.Digest) *peerpb.Digest {
+	if digest.GetInstance() == "" {
+		digest.Instance = s.remoteID
+		digest.Incarnation = s.incarnation
+	}
+	return digest
+}
+
 // heard notes that a message came, and what a heartbeat says.
 func (s *session) heard(heartbeat *peerpb.Heartbeat) Info {
 	s.mu.Lock()
--- a/node/peer/session.go
+++ b/node/peer/session.go
@@ -12,10 +12,16 @@
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"masticbank.example/node/peer/peerpb"
 )
 
+// maxKeptBuffer is the size of a write buffer, in bytes, that is kept for the
+// next message.
+const maxKeptBuffer = 64 << 10
+
 // session is one authenticated connection with a peer. Each side opens one
 // yamux stream, on which it sends, and accepts one, on which it receives.
 type session struct {
@@ -91,6 +97,8 @@
 	timeout  time.Duration
 	// idle makes the message that is sent after an interval without another.
 	idle func() *peerpb.Envelope
+	// buffer holds one message with its length, so that it is one write.
+	buffer []byte
 }
 
 // run sends until ctx ends, a write fails or the queue is closed and empty.
@@ -123,9 +131,18 @@
 	if err := w.stream.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return trace.ConnectionProblem(err, "set write deadline")
 	}
-	if _, err := protodelim.MarshalTo(w.stream, message); err != nil {
+	w.buffer = protowire.AppendVarint(w.buffer[:0], uint64(proto.Size(message)))
+	var err error
+	w.buffer, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(w.buffer, message)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if _, err := w.stream.Write(w.buffer); err != nil {
 		return trace.ConnectionProblem(err, "write message")
 	}
+	if cap(w.buffer) > maxKeptBuffer {
+		w.buffer = nil
+	}
 	w.session.mu.Lock()
 	w.session.sentMessages++
 	w.session.mu.Unlock()
