Run the sharing of slots, with urgent requests at once

Pacing alone let urgent requests of a newcomer wait for others to end.

node/peer/sharing ties peers, membership and demand together for the running instance: it tells digests, and sets each pool's limit.

--- a/core/demand/change_test.go
+++ b/core/demand/change_test.go
@@ -25,6 +25,8 @@
 	trialEnd        = 30 * time.Second
 	trialBusy       = 4
 	trialBacklogged = 1000
+	// trialUrgent is the number of urgent requests that come to each newcomer.
+	trialUrgent = 20
 )
 
 type policy string
@@ -33,13 +35,15 @@
 	equalShares policy = "equal shares"
 	rowAtOnce   policy = "row at once"
 	paced       policy = "paced"
+	urgentFirst policy = "urgent at once"
 )
 
 // trialInstance is one instance of a trial.
 type trialInstance struct {
 	id      string
+	urgent  int
 	queued  int
-	ends    []time.Duration
+	ends    [2][]time.Duration // by rank
 	view    *View
 	told    Digest
 	dead    bool
@@ -65,6 +69,8 @@
 	// fraction of it, and excessTime how long the use was above.
 	excess     float64
 	excessTime time.Duration
+	// urgentWaited is the time until the last urgent request has started.
+	urgentWaited time.Duration
 	// waited is the time until the new claimants held 90 % of equal shares.
 	waited time.Duration
 	// recovered is the time from the death of an instance until the others
@@ -74,7 +80,7 @@
 
 func newTrial(p policy) *trial {
 	tr := &trial{policy: p, rng: rand.New(rand.NewPCG(1, 20261204))}
-	tr.pool = Pool{Name: testPool, Capacity: trialCapacity, MinShares: []float64{0.1}}
+	tr.pool = Pool{Name: testPool, Capacity: trialCapacity, MinShares: []float64{0.1, 0.05}}
 	for i := range trialInstances {
 		in := &trialInstance{id: fmt.Sprintf("m%d", i), view: NewView(trialStale)}
 		if i < trialBusy {
@@ -88,7 +94,10 @@
 func (tr *trial) clock(at time.Duration) time.Time { return time.Unix(0, 0).Add(at) }
 
 func (tr *trial) demand(in *trialInstance) PoolDemand {
-	return Summarize(testPool, 1, []Load{{Workspace: "u", Queued: in.queued, InFlight: len(in.ends), Weight: WeightUnit}}, 8)
+	return Summarize(testPool, 2, []Load{
+		{Workspace: "u", Queued: in.urgent, InFlight: len(in.ends[0]), Weight: WeightUnit},
+		{Workspace: "u", Rank: 1, Queued: in.queued, InFlight: len(in.ends[1]), Weight: WeightUnit},
+	}, 8)
 }
 
 // step delivers digests, ends requests, starts new ones and tells digests.
@@ -108,7 +117,7 @@
 		for _, digest := range heard {
 			in.view.Observe(tr.clock(tr.now), trialStep, digest)
 		}
-		in.ends = unfinished(in.ends, tr.now)
+		in.ends = [2][]time.Duration{unfinished(in.ends[0], tr.now), unfinished(in.ends[1], tr.now)}
 		tr.start(in, live)
 		offset := time.Duration(i) * trialPeriod / trialInstances / trialStep * trialStep
 		if tr.now%trialPeriod == offset {
@@ -140,21 +149,42 @@
 		limit = Shares(tr.pool, live, told, in.id, tr.demand(in)).Total()
 	case paced:
 		limit = Pace(tr.pool, live, told, in.id, tr.demand(in))
+	case urgentFirst:
+		limit = Limit(tr.pool, live, told, in.id, tr.demand(in))
 	}
-	for in.queued > 0 && len(in.ends) < limit {
+	for in.urgent > 0 && in.running() < limit {
+		in.urgent--
+		in.ends[0] = append(in.ends[0], tr.end())
+	}
+	for in.queued > 0 && in.running() < limit {
 		in.queued--
-		service := time.Duration(float64(trialService) * tr.rng.ExpFloat64())
-		in.ends = append(in.ends, tr.now+max(service, trialStep))
+		in.ends[1] = append(in.ends[1], tr.end())
 	}
 	if in.queued > 0 {
 		in.queued = trialBacklogged
 	}
 }
 
+func (in *trialInstance) running() int { return len(in.ends[0]) + len(in.ends[1]) }
+
+// end returns when a request that starts now ends.
+func (tr *trial) end() time.Duration {
+	service := time.Duration(float64(trialService) * tr.rng.ExpFloat64())
+	return tr.now + max(service, trialStep)
+}
+
+func (tr *trial) waitingUrgent() int {
+	sum := 0
+	for _, in := range tr.instances {
+		sum += in.urgent
+	}
+	return sum
+}
+
 func (tr *trial) inFlight(from int) int {
 	sum := 0
 	for _, in := range tr.instances[from:] {
-		sum += len(in.ends)
+		sum += in.running()
 	}
 	return sum
 }
@@ -171,11 +201,11 @@
 	}
 	result.before /= steps
 	for _, in := range tr.instances[trialBusy:] {
-		in.queued = trialBacklogged
+		in.queued, in.urgent = trialBacklogged, trialUrgent
 	}
 	tr.measureChange(&result)
 	killed := tr.instances[0]
-	killed.dead, killed.deadFor, killed.ends = true, tr.now, nil
+	killed.dead, killed.deadFor, killed.ends = true, tr.now, [2][]time.Duration{}
 	for tr.now < trialEnd && tr.inFlight(0) < trialCapacity*95/100 {
 		tr.step()
 	}
@@ -192,6 +222,9 @@
 		if excess > 0 {
 			result.excessTime += trialStep
 		}
+		if tr.waitingUrgent() > 0 {
+			result.urgentWaited = tr.now - trialChange + trialStep
+		}
 		if result.waited == 0 && tr.inFlight(trialBusy) >= fair*9/10 {
 			result.waited = tr.now - trialChange
 		}
@@ -204,15 +237,18 @@
 // fewer slots twice than taking the row at once.
 func TestChangeOfDemand(t *testing.T) {
 	results := map[policy]trialResult{}
-	for _, p := range []policy{equalShares, rowAtOnce, paced} {
+	for _, p := range []policy{equalShares, rowAtOnce, paced, urgentFirst} {
 		r := newTrial(p).run()
 		results[p] = r
-		t.Logf("%-12s use before %.2f, excess %.1f %% for %v, new claimants at 90 %% after %v, dead instance's slots used after %v",
-			p, r.before, 100*r.excess, r.excessTime, r.waited, r.recovered)
+		t.Logf("%-14s use before %.2f, excess %.1f %% for %v, urgent started after %v, new claimants at 90 %% after %v, dead instance's slots used after %v",
+			p, r.before, 100*r.excess, r.excessTime, r.urgentWaited, r.waited, r.recovered)
 	}
 	require.Less(t, results[paced].recovered, 5*time.Second)
 	require.Greater(t, results[paced].before, 0.9)
 	require.Less(t, results[paced].excess, results[rowAtOnce].excess/2)
+	require.Less(t, results[urgentFirst].recovered, 5*time.Second)
+	require.Less(t, results[urgentFirst].excess, results[rowAtOnce].excess)
+	require.Less(t, results[urgentFirst].urgentWaited, results[paced].urgentWaited)
 	busy := float64(trialBusy) / trialInstances
 	require.LessOrEqual(t, results[equalShares].before, math.Nextafter(busy, 1), "what digests are for")
 }
--- a/core/demand/pace.go
+++ b/core/demand/pace.go
@@ -42,3 +42,14 @@
 	}
 	return held, fill(free, missing, weights)[own]
 }
+
+// Limit returns how many requests self may run at once: its Pace, and beyond
+// that, up to its row, what lets the waiting requests of the most urgent rank
+// start now. They are the ones that a queue with strict ranks starts first, and
+// that engines put before the excess.
+func Limit(pool Pool, live []string, told []Digest, self string, current PoolDemand) int {
+	row := Shares(pool, live, told, self, current).Total()
+	held, part := toldPart(pool, withSelf(live, self), told, self)
+	urgent := current.rank(0)
+	return max(min(row, held+part), min(row, current.InFlight()+clampSlots(urgent.Queued)))
+}
--- /dev/null
+++ b/node/peer/sharing/sharing.go
@@ -0,0 +1,275 @@
+// Package sharing shares the slots of upstream pools among the instances. It
+// feeds core/membership and core/demand with what peers tell, tells the peers
+// the demand of this instance, and sets how many requests may run here.
+package sharing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"masticbank.example/core/demand"
+	"masticbank.example/core/membership"
+	"masticbank.example/node/peer"
+	"masticbank.example/node/peer/peerpb"
+	"masticbank.example/node/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultTick          = 100 * time.Millisecond
+	DefaultMaxWorkspaces = 8
+	// stalePeriods is the number of longest periods after which a digest is
+	// stale.
+	stalePeriods = 5
+	// minGap is the least time between two computations.
+	minGap = 10 * time.Millisecond
+	// frameBytes is what yamux and the length add to a message.
+	frameBytes = 15
+)
+
+// Pool is the present state of one pool at this instance.
+type Pool struct {
+	demand.Pool
+	// Loads holds the work of all workspaces at this instance.
+	Loads []demand.Load
+}
+
+// Pools is the part of the router that holds the queues. It is called from one
+// goroutine at a time.
+type Pools interface {
+	// Pools returns the state of all pools.
+	Pools() []Pool
+	// SetLimit sets how many requests of the pool called name may run here.
+	SetLimit(name string, slots int)
+}
+
+// Broadcaster is the part of peer.Node that is needed.
+type Broadcaster interface {
+	// Broadcast queues message for every peer and returns their number.
+	Broadcast(message proto.Message) (int, error)
+}
+
+// Options are the settings of a Sharer.
+type Options struct {
+	// ID is the ID of this instance.
+	ID     string
+	Peers  Broadcaster
+	Pools  Pools
+	Logger *zap.Logger
+	// OnMember, if set, is called for each change of another instance.
+	OnMember func(membership.Changed)
+
+	// Tick is the time between two computations; 0 means DefaultTick.
+	Tick time.Duration
+	// Membership holds the heartbeat settings; its Self is ignored.
+	Membership membership.Config
+	// Teller bounds how often digests are told.
+	Teller demand.TellerConfig
+	// MaxWorkspaces bounds the workspaces listed for each pool; 0 means
+	// DefaultMaxWorkspaces.
+	MaxWorkspaces int
+}
+
+func (o *Options) setDefaults() {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Tick <= 0 {
+		o.Tick = DefaultTick
+	}
+	if o.Teller.MinPeriod <= 0 {
+		o.Teller.MinPeriod = demand.DefaultMinPeriod
+	}
+	if o.Teller.MaxPeriod <= 0 {
+		o.Teller.MaxPeriod = demand.DefaultMaxPeriod
+	}
+	if o.MaxWorkspaces <= 0 {
+		o.MaxWorkspaces = DefaultMaxWorkspaces
+	}
+	o.Membership.Self = o.ID
+}
+
+// Sharer is safe for concurrent use.
+type Sharer struct {
+	options Options
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	members  *membership.Members
+	view     *demand.View
+	teller   *demand.Teller
+	sequence uint64
+	// sessions is the number of peers that the last digest went to.
+	sessions int
+}
+
+// New returns a sharer that does nothing until Run.
+func New(options Options) *Sharer {
+	options.setDefaults()
+	return &Sharer{
+		options: options,
+		wake:    make(chan struct{}, 1),
+		members: membership.New(options.Membership),
+		view:    demand.NewView(stalePeriods * options.Teller.MaxPeriod),
+		teller:  demand.NewTeller(options.Teller),
+	}
+}
+
+// Run computes limits and tells digests until ctx ends, and returns nil then.
+func (s *Sharer) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-s.wake:
+		}
+		s.step(time.Now())
+		timer.Reset(s.options.Tick)
+		if !pause(ctx, minGap) {
+			return nil
+		}
+	}
+}
+
+// Wake asks for a computation soon, such as when a request waits for a slot. It
+// never blocks.
+func (s *Sharer) Wake() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// SetList takes a copy of the platform's list.
+func (s *Sharer) SetList(instances []wire.Instance) {
+	var listed membership.Listed
+	for _, in := range instances {
+		if in.Role == wire.RoleEntry {
+			listed.Instances = append(listed.Instances, membership.ListedInstance{
+				ID: in.ID, Address: in.Address, Zone: in.Zone, Leaving: in.Leaving,
+			})
+		}
+	}
+	s.apply(listed)
+}
+
+// SetState sets the state of this instance.
+func (s *Sharer) SetState(state membership.State) { s.apply(membership.SelfChanged{State: state}) }
+
+// Heard takes the state of a peer; it is called for every message of it.
+func (s *Sharer) Heard(info peer.Info) {
+	if heard, ok := info.Member(); ok {
+		s.apply(heard)
+	}
+}
+
+// Digest takes the demand that a peer tells.
+func (s *Sharer) Digest(message *peerpb.Digest) {
+	digest, age := peer.DecodeDigest(message)
+	if digest.Instance == s.options.ID {
+		return
+	}
+	s.mu.Lock()
+	s.view.Observe(time.Now(), age, digest)
+	s.mu.Unlock()
+}
+
+// Members returns what is known of all instances, in the order of their IDs.
+func (s *Sharer) Members() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.All()
+}
+
+// Candidates returns the instances to choose neighbours from.
+func (s *Sharer) Candidates() []membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members.Candidates()
+}
+
+func (s *Sharer) apply(event membership.Event) {
+	s.mu.Lock()
+	changes := s.members.Step(time.Now(), event)
+	for _, c := range changes {
+		if c.To == membership.Gone {
+			s.view.Forget(c.ID)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range changes {
+		s.report(c)
+	}
+}
+
+func (s *Sharer) report(c membership.Changed) {
+	if c.ID == s.options.ID {
+		return
+	}
+	s.options.Logger.Info("instance changed", zap.String("instance", c.ID),
+		zap.Stringer("from", c.From), zap.Stringer("to", c.To))
+	if s.options.OnMember != nil {
+		s.options.OnMember(c)
+	}
+}
+
+// step tells the demand of this instance if it is due, and sets all limits.
+func (s *Sharer) step(now time.Time) {
+	s.apply(membership.Tick{})
+	pools := s.options.Pools.Pools()
+	current := make([]demand.PoolDemand, len(pools))
+	for i, p := range pools {
+		current[i] = demand.Summarize(p.Name, len(p.MinShares), p.Loads, s.options.MaxWorkspaces)
+	}
+	if err := s.tell(now, current); err != nil {
+		s.options.Logger.Error("digest cannot be told", zap.Error(err))
+	}
+	s.mu.Lock()
+	live := s.members.Live(now)
+	told := s.view.Fresh(now)
+	s.mu.Unlock()
+	for i, p := range pools {
+		s.options.Pools.SetLimit(p.Name, demand.Limit(p.Pool, live, told, s.options.ID, current[i]))
+	}
+}
+
+// tell broadcasts a digest if the teller finds it due.
+func (s *Sharer) tell(now time.Time, current []demand.PoolDemand) error {
+	s.mu.Lock()
+	digest := demand.Digest{Instance: s.options.ID, Sequence: s.sequence + 1, Pools: current}
+	message := peer.EncodeDigest(digest, s.options.ID, 0)
+	size := (proto.Size(message) + frameBytes) * s.sessions
+	due := s.teller.Due(now, digest, size)
+	if due {
+		s.sequence++
+		s.view.Observe(now, 0, digest)
+	}
+	s.mu.Unlock()
+	if !due {
+		return nil
+	}
+	sessions, err := s.options.Peers.Broadcast(message)
+	s.mu.Lock()
+	s.sessions = sessions
+	s.mu.Unlock()
+	return trace.Wrap(err)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/node/peer/sharing/sharing_test.go
@@ -0,0 +1,193 @@
+package sharing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"masticbank.example/core/demand"
+	"masticbank.example/core/membership"
+	"masticbank.example/node/peer"
+	"masticbank.example/node/peer/peerpb"
+	"masticbank.example/node/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	capacity  = 90
+	instances = 9
+)
+
+// bus carries messages between the sharers of a test.
+type bus struct {
+	mu    sync.Mutex
+	ends  map[string]*end
+	state map[string]peerpb.InstanceState
+}
+
+// end is one instance on the bus, with wanted requests waiting or running.
+type end struct {
+	bus     *bus
+	id      string
+	sharer  *Sharer
+	cancel  context.CancelFunc
+	ended   chan error
+	mu      sync.Mutex
+	limit   int
+	wanted  int
+	running int
+}
+
+func (e *end) Broadcast(message proto.Message) (int, error) {
+	e.bus.mu.Lock()
+	defer e.bus.mu.Unlock()
+	info := peer.Info{ID: e.id, Incarnation: 1, State: e.bus.state[e.id]}
+	for id, other := range e.bus.ends {
+		if id == e.id {
+			continue
+		}
+		other.sharer.Heard(info)
+		digest := proto.CloneOf(message.(*peerpb.Digest))
+		digest.Instance, digest.Incarnation = e.id, 1
+		other.sharer.Digest(digest)
+	}
+	return len(e.bus.ends) - 1, nil
+}
+
+func (e *end) Pools() []Pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := demand.Load{Workspace: "u", Queued: e.wanted - e.running, InFlight: e.running, Weight: demand.WeightUnit}
+	return []Pool{{
+		Pool:  demand.Pool{Name: "asistente", Capacity: capacity, MinShares: []float64{0.2, 0.1}},
+		Loads: []demand.Load{load},
+	}}
+}
+
+// SetLimit runs as many requests as it may; those above the limit end at once.
+func (e *end) SetLimit(_ string, slots int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = slots
+	e.running = min(slots, e.wanted)
+}
+
+func (e *end) limited() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limit
+}
+
+func (b *bus) start(ctx context.Context, id string, wanted int) *end {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &end{bus: b, id: id, cancel: cancel, ended: make(chan error, 1), wanted: wanted}
+	e.sharer = New(Options{ID: id, Peers: e, Pools: e})
+	b.mu.Lock()
+	b.ends[id] = e
+	b.state[id] = peerpb.InstanceState_INSTANCE_STATE_READY
+	b.mu.Unlock()
+	go func() { e.ended <- e.sharer.Run(ctx) }()
+	return e
+}
+
+// kill stops an instance without a word.
+func (b *bus) kill(t *testing.T, e *end) {
+	t.Helper()
+	b.mu.Lock()
+	delete(b.ends, e.id)
+	b.mu.Unlock()
+	e.cancel()
+	require.NoError(t, <-e.ended)
+}
+
+func (b *bus) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0
+	for _, e := range b.ends {
+		sum += e.limited()
+	}
+	return sum
+}
+
+func (b *bus) list() []wire.Instance {
+	var list []wire.Instance
+	for i := range instances {
+		list = append(list, wire.Instance{ID: fmt.Sprintf("m%d", i), Role: wire.RoleEntry})
+	}
+	return append(list, wire.Instance{ID: "replica-1", Role: wire.RoleEngine})
+}
+
+// Nine instances share one pool; then one is killed while the list still names
+// it, and its slots are in use by the others within the 5 s of the target.
+func TestSlotsOfKilledInstanceAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bus{ends: map[string]*end{}, state: map[string]peerpb.InstanceState{}}
+		var all []*end
+		for i := range instances {
+			all = append(all, b.start(t.Context(), fmt.Sprintf("m%d", i), 100))
+		}
+		for _, e := range all {
+			e.sharer.SetList(b.list())
+		}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, capacity, b.total())
+		require.Equal(t, capacity/instances, all[3].limited())
+
+		killedAt := time.Now()
+		b.kill(t, all[0])
+		for b.total() < capacity && time.Since(killedAt) < 5*time.Second {
+			time.Sleep(DefaultTick)
+			synctest.Wait()
+		}
+		require.Equal(t, capacity, b.total())
+		t.Logf("slots in use again after %v", time.Since(killedAt))
+		require.Less(t, time.Since(killedAt), 5*time.Second)
+		require.Equal(t, membership.Gone, all[1].sharer.Members()[0].State)
+		for _, e := range all[1:] {
+			b.kill(t, e)
+		}
+	})
+}
+
+// Demand decides: idle instances leave their slots, and take them back when work
+// comes, at once when it is woken.
+func TestLimitsFollowDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bus{ends: map[string]*end{}, state: map[string]peerpb.InstanceState{}}
+		busy := b.start(t.Context(), "m0", 200)
+		idle := b.start(t.Context(), "m1", 0)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, capacity, busy.limited())
+		require.Zero(t, idle.limited())
+
+		idle.mu.Lock()
+		idle.wanted = 30
+		idle.mu.Unlock()
+		idle.sharer.Wake()
+		time.Sleep(2 * minGap)
+		synctest.Wait()
+		require.Equal(t, 30, idle.limited(), "urgent work starts at once")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Equal(t, capacity, b.total())
+		require.Equal(t, capacity-30, busy.limited())
+
+		b.kill(t, idle)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.Equal(t, capacity, busy.limited())
+		require.Len(t, busy.sharer.Members(), 1, "neither listed nor heard")
+		b.kill(t, busy)
+	})
+}
