Keep sessions with leaving instances until the list drops them

A leaving instance still holds slots and tells its digest. Without a session it would count as gone after 2 s, and others would use slots that are not free.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -266,12 +266,12 @@
 }
 
 // Candidates returns the instances to choose neighbours from, without this one,
-// in the order of IDs: those that are listed and not leaving. An instance whose
-// heartbeats are missed stays a candidate while it is listed, so that it is
-// found again.
+// in the order of IDs: those that are listed. A leaving one is among them, as it
+// holds slots until its work ends, and one whose heartbeats are missed, so that
+// it is found again.
 func (m *Members) Candidates() []Member {
 	return m.collect(func(member *Member) bool {
-		return member.ID != m.config.Self && member.Listed && member.State != Leaving && !member.listedLeaving
+		return member.ID != m.config.Self && member.Listed
 	})
 }
 
