--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,232 @@
+package lease_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/lease"
+	"masticbank.example/core/record"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "200")
+}
+
+const (
+	instances = 3
+	maxSteps  = 500
+	name      = "snapshots"
+	// drift is the largest difference of a clock's rate, in parts of a thousand.
+	drift = 20
+)
+
+var terms = lease.Terms{TTL: time.Second, Margin: 100 * time.Millisecond, Renew: 300 * time.Millisecond}
+
+// instance has a clock of its own offset and rate, and may be between the last
+// check and the order of the epoch in checked.
+type instance struct {
+	name    string
+	machine *lease.Machine
+	offset  time.Duration
+	rate    int64
+	checked uint64
+}
+
+type world struct {
+	rng       *rand.Rand
+	elapsed   time.Duration
+	log       [][]byte
+	first     int
+	flight    []record.Record
+	instances []*instance
+	names     int
+	// accepted names the writer of each acquire record that followed upon all
+	// that its writer had read; holders those seen valid in each epoch; fence is
+	// the engine's highest epoch.
+	accepted map[uint64]string
+	holders  map[uint64]string
+	fence    uint64
+	valid    uint64
+}
+
+func (w *world) now(i *instance) time.Time {
+	return time.UnixMilli(0).Add(i.offset + w.elapsed + w.elapsed*time.Duration(i.rate)/1000)
+}
+
+func (w *world) newInstance() *instance {
+	w.names++
+	i := &instance{
+		name:   fmt.Sprint("i", w.names),
+		offset: time.Duration(w.rng.Int64N(int64(time.Hour))),
+		rate:   w.rng.Int64N(2*drift+1) - drift,
+	}
+	i.machine = lease.New(terms, i.name, i.name)
+	i.machine.Want(name, true)
+	return i
+}
+
+func (w *world) read(i *instance, limit int) {
+	from := max(int(i.machine.Next()), w.first)
+	b := record.Batch{First: uint64(w.first), Next: uint64(from)}
+	for int(b.Next) < len(w.log) && len(b.Entries) < limit {
+		b.Entries = append(b.Entries, record.Entry{Offset: b.Next, Data: w.log[b.Next]})
+		b.Next++
+	}
+	i.machine.Apply(w.now(i), b)
+}
+
+func (w *world) append(t require.TestingT, r record.Record) {
+	data, err := record.Encode(r)
+	require.NoError(t, err)
+	if r.Lease.Op == record.LeaseAcquire && r.Lease.Read == uint64(len(w.log)) {
+		w.accepted[r.Lease.Read+1] = r.Lease.Holder
+	}
+	w.log = append(w.log, data)
+}
+
+func (w *world) deliver(t *rapid.T, n int) {
+	w.append(t, w.flight[n])
+	answerLost := w.rng.IntN(4) == 0
+	if !answerLost {
+		w.flight = append(w.flight[:n], w.flight[n+1:]...)
+	}
+}
+
+// check finds at most one instance valid, and epochs that grow and never change
+// hands.
+func (w *world) check(t require.TestingT) {
+	valid := 0
+	for _, i := range w.instances {
+		if holder, epoch, ok := i.machine.Holder(name); ok {
+			require.Equal(t, w.accepted[epoch], holder, "wrong holder of epoch %d", epoch)
+		}
+		epoch, ok := i.machine.Valid(w.now(i), name)
+		if !ok {
+			continue
+		}
+		valid++
+		require.GreaterOrEqual(t, epoch, w.valid, "an older epoch became valid again")
+		w.valid = epoch
+		if holder, known := w.holders[epoch]; known {
+			require.Equal(t, holder, i.name, "epoch %d has two holders", epoch)
+		}
+		w.holders[epoch] = i.name
+	}
+	require.LessOrEqual(t, valid, 1, "two holders are valid")
+}
+
+// order is sent by an instance that was paused since its last check. An engine
+// that checks epochs refuses it once it has served a newer one.
+func (w *world) order(t *rapid.T, i *instance) {
+	if i.checked == 0 {
+		return
+	}
+	if i.checked >= w.fence {
+		w.fence = i.checked
+		require.Equal(t, i.name, w.holders[i.checked])
+	}
+	i.checked = 0
+}
+
+func (w *world) act(t *rapid.T) {
+	i := w.instances[w.rng.IntN(len(w.instances))]
+	switch n := w.rng.IntN(40); {
+	case n < 12:
+		w.read(i, 1+w.rng.IntN(4))
+	case n < 19:
+		w.flight = append(w.flight, i.machine.Step(w.now(i))...)
+	case n < 26 && len(w.flight) > 0:
+		w.deliver(t, w.rng.IntN(len(w.flight)))
+	case n < 32:
+		w.elapsed += time.Duration(w.rng.Int64N(int64(terms.TTL / 8)))
+	case n == 32 && w.rng.IntN(3) == 0:
+		w.elapsed += terms.TTL + terms.Margin
+	case n == 33 && w.rng.IntN(3) == 0:
+		w.first += w.rng.IntN(len(w.log) - w.first + 1)
+	case n == 34 && w.rng.IntN(4) == 0:
+		w.instances[w.rng.IntN(len(w.instances))] = w.newInstance()
+	case n == 35 && w.rng.IntN(4) == 0:
+		w.flight = append(w.flight, i.machine.Release(w.now(i))...)
+		i.machine.Want(name, true)
+	case n < 38:
+		i.checked, _ = i.machine.Valid(w.now(i), name)
+	default:
+		w.order(t, i)
+	}
+	w.check(t)
+}
+
+// Through pauses at any step, lost and late appends, forgotten records and clocks
+// of unequal rate, no two instances are valid at once, epochs grow, and an order
+// that is late carries an older epoch than any newer holder's.
+func TestOneValidHolder(t *testing.T) {
+	held := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "schedule"), 0)), holders: map[uint64]string{}, accepted: map[uint64]string{}}
+		for range instances {
+			w.instances = append(w.instances, w.newInstance())
+		}
+		for range maxSteps {
+			w.act(t)
+		}
+		held += len(w.holders)
+		w.settle(t)
+	})
+	require.Greater(t, held, 200, "too few leases were held for the test to mean anything")
+}
+
+// settle checks that the duty is held again soon when nothing fails.
+func (w *world) settle(t *rapid.T) {
+	for range 60 {
+		w.elapsed += terms.TTL / 10
+		for _, i := range w.instances {
+			w.read(i, len(w.log)+1)
+			w.flight = append(w.flight, i.machine.Step(w.now(i))...)
+			for len(w.flight) > 0 {
+				w.deliver(t, 0)
+			}
+			w.read(i, len(w.log)+1)
+			w.check(t)
+		}
+	}
+	valid := false
+	for _, i := range w.instances {
+		_, ok := i.machine.Valid(w.now(i), name)
+		valid = valid || ok
+	}
+	require.True(t, valid, "nobody holds the duty")
+}
+
+// A holder whose clock is slow stops before a candidate whose clock is fast takes
+// over, even if the candidate reads every record at once.
+func TestMarginCoversClockRates(t *testing.T) {
+	w := &world{rng: rand.New(rand.NewPCG(1, 0)), holders: map[uint64]string{}, accepted: map[uint64]string{}}
+	slow, fast := w.newInstance(), w.newInstance()
+	slow.rate, fast.rate = -drift, drift
+	w.instances = []*instance{slow, fast}
+	w.read(slow, 1)
+	w.elapsed += 2 * terms.TTL
+	step := func(i *instance) bool {
+		w.read(i, 1)
+		for _, r := range i.machine.Step(w.now(i)) {
+			w.append(t, r)
+		}
+		w.read(i, 1)
+		_, ok := i.machine.Valid(w.now(i), name)
+		return ok
+	}
+	require.True(t, step(slow))
+	for !step(fast) {
+		w.check(t)
+		require.Less(t, w.elapsed, time.Minute)
+		w.elapsed += time.Millisecond
+	}
+	w.check(t)
+}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -118,7 +118,8 @@
 	Op     LeaseOp `json:"op"`
 	Duty   string  `json:"duty"`
 	Holder string  `json:"holder"`
-	// Epoch is the offset of the accepted acquire record; renew and release only.
+	// Epoch is the offset after the accepted acquire record; renew and release
+	// only.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// Read is the offset up to which the holder had read; acquire only.
 	Read uint64 `json:"read,omitempty"`
