--- a/node/logstream/appender.go
+++ b/node/logstream/appender.go
@@ -47,6 +47,7 @@
 
 	mu      sync.Mutex
 	queue   []*pending
+	queued  int
 	appends int64
 	records int64
 	// failed is when the last append had no answer, or zero; retrying is set
@@ -56,10 +57,12 @@
 	stopped  bool
 }
 
+// pending are records that share one append.
 type pending struct {
-	ctx  context.Context
-	data []byte
-	done chan error
+	ctx     context.Context
+	records [][]byte
+	size    int
+	done    chan error
 }
 
 // NewAppender returns an Appender for stream; Run must be running for it to
@@ -80,13 +83,16 @@
 	return &Appender{log: log, stream: stream, opts: opts, wake: make(chan struct{}, 1)}
 }
 
-// Start queues data and returns a channel that yields one result: nil once the
-// record is in the log; an error matching ErrRejected if it will never be; or
-// the error of ctx, after which the record may or may not be in the log. It
-// fails at once with ErrQueueFull if there is no room, and with ErrStopped after
-// Run has ended.
-func (a *Appender) Start(ctx context.Context, data []byte) (<-chan error, error) {
-	p := &pending{ctx: ctx, data: data, done: make(chan error, 1)}
+// Start queues records, which will share one append, and returns a channel that
+// yields one result: nil once they are in the log; an error matching ErrRejected
+// if they will never be; or the error of ctx, after which they may or may not be
+// in the log. It fails at once with ErrQueueFull if there is no room, and with
+// ErrStopped after Run has ended.
+func (a *Appender) Start(ctx context.Context, records ...[]byte) (<-chan error, error) {
+	p := &pending{ctx: ctx, records: records, done: make(chan error, 1)}
+	for _, data := range records {
+		p.size += len(data)
+	}
 	if err := a.enqueue(p); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -103,10 +109,11 @@
 	if a.stopped {
 		return ErrStopped
 	}
-	if len(a.queue) >= a.opts.MaxQueued {
+	if a.queued+len(p.records) > a.opts.MaxQueued {
 		return ErrQueueFull
 	}
 	a.queue = append(a.queue, p)
+	a.queued += len(p.records)
 	return nil
 }
 
@@ -167,7 +174,7 @@
 func (a *Appender) append(ctx context.Context, batch []*pending) error {
 	records := make([][]byte, 0, len(batch))
 	for _, p := range batch {
-		records = append(records, p.data)
+		records = append(records, p.records...)
 	}
 	_, err := a.log.Append(ctx, a.stream, records)
 	a.mu.Lock()
@@ -180,7 +187,7 @@
 		a.failed = time.Time{}
 		a.retrying = false
 		a.appends++
-		a.records += int64(len(batch))
+		a.records += int64(len(records))
 	}
 	return err
 }
@@ -199,22 +206,24 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	candidates := append(batch, a.queue...)
+	a.queue, a.queued = nil, 0
 	kept := make([]*pending, 0, min(len(candidates), a.opts.MaxRecords))
-	size := 0
-	for i, p := range candidates {
+	count, size := 0, 0
+	for _, p := range candidates {
 		if err := p.ctx.Err(); err != nil {
 			p.done <- trace.Wrap(err)
 			continue
 		}
-		full := len(kept) == a.opts.MaxRecords || size+len(p.data) > a.opts.MaxBytes
+		count += len(p.records)
+		size += p.size
+		full := count > a.opts.MaxRecords || size > a.opts.MaxBytes
 		if full && len(kept) > 0 {
-			a.queue = append([]*pending(nil), candidates[i:]...)
-			return kept
+			a.queue = append(a.queue, p)
+			a.queued += len(p.records)
+			continue
 		}
 		kept = append(kept, p)
-		size += len(p.data)
 	}
-	a.queue = nil
 	if len(kept) == 0 {
 		a.retrying = false
 	}
@@ -225,7 +234,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	finish(append(batch, a.queue...), ctx.Err())
-	a.queue = nil
+	a.queue, a.queued = nil, 0
 	a.stopped = true
 }
 
