--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -15,6 +15,7 @@
 //     their own clock, counted from reading the last one or from the start of
 //     their view. Every record that keeps a holder valid was appended before that
 //     reading, so its validity has ended; Margin covers clocks of unequal rate.
+//     A duty without a record in a stream read from its start is free at once.
 //  5. A reader that missed records holds nothing and starts its view again.
 package lease
 
@@ -212,7 +213,8 @@
 }
 
 func (m *Machine) free(now time.Time, d *duty) bool {
-	if d.released {
+	neverHeld := m.start == 0 && d.last == 0
+	if d.released || neverHeld {
 		return true
 	}
 	last := m.since
