--- a/core/order/bench_test.go
+++ b/core/order/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,26 +15,43 @@
 
 // BenchmarkTable reads a claim and an outcome with an answer of 200 bytes a key.
 func BenchmarkTable(b *testing.B) {
+	batches := make([]record.Batch, b.N)
+	size := 0
+	for n := range batches {
+		batches[n] = finishedOrder(b, n)
+		size += len(batches[n].Entries[0].Data) + len(batches[n].Entries[1].Data)
+	}
 	table := order.NewTable(policy)
 	now := time.UnixMilli(1_000_000)
 	before := heap()
-	for n := range b.N {
-		key := record.OrderKey{Workspace: "workspace", Service: "service", Key: "017F22E2-79B0-7CC3-98C4-" + strconv.Itoa(n)}
-		claim := record.ID("919108f7-52d1-4320-9bac-" + strconv.Itoa(n))
-		records := []record.Record{
-			{ID: claim, Claim: &record.Claim{Key: key, Fingerprint: "f", Claimant: "i", Expiry: time.Second}},
-			{ID: claim + "/outcome", Outcome: &record.Outcome{Key: key, Claim: claim, Known: true, Answer: record.Answer{Status: 200, Body: make([]byte, 200)}}},
-		}
-		batch := record.Batch{}
-		for i, r := range records {
-			data, err := record.Encode(r)
-			require.NoError(b, err)
-			batch.Entries = append(batch.Entries, record.Entry{Offset: uint64(2*n + i), Data: data})
-		}
+	b.ResetTimer()
+	for _, batch := range batches {
 		table.Apply(now, batch)
 	}
+	b.StopTimer()
 	b.ReportMetric(float64(heap()-before)/float64(b.N), "held-B/key")
+	b.ReportMetric(float64(size)/float64(b.N), "log-B/key")
 	runtime.KeepAlive(table)
+	runtime.KeepAlive(batches)
+}
+
+func finishedOrder(b *testing.B, n int) record.Batch {
+	key := record.OrderKey{Workspace: "workspace", Service: "service", Key: "017F22E2-79B0-7CC3-98C4-" + strconv.Itoa(n)}
+	claim := record.ID("919108f7-52d1-4320-9bac-" + strconv.Itoa(n))
+	fingerprint := strings.Repeat("f", 64)
+	batch := record.Batch{}
+	for i, r := range []record.Record{
+		{ID: claim, Claim: &record.Claim{Key: key, Fingerprint: fingerprint, Claimant: "instance-1", Expiry: time.Second}},
+		{ID: claim + "/outcome", Outcome: &record.Outcome{
+			Key: key, Claim: claim, Known: true,
+			Answer: record.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 200)},
+		}},
+	} {
+		data, err := record.Encode(r)
+		require.NoError(b, err)
+		batch.Entries = append(batch.Entries, record.Entry{Offset: uint64(2*n + i), Data: data})
+	}
+	return batch
 }
 
 func heap() uint64 {
