Refuse forged states of peers; hold no duty past a record of a newer version

A state whose content is not valid here is not taken from a peer. A lease record of a newer version can't be judged, so the reader holds nothing and waits.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -16,10 +16,12 @@
 //     their view. Every record that keeps a holder valid was appended before that
 //     reading, so its validity has ended; Margin covers clocks of unequal rate.
 //     A duty without a record in a stream read from its start is free at once.
-//  5. A reader that missed records holds nothing and starts its view again.
+//  5. A reader that missed records, or read one of a newer version, holds nothing
+//     and starts its view again.
 package lease
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -122,6 +124,9 @@
 		}
 		m.next = e.Offset + 1
 		r, err := record.Decode(e.Data)
+		if errors.Is(err, record.ErrVersion) {
+			m.restart(now, m.next)
+		}
 		if err != nil || r.Lease == nil {
 			continue
 		}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -229,4 +229,9 @@
 		w.elapsed += time.Millisecond
 	}
 	w.check(t)
+
+	w.log = append(w.log, []byte(`{"v":2,"id":"x"}`))
+	w.read(fast, 1)
+	_, ok := fast.machine.Valid(w.now(fast), name)
+	require.False(t, ok, "held on after a record of a newer version")
 }
--- a/node/follower/follower.go
+++ b/node/follower/follower.go
@@ -133,8 +133,11 @@
 }
 
 // Offer takes the state of a peer, which must be authenticated, and tells
-// whether it was news.
+// whether it was news. A state whose content is not valid here is refused.
 func (f *Follower) Offer(s record.Snapshot) bool {
+	if _, err := f.opts.Decode(s.Content); err != nil || len(s.Winners) > revision.MaxWinners {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	news := f.machine.Offer(s)
