--- a/core/admission/deadline.go
+++ b/core/admission/deadline.go
@@ -64,11 +64,11 @@
 func (q *Queue) expire(now time.Time) {
 	for len(q.deadlines) > 0 {
 		r := q.deadlines[0]
-		if r.latestStart.After(now) {
+		if !r.expired(now) {
 			return
 		}
 		r.latestStart = q.latestStart(r)
-		if r.latestStart.After(now) {
+		if !r.expired(now) {
 			heap.Fix(&q.deadlines, 0)
 			continue
 		}
@@ -76,6 +76,11 @@
 	}
 }
 
+// expired tells whether a dispatch at now would be too late for r.
+func (r *request) expired(now time.Time) bool {
+	return r.latestStart.Before(now) || !r.deadline.After(now)
+}
+
 // sweep examines a bounded number of waiting requests in turn and refuses
 // those whose expected wait has grown beyond what their deadline allows.
 func (q *Queue) sweep(now time.Time) {
@@ -117,13 +122,14 @@
 }
 
 // late tells whether r misses its deadline by a clear margin after wait
-// seconds.
+// seconds. The wait counts the running requests as if they had just begun, so
+// the time that one of them takes is part of the margin.
 func (q *Queue) late(now time.Time, r *request, wait float64) bool {
 	if r.deadline.IsZero() {
 		return false
 	}
 	allowed := r.deadline.Sub(now).Seconds() - q.pace.service(r.cost)
-	return wait > allowed*hopelessMargin
+	return wait > allowed*hopelessMargin+q.pace.service(q.meanInFlight())
 }
 
 // deadlineHeap orders waiting requests by their latest start.
--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -100,8 +100,12 @@
 	if q.inFlight < q.slots {
 		return 0
 	}
-	mean := q.inFlightCost / float64(max(q.inFlight, 1))
-	return mean * float64(q.inFlight-q.slots+1)
+	return q.meanInFlight() * float64(q.inFlight-q.slots+1)
+}
+
+// meanInFlight is the mean cost of a running request.
+func (q *Queue) meanInFlight() float64 {
+	return q.inFlightCost / float64(max(q.inFlight, 1))
 }
 
 // wait is the wait in seconds that the bound on the workspace's running
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -48,6 +48,7 @@
 	cost := usableCost(r.Cost)
 	if retryAfter, hopeless := q.hopeless(now, f, cost, r.Deadline); hopeless {
 		q.effects = append(q.effects, Effect{Kind: Refuse, ID: r.ID, Reason: ReasonHopeless, RetryAfter: retryAfter})
+		q.fill(now)
 		return q.effects
 	}
 	req := q.newRequest()
@@ -112,6 +113,7 @@
 	q.account(r.flow.rank, -r.cost, r.guaranteed)
 	r.returned = true
 	q.enqueue(r)
+	q.expire(now)
 	return q.effects
 }
 
