--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,120 @@
+package retry
+
+import (
+	"flag"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var epoch = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func drawBudget(t *rapid.T) BudgetConfig {
+	return BudgetConfig{
+		Ratio:        rapid.Float64Range(0, 1).Draw(t, "ratio"),
+		MinPerSecond: rapid.Float64Range(0, 2).Draw(t, "minimum rate"),
+		Bank:         rapid.Float64Range(0, 20).Draw(t, "bank"),
+	}
+}
+
+// In every period of any history, the retries exceed the income of the period,
+// Ratio*firsts + MinPerSecond*seconds, by at most Bank. No retry is denied while
+// one is saved.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawBudget(t)
+		b := NewBudget(c)
+		now := epoch
+		b.First(now)
+		balance, highest := 0.0, 0.0 // income less retries
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			pause := time.Duration(rapid.IntRange(-100, 1500).Draw(t, "pause")) * time.Millisecond
+			now = now.Add(max(pause, 0))
+			balance += c.MinPerSecond * max(pause, 0).Seconds()
+			if rapid.Bool().Draw(t, "first") {
+				b.First(now.Add(min(pause, 0)))
+				balance += c.Ratio
+			} else {
+				saved := b.Saved(now)
+				require.Equal(t, saved >= 1, b.Take(now))
+				if saved >= 1 {
+					balance--
+				}
+			}
+			highest = max(highest, balance)
+			require.LessOrEqual(t, highest-balance, c.Bank+1e-6)
+		}
+	})
+}
+
+// When every attempt fails, the load grows by the ratio, the bank and the
+// minimum rate and no more, and the whole ratio may be used.
+func TestTotalFailureMultipliesLoadByRatio(t *testing.T) {
+	c := BudgetConfig{Ratio: 0.2, MinPerSecond: 0.5, Bank: 10}
+	b := NewBudget(c)
+	const firsts, seconds, triesEach = 10_000, 100, 5
+	attempts := 0
+	for i := range firsts {
+		now := epoch.Add(time.Duration(i) * seconds * time.Second / firsts)
+		b.First(now)
+		attempts++
+		for range triesEach {
+			if b.Take(now) {
+				attempts++
+			}
+		}
+	}
+	extra := c.Bank + c.MinPerSecond*seconds
+	require.LessOrEqual(t, float64(attempts), (1+c.Ratio)*firsts+extra)
+	require.GreaterOrEqual(t, float64(attempts), (1+c.Ratio)*firsts)
+}
+
+// A group without first attempts for long can retry once its minimum rate has
+// paid for it, and a smaller bank takes force at once.
+func TestQuietGroupMayRetry(t *testing.T) {
+	b := NewBudget(BudgetConfig{Ratio: 0.2, MinPerSecond: 0.5, Bank: 3})
+	for range 3 {
+		require.True(t, b.Take(epoch))
+	}
+	require.False(t, b.Take(epoch.Add(time.Second)))
+	require.True(t, b.Take(epoch.Add(2*time.Second)))
+	require.InDelta(t, 3, b.Saved(epoch.Add(time.Hour)), 1e-9)
+	b.Configure(epoch.Add(time.Hour), BudgetConfig{Bank: 1})
+	require.True(t, b.Take(epoch.Add(time.Hour)))
+	require.False(t, b.Take(epoch.Add(2*time.Hour)))
+}
+
+// The delay lies in [0, min(Cap, Base*2^n)], leaves the service time before the
+// deadline, grows in proportion to the random number, and never overflows.
+func TestBackoffIsFullJitterWithinDeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Backoff{
+			Base: time.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(t, "base")),
+			Cap:  time.Duration(rapid.Int64Range(0, math.MaxInt64).Draw(t, "cap")),
+		}
+		n := rapid.IntRange(0, 1000).Draw(t, "retry")
+		limit := math.Min(float64(b.Cap), float64(b.Base)*math.Pow(2, float64(n)))
+		// Drawn integers are mostly small; the odd factor spreads them.
+		random := rapid.Uint64().Draw(t, "random") * 0x9e3779b97f4a7c15
+		delay, ok := b.Delay(n, random, epoch, time.Time{}, time.Hour)
+		require.True(t, ok)
+		want := limit * (float64(random) / math.MaxUint64)
+		require.InDelta(t, want, float64(delay), 1+limit*1e-9)
+
+		service := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "service"))
+		deadline := epoch.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "left")))
+		delay, ok = b.Delay(n, random, epoch, deadline, service)
+		require.Equal(t, deadline.After(epoch.Add(service)), ok)
+		if ok {
+			require.False(t, epoch.Add(delay).Add(service).After(deadline))
+		}
+	})
+}
