Simulation reports total times and what each rank keeps in a flood

The flood of the most urgent work now runs beside ranks that ask for more than their minimum shares, so that the kept share shows.

--- a/core/admission/bench_test.go
+++ b/core/admission/bench_test.go
@@ -9,6 +9,24 @@
 	"masticbank.example/core/config"
 )
 
+const (
+	simulatedSlots = 32
+	slotPace       = 100.0 // tokens a second of one slot
+	capacity       = simulatedSlots * slotPace
+)
+
+// simulatedDeadlines are the callers' deadlines by rank.
+var simulatedDeadlines = []time.Duration{10 * time.Second, 30 * time.Second, 2 * time.Minute}
+
+// source sends requests of one workspace and rank as a Poisson process. Their
+// costs are exponential; the estimate is the mean.
+type source struct {
+	workspace string
+	rank      int
+	load      float64 // offered tokens a second over capacity
+	cost      float64 // mean tokens
+}
+
 var benchRanks = []RankPolicy{{MinShare: 0.5}, {MinShare: 0.2}, {MinShare: 0.1}}
 
 // BenchmarkQueue measures one arrival, one completion and the dispatch that
@@ -124,9 +142,8 @@
 	var ranks [3]outcome
 	for i, o := range outcomes {
 		r := &ranks[sources[i].rank]
-		r.arrived += o.arrived
-		r.refused += o.refused
 		r.waits = append(r.waits, o.waits...)
+		r.totals = append(r.totals, o.totals...)
 		r.served += o.served
 		r.inTime += o.inTime
 		r.offers += o.offers
@@ -153,7 +170,9 @@
 	for i, o := range byRank(sources, outcomes) {
 		name := []string{"urgent", "middle", "least"}[i]
 		b.ReportMetric(percentile(o.waits, 95), name+"-p95-s")
+		b.ReportMetric(percentile(o.totals, 95), name+"-total-p95-s")
 		b.ReportMetric(100*o.inTime/total, name+"-%")
+		b.ReportMetric(100*o.served/total, name+"-served-%")
 		inTime += o.inTime
 	}
 	b.ReportMetric(100*inTime/total, "goodput-%")
@@ -170,15 +189,21 @@
 	}
 }
 
-// BenchmarkFlood adds work of one rank to a pool at half load, so that four
-// times the capacity is offered.
+// BenchmarkFlood adds work of one workspace and rank to mixed work, so that four
+// times the capacity is offered. Without the flood, the pool is at 0.7 of its
+// capacity for the least urgent one, and at 1 for the urgent one, so that the
+// other ranks ask for more than their minimum shares.
 func BenchmarkFlood(b *testing.B) {
-	for name, flood := range map[string]source{
-		"least":  {"flood", 2, 3.5, 1000},
-		"urgent": {"flood", 0, 3.5, 200},
+	for _, c := range []struct {
+		name  string
+		base  float64
+		flood source
+	}{
+		{"least", 0.7, source{"flood", 2, 3.3, 1000}},
+		{"urgent", 1, source{"flood", 0, 3, 200}},
 	} {
-		b.Run("rank="+name, func(b *testing.B) {
-			sources := append(mixed(0.5), flood)
+		b.Run("rank="+c.name, func(b *testing.B) {
+			sources := append(mixed(c.base), c.flood)
 			runPolicies(b, sources, func(b *testing.B, o []outcome) { reportRanks(b, sources, o) })
 		})
 	}
@@ -198,7 +223,7 @@
 				sources = append(sources, source{"large", 1, large, 400})
 			}
 			runPolicies(b, sources, func(b *testing.B, outcomes []outcome) {
-				var waits []float64
+				var waits, totals []float64
 				var sum, squares float64
 				for i, o := range outcomes {
 					// Small ones fit in their fair share, the large one gets the rest.
@@ -208,9 +233,11 @@
 					squares += x * x
 					if i < 9 {
 						waits = append(waits, o.waits...)
+						totals = append(totals, o.totals...)
 					}
 				}
 				b.ReportMetric(percentile(waits, 95), "small-p95-s")
+				b.ReportMetric(percentile(totals, 95), "small-total-p95-s")
 				b.ReportMetric(sum*sum/(float64(len(outcomes))*squares), "jain")
 			})
 		})
--- a/core/admission/simulate_test.go
+++ b/core/admission/simulate_test.go
@@ -9,50 +9,30 @@
 	"masticbank.example/core/config"
 )
 
-const (
-	simulatedSlots = 32
-	slotPace       = 100.0 // tokens a second of one slot
-	capacity       = simulatedSlots * slotPace
-)
-
-// simulatedDeadlines are the callers' deadlines by rank.
-var simulatedDeadlines = []time.Duration{10 * time.Second, 30 * time.Second, 2 * time.Minute}
-
-// source sends requests of one workspace and rank as a Poisson process. Their
-// costs are exponential; the estimate is the mean.
-type source struct {
-	workspace string
-	rank      int
-	load      float64 // offered tokens a second over capacity
-	cost      float64 // mean tokens
-}
-
 // outcome is what became of the requests of one source.
 type outcome struct {
-	arrived, refused       int
-	waits                  []float64 // seconds, of dispatched requests
+	waits, totals          []float64 // seconds until dispatch and completion
 	served, inTime, offers float64   // tokens
 }
 
 type job struct {
-	id                  string
-	source              int
-	arrived, dispatched time.Time
-	served              float64 // tokens
+	id      string
+	source  int
+	arrived time.Time
+	served  float64 // tokens
 }
 
 // simulation is one pool with exponential service in virtual time. Requests
 // beyond the pool's slots share them, rank 0 before the others.
 type simulation struct {
-	q        Admitter
-	rng      *rand.Rand
-	now      time.Time
-	sources  []source
-	outcomes []outcome
-	waiting  map[string]*job
-	running  []*job
-	arrived  int
-	// afterEvent runs after each event.
+	q          Admitter
+	rng        *rand.Rand
+	now        time.Time
+	sources    []source
+	outcomes   []outcome
+	waiting    map[string]*job
+	running    []*job
+	arrived    int
 	afterEvent func()
 }
 
@@ -73,18 +53,16 @@
 	return s.outcomes
 }
 
-// speed is the part of a slot that a running request gets.
-func (s *simulation) speed(rank int) float64 {
-	urgent := 0
+// speeds returns the part of a slot that running requests of rank 0 and of the
+// other ranks get.
+func (s *simulation) speeds() (urgent, others float64) {
+	n := 0.0
 	for _, j := range s.running {
 		if s.sources[j.source].rank == 0 {
-			urgent++
+			n++
 		}
 	}
-	if rank == 0 {
-		return min(1, simulatedSlots/float64(urgent))
-	}
-	return min(1, max(0, float64(simulatedSlots-urgent))/float64(len(s.running)-urgent))
+	return min(1, simulatedSlots/n), min(1, max(0, simulatedSlots-n)/(float64(len(s.running))-n))
 }
 
 // event advances to the next arrival or completion.
@@ -93,12 +71,13 @@
 	for _, src := range s.sources {
 		arrivals += src.load * capacity / src.cost
 	}
-	fast, slow := s.speed(0), s.speed(1)
+	fast, slow := s.speeds()
 	rate := func(j *job) float64 {
-		if s.sources[j.source].rank == 0 {
-			return fast * slotPace / s.sources[j.source].cost
+		src := s.sources[j.source]
+		if src.rank == 0 {
+			return fast * slotPace / src.cost
 		}
-		return slow * slotPace / s.sources[j.source].cost
+		return slow * slotPace / src.cost
 	}
 	for _, j := range s.running {
 		completions += rate(j)
@@ -127,7 +106,6 @@
 	src := s.sources[i]
 	j := &job{id: fmt.Sprint(s.arrived), source: i, arrived: s.now}
 	s.arrived++
-	s.outcomes[i].arrived++
 	s.outcomes[i].offers += src.cost
 	s.waiting[j.id] = j
 	s.apply(s.q.Arrive(s.now, Request{
@@ -141,6 +119,7 @@
 	s.running = slices.Delete(s.running, i, i+1)
 	o := &s.outcomes[j.source]
 	o.served += j.served
+	o.totals = append(o.totals, s.now.Sub(j.arrived).Seconds())
 	if s.now.Sub(j.arrived) <= simulatedDeadlines[s.sources[j.source].rank] {
 		o.inTime += j.served
 	}
@@ -152,11 +131,10 @@
 		j := s.waiting[e.ID]
 		delete(s.waiting, e.ID)
 		if e.Kind == Refuse {
-			s.outcomes[j.source].refused++
 			continue
 		}
-		j.dispatched = s.now
-		s.outcomes[j.source].waits = append(s.outcomes[j.source].waits, s.now.Sub(j.arrived).Seconds())
+		o := &s.outcomes[j.source]
+		o.waits = append(o.waits, s.now.Sub(j.arrived).Seconds())
 		s.running = append(s.running, j)
 	}
 	s.afterEvent()
