--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -109,9 +109,12 @@
 	// Capacity sets how many requests may run at once. It may be lower than the
 	// number of requests that run.
 	Capacity(now time.Time, slots int) []Effect
-	// Done reports that a dispatched request ended and what it cost in tokens.
+	// Done reports that a dispatched request was served to its end and what it
+	// cost in tokens. Its time counts towards the service rate.
 	Done(now time.Time, id string, cost float64) []Effect
-	// Cancel reports that the caller of a waiting or running request left.
+	// Cancel reports that a waiting or running request ended early, because its
+	// caller left or it failed. Its time does not count towards the service
+	// rate, so that quick failures do not make the pool look fast.
 	Cancel(now time.Time, id string) []Effect
 	// Requeue returns a dispatched request that found no replica to its place.
 	// It dispatches nothing itself: the next event does.
--- a/core/admission/bench_test.go
+++ b/core/admission/bench_test.go
@@ -204,7 +204,11 @@
 	} {
 		b.Run("rank="+c.name, func(b *testing.B) {
 			sources := append(mixed(c.base), c.flood)
-			runPolicies(b, sources, func(b *testing.B, o []outcome) { reportRanks(b, sources, o) })
+			runPolicies(b, sources, func(b *testing.B, o []outcome) {
+				reportRanks(b, sources, o)
+				others := byRank(sources, o[:len(o)-1])[0]
+				b.ReportMetric(percentile(others.waits, 95), "urgent-others-p95-s")
+			})
 		})
 	}
 }
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -72,7 +72,8 @@
 	return q.effects
 }
 
-// Done reports that a dispatched request ended and what it cost in tokens.
+// Done reports that a dispatched request was served to its end and what it
+// cost in tokens.
 func (q *Queue) Done(now time.Time, id string, cost float64) []Effect {
 	q.begin(now)
 	if r, ok := q.requests[id]; ok && r.running {
@@ -83,8 +84,8 @@
 	return q.effects
 }
 
-// Cancel reports that the caller of a request left. A running request is
-// charged for what it is expected to have used so far.
+// Cancel reports that a request ended early. A running request is charged for
+// what it is expected to have used so far.
 func (q *Queue) Cancel(now time.Time, id string) []Effect {
 	q.begin(now)
 	r, ok := q.requests[id]
