--- a/cmd/internal/load/client.go
+++ b/cmd/internal/load/client.go
@@ -116,7 +116,7 @@
 	case a.isModel() && a.flow.Stream:
 		err = c.readStream(&s, response.Body, intended)
 	default:
-		err = c.readWhole(&s, response.Body, intended)
+		err = c.readWhole(&s, response.Body)
 	}
 	s.total = time.Since(intended)
 	if err != nil {
@@ -190,12 +190,11 @@
 }
 
 // readWhole reads an answer that comes in one piece.
-func (c *client) readWhole(s *sample, body io.Reader, intended time.Time) error {
+func (c *client) readWhole(s *sample, body io.Reader) error {
 	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes))
 	if err != nil {
 		return err
 	}
-	s.firstToken = time.Since(intended)
 	s.outcome = Completed
 	if !s.arrival.isModel() {
 		s.body = string(data)
@@ -234,7 +233,9 @@
 		}
 		if event.Error != nil {
 			s.execution = event.Error.Execution
-			return errors.New(event.Error.Code)
+			s.detail = event.Error.Code
+			s.outcome = Failed
+			return nil
 		}
 		if event.text() == "" {
 			continue
--- a/cmd/internal/load/group.go
+++ b/cmd/internal/load/group.go
@@ -66,7 +66,7 @@
 	if s.goodTokens() == 0 {
 		return
 	}
-	if !s.arrival.flow.Stream {
+	if !s.isStream() {
 		f(s.arrival.at+s.total, s.tokens)
 		return
 	}
@@ -113,7 +113,9 @@
 		b.addDetail(s.detail)
 		return
 	}
-	b.first = append(b.first, s.firstToken)
+	if s.isStream() {
+		b.first = append(b.first, s.firstToken)
+	}
 	b.total = append(b.total, s.total)
 	b.gaps = append(b.gaps, s.gaps...)
 }
--- a/cmd/internal/load/result.go
+++ b/cmd/internal/load/result.go
@@ -80,7 +80,8 @@
 	// GoodputTokensPerSecond counts the tokens of requests in time that came
 	// within the phases covered, whenever their request arrived.
 	GoodputTokensPerSecond float64 `json:"goodput_tokens_per_second"`
-	// FirstToken, BetweenTokens and Total cover completed requests only.
+	// FirstToken and BetweenTokens cover completed streams, Total all completed
+	// requests.
 	FirstToken    metrics.Distribution `json:"first_token"`
 	BetweenTokens metrics.Distribution `json:"between_tokens"`
 	Total         metrics.Distribution `json:"total"`
@@ -102,7 +103,8 @@
 	Lost      int `json:"lost"`
 	// GoodTokens counts by the second in which a token came.
 	GoodTokens int `json:"good_tokens"`
-	// FirstTokenP95 is in microseconds, by the second of arrival.
+	// FirstTokenP95 covers completed streams by the second of arrival, in
+	// microseconds; 0 when there are none.
 	FirstTokenP95 int64 `json:"first_token_p95_us"`
 }
 
--- a/cmd/internal/load/run_test.go
+++ b/cmd/internal/load/run_test.go
@@ -212,6 +212,24 @@
 rate.f = 2
 `
 
+// A stream that ends with an error has failed, and is not taken for cut.
+func TestErrorInStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := scenarioOf(t, fmt.Sprintf(outcomeScenario, "true"))
+		router := fakeRouter(func(_ *http.Request, body chatBody, w io.Writer) (int, http.Header) {
+			answer(w, body, rightText(body), false)
+			_, _ = io.WriteString(w, "data: {\"error\":{\"code\":\"deadline_passed\",\"execution\":\"ran\"}}\n\n")
+			return http.StatusOK, http.Header{}
+		})
+		result, err := Run(t.Context(), Options{Scenario: s, transport: router})
+		require.NoError(t, err)
+		all := result.Whole.All
+		require.Equal(t, map[Outcome]int{Failed: all.Requests}, all.Outcomes)
+		require.Equal(t, map[string]int{"deadline_passed": all.Requests}, all.Details)
+		require.Equal(t, map[string]int{"ran": all.Requests}, all.Executions)
+	})
+}
+
 // Orders are sent twice with one key; answers that differ are wrong.
 func TestRepeatedOrders(t *testing.T) {
 	for _, replay := range []bool{true, false} {
--- a/cmd/internal/load/sample.go
+++ b/cmd/internal/load/sample.go
@@ -11,11 +11,11 @@
 	Completed Outcome = "completed"
 	// Wrong means a whole answer that differs from the expected one.
 	Wrong Outcome = "wrong"
-	// Partial means an answer that began and did not end.
+	// Partial means an answer that began and was cut without an error.
 	Partial Outcome = "partial"
 	// Refused means an error that says that the request was not run.
 	Refused Outcome = "refused"
-	// Failed means any other error.
+	// Failed means any other error, also one that ends a stream.
 	Failed Outcome = "failed"
 	// TimedOut means that no answer came in time.
 	TimedOut Outcome = "timed_out"
@@ -69,3 +69,8 @@
 func (a *arrival) isModel() bool {
 	return a.flow.Kind == Chat || a.flow.Kind == Text
 }
+
+// isStream reports whether the answer's tokens come one by one.
+func (s *sample) isStream() bool {
+	return s.arrival.isModel() && s.arrival.flow.Stream
+}
--- a/cmd/internal/load/series.go
+++ b/cmd/internal/load/series.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		out[second].add(s)
-		if s.outcome == Completed {
+		if s.outcome == Completed && s.isStream() {
 			first[second] = append(first[second], s.firstToken)
 		}
 	}
--- a/cmd/internal/report/plot.go
+++ b/cmd/internal/report/plot.go
@@ -18,6 +18,8 @@
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 9 * vg.Centimeter
 	lineWidth  = vg.Length(1.5)
+	// legendSpace is the part of the X axis that is left free for the legend.
+	legendSpace = 0.12
 )
 
 // palette tells ranks apart, also for readers who do not see all colours.
@@ -43,11 +45,15 @@
 	levelName string
 }
 
+// line is one line of a figure; values below 0 are left out.
 type line struct {
 	name   string
 	values []float64
 }
 
+// missing is the value of a second without one.
+const missing = -1
+
 // figures returns the plots of one result.
 func figures(r *load.Result) []figure {
 	return []figure{
@@ -58,7 +64,7 @@
 		},
 		{
 			title: "First token, p95 by second of arrival", unit: "ms", marks: marks(r),
-			lines: byRank(r, func(p load.Point) float64 { return millis(p.FirstTokenP95) }),
+			lines: byRank(r, firstToken),
 		},
 		{
 			title: "Requests by second of arrival", unit: "requests a second", marks: marks(r),
@@ -80,10 +86,22 @@
 	return out
 }
 
+// firstToken returns the time to the first token in milliseconds.
+func firstToken(p load.Point) float64 {
+	if p.FirstTokenP95 == 0 {
+		return missing
+	}
+	return millis(p.FirstTokenP95)
+}
+
+// byRank returns one line for each rank that has a value above 0.
 func byRank(r *load.Result, value func(load.Point) float64) []line {
 	var out []line
 	for _, s := range r.Series {
-		out = append(out, line{name: s.Rank, values: values(s.Points, value)})
+		l := line{name: s.Rank, values: values(s.Points, value)}
+		if highestOf(l.values) > 0 {
+			out = append(out, l)
+		}
 	}
 	return out
 }
@@ -117,7 +135,7 @@
 	p.Y.Label.Text = f.unit
 	p.Y.Min = 0
 	p.Legend.Top = true
-	highest := f.level
+	highest, length := f.level, 0
 	for i, l := range f.lines {
 		drawn, err := plotter.NewLine(points(l.values))
 		if err != nil {
@@ -128,7 +146,9 @@
 		p.Add(drawn)
 		p.Legend.Add(l.name, drawn)
 		highest = max(highest, highestOf(l.values))
+		length = max(length, len(l.values))
 	}
+	p.X.Max = float64(length) * (1 + legendSpace)
 	if err := f.addMarks(p, highest); err != nil {
 		return "", trace.Wrap(err)
 	}
@@ -168,9 +188,11 @@
 }
 
 func points(values []float64) plotter.XYs {
-	out := make(plotter.XYs, len(values))
+	var out plotter.XYs
 	for i, v := range values {
-		out[i] = plotter.XY{X: float64(i), Y: v}
+		if v >= 0 {
+			out = append(out, plotter.XY{X: float64(i), Y: v})
+		}
 	}
 	return out
 }
