Engine stand-in: keep only the last result of ended attempts

Cause: every step of 4096 ended attempts was kept with its prompt and hidden state, which grows to gigabytes over forty engines in one process. Now an ended attempt keeps its last result, and steps drop their input once they ran. Tests added: resend after the end, leaving, slow, hanging of all connections.

--- a/standin/engine/batch_test.go
+++ b/standin/engine/batch_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"masticbank.example/node/wire"
+	"masticbank.example/standin/fault"
 )
 
 // call posts a step in its own goroutine and sends the status to out.
@@ -173,3 +174,27 @@
 		synctest.Wait()
 	})
 }
+
+// A leaving engine finishes what it holds and refuses the rest; a slow one
+// takes longer; both faults end by themselves when told so.
+func TestLeavingAndSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := whole(Options{StepTime: time.Second})
+		require.Equal(t, http.StatusOK, post(e, wire.PathStep, prefillOf("held", 0, 3), nil))
+		require.NoError(t, e.Inject(fault.Fault{Kind: fault.Leaving}))
+		require.NoError(t, e.Inject(fault.Fault{Kind: fault.Slow, Factor: 3, DurationMillis: 10_000}))
+		var refused wire.ErrorBody
+		require.Equal(t, http.StatusServiceUnavailable, post(e, wire.PathStep, prefillOf("new", 0, 3), &refused))
+		require.Equal(t, wire.CodeLeaving, refused.Code)
+		require.True(t, e.LoadReport().Leaving)
+
+		next := prefillOf("held", 0, 3)
+		next.Prefill, next.Prompt, next.Tokens, next.Position = false, "", []int{1}, 1
+		start := time.Now()
+		require.Equal(t, http.StatusOK, post(e, wire.PathStep, next, nil))
+		require.Equal(t, 3*time.Second, time.Since(start))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, http.StatusOK, post(e, wire.PathStep, prefillOf("new", 0, 1), nil))
+		require.False(t, e.LoadReport().Leaving)
+	})
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,7 +15,7 @@
 	finishLength = "length"
 	finishStop   = "stop"
 	// maxEnded bounds the ended attempts that are remembered.
-	maxEnded = 4096
+	maxEnded = 1024
 )
 
 // Engine is one replica. It is an http.Handler, safe for concurrent use.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -165,3 +165,30 @@
 	require.Equal(t, wire.CodeRepeat, violations[0].Code)
 	require.Equal(t, wire.CodeGap, violations[1].Code)
 }
+
+// A finished attempt answers a resend of its last step; its older results are
+// gone, and a step after the end is a gap.
+func TestResendAfterTheEnd(t *testing.T) {
+	e := whole(Options{})
+	var last, again wire.StepResponse
+	for position := range 3 {
+		req := request(1, position, 3, []wire.Token{{ID: 7}}, position == 0)
+		req.LastLayer = testLayers - 1
+		if req.Prefill {
+			req.Tokens = nil
+		}
+		require.Equal(t, http.StatusOK, post(e, wire.PathStep, req, &last))
+	}
+	require.Equal(t, finishLength, last.Token.Finish)
+	resend := request(1, 2, 3, []wire.Token{{ID: 7}}, false)
+	resend.LastLayer, resend.Resend = testLayers-1, true
+	require.Equal(t, http.StatusOK, post(e, wire.PathStep, resend, &again))
+	require.Equal(t, last, again)
+	resend.Position = 1
+	require.Equal(t, http.StatusNotFound, post(e, wire.PathStep, resend, nil))
+	require.Equal(t, 3, e.Runs())
+	require.Empty(t, e.Violations())
+	resend.Position, resend.Resend = 3, false
+	require.Equal(t, http.StatusConflict, post(e, wire.PathStep, resend, nil))
+	require.Len(t, e.Violations(), 1)
+}
--- a/standin/engine/faults_test.go
+++ b/standin/engine/faults_test.go
@@ -149,3 +149,23 @@
 	require.NoError(t, err)
 	return bytes.Count(data, []byte("HTTP/1.1 200 OK"))
 }
+
+// When everything hangs, new connections get no answer either.
+func TestHangAll(t *testing.T) {
+	e, s := serveWhole(t)
+	require.NoError(t, e.Inject(fault.Fault{Kind: fault.HangAll}))
+	silent := make(chan error, 1)
+	go func() {
+		_, err := newClient(t, s).step(prefillOf("silent", 0, 1))
+		silent <- err
+	}()
+	require.Eventually(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return len(e.faults.seen) > 0
+	}, 5*time.Second, time.Millisecond)
+	require.Zero(t, e.Runs())
+	require.Empty(t, silent)
+	e.Restore()
+	require.NoError(t, <-silent)
+}
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -64,6 +64,15 @@
 	return s.steps[i]
 }
 
+// keepLast forgets the results before the last one, as only that can be asked
+// for again once the attempt has ended.
+func (s *sequence) keepLast() {
+	if n := len(s.steps); n > 1 {
+		s.start += n - 1
+		s.steps = []*step{s.steps[n-1]}
+	}
+}
+
 func (s *sequence) last() *step { return s.steps[len(s.steps)-1] }
 
 // end ends a sequence and remembers it. The caller holds e.mu.
@@ -75,6 +84,7 @@
 	if dropped {
 		e.dropSteps(s)
 	}
+	s.keepLast()
 	e.remember(s)
 	e.release(s)
 }
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -111,6 +111,9 @@
 	if old := seq.step(s.req.Position); old != nil {
 		return e.repeat(old, s)
 	}
+	if s.req.Resend && s.req.Position < seq.start {
+		return nil, refuse(wire.CodeUnknownAttempt, "the result is no longer kept")
+	}
 	return nil, e.violate(s.req, wire.CodeGap, "the attempt has finished")
 }
 
@@ -194,12 +197,19 @@
 	if e.ledger != nil {
 		e.ledger.record(e.options.ID, s.req)
 	}
+	s.forgetInput()
 	close(s.done)
 	if s.seq.finished {
 		e.end(s.seq, false)
 	}
 }
 
+// forgetInput frees what only the run needed; the result is kept.
+func (s *step) forgetInput() {
+	s.input = hiddenState{}
+	s.req = &wire.StepRequest{Prefill: s.req.Prefill, Position: s.req.Position}
+}
+
 func (e *Engine) compute(s *step) *wire.StepResponse {
 	req := s.req
 	out := hiddenState{blocks: s.input.blocks}
