--- a/cmd/internal/report/report.go
+++ b/cmd/internal/report/report.go
@@ -118,7 +118,9 @@
 		tableOf("By rank", r.Whole.Ranks), tableOf("By workspace", r.Whole.Workspaces),
 		tableOf("By flow", r.Whole.Flows))
 	for _, p := range r.Phases {
-		out.Tables = append(out.Tables, tableOf("Phase "+p.Name+", by rank", p.Summary.Ranks))
+		out.Tables = append(out.Tables,
+			tableOf("Phase "+p.Name+", by rank", p.Summary.Ranks),
+			tableOf("Phase "+p.Name+", by flow", p.Summary.Flows))
 	}
 	return out, nil
 }
