--- a/cmd/internal/load/client.go
+++ b/cmd/internal/load/client.go
@@ -20,6 +20,7 @@
 	headerRank      = "X-Masticbank-Rank"
 	headerDeadline  = "X-Masticbank-Deadline"
 	headerExecution = "X-Masticbank-Execution"
+	headerRequestID = "X-Masticbank-Request-Id"
 	headerKey       = "Idempotency-Key"
 )
 
@@ -110,6 +111,7 @@
 	defer func() { _ = response.Body.Close() }()
 	s.status = response.StatusCode
 	s.execution = response.Header.Get(headerExecution)
+	s.requestID = response.Header.Get(headerRequestID)
 	switch {
 	case response.StatusCode >= http.StatusBadRequest:
 		err = s.readError(response.Body)
@@ -165,10 +167,13 @@
 		r.Header.Set(headerDeadline, strconv.FormatFloat(a.flow.Deadline.Seconds(), 'f', -1, 64))
 	}
 	if a.orderKey != "" {
-		r.Header.Set(headerKey, c.runID+"-"+a.orderKey)
+		r.Header.Set(headerKey, c.fullKey(a))
 	}
 }
 
+// fullKey returns the idempotency key of an order, unique to the run.
+func (c *client) fullKey(a *arrival) string { return c.runID + "-" + a.orderKey }
+
 // readError reads the body of an unsuccessful answer.
 func (s *sample) readError(body io.Reader) error {
 	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes))
--- a/cmd/internal/load/run.go
+++ b/cmd/internal/load/run.go
@@ -78,7 +78,7 @@
 	waitFaults()
 	progress()
 	result := r.summarize(dispatched)
-	result.Checks, err = r.client.checkSince(context.WithoutCancel(ctx), before)
+	result.Checks, err = r.client.checkSince(context.WithoutCancel(ctx), before, r.samples[:dispatched])
 	return result, trace.Wrap(err)
 }
 
--- a/cmd/internal/load/sample.go
+++ b/cmd/internal/load/sample.go
@@ -30,6 +30,7 @@
 	outcome    Outcome
 	status     int
 	execution  string
+	requestID  string
 	detail     string
 	firstToken time.Duration
 	total      time.Duration
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -14,6 +14,7 @@
 
 	mu         sync.Mutex
 	next       map[attemptKey]place
+	attempts   map[string]int // attempts followed, by request
 	order      []attemptKey
 	violations []Violation
 }
@@ -25,11 +26,11 @@
 }
 
 // maxLedger bounds the attempts that a ledger follows.
-const maxLedger = 1 << 16
+const maxLedger = 1 << 18
 
 // NewLedger returns a ledger for a model with the given number of layers.
 func NewLedger(layers int) *Ledger {
-	return &Ledger{layers: layers, next: make(map[attemptKey]place)}
+	return &Ledger{layers: layers, next: make(map[attemptKey]place), attempts: make(map[string]int)}
 }
 
 // Violations returns every step that did not continue its attempt.
@@ -69,12 +70,27 @@
 
 func (l *Ledger) remember(key attemptKey) {
 	l.order = append(l.order, key)
+	l.attempts[key.request]++
 	if len(l.order) > maxLedger {
-		delete(l.next, l.order[0])
+		l.forget(l.order[0])
 		l.order = l.order[1:]
 	}
 }
 
+func (l *Ledger) forget(key attemptKey) {
+	delete(l.next, key)
+	if l.attempts[key.request]--; l.attempts[key.request] == 0 {
+		delete(l.attempts, key.request)
+	}
+}
+
+// Ran reports whether a step of the request ran, as far as the ledger follows.
+func (l *Ledger) Ran(requestID string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempts[requestID] > 0
+}
+
 func codeOf(got, want place) string {
 	if got.position < want.position || (got.position == want.position && got.layer < want.layer) {
 		return wire.CodeRepeat
