Report: the test sees whether a line is drawn

Cause: with drawing switched off the test still passed; it now looks for the first line's colour in each plot, and fails then.

--- a/cmd/internal/report/report_test.go
+++ b/cmd/internal/report/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/base64"
+	"image"
+	"image/color"
 	"image/png"
 	"os"
 	"path/filepath"
@@ -30,7 +32,9 @@
 	return &load.Result{
 		Name: name, Started: time.Unix(0, 0).UTC(), Seconds: 2, Interrupted: true, Whole: summary,
 		Phases: []load.PhaseResult{{Name: "steady", Seconds: 2, Summary: summary}},
-		Series: []load.Series{{Rank: "all", Points: []load.Point{{Arrived: 5, GoodTokens: 40}, {Arrived: 5}}}},
+		Series: []load.Series{{Rank: "all", Points: []load.Point{
+			{Arrived: 5, GoodTokens: 40, FirstTokenP95: 900}, {Arrived: 5, FirstTokenP95: 800},
+		}}},
 		Faults: []load.FaultResult{{Name: "one", AtSeconds: 1, RecoverySeconds: -1}},
 		Checks: &load.Checks{Violations: 3},
 	}
@@ -54,17 +58,30 @@
 	}
 	images := regexp.MustCompile(`data:image/png;base64,([^"]+)"`).FindAllStringSubmatch(text, -1)
 	require.Len(t, images, 2*len(figures(first)))
-	for _, image := range images {
-		raw, err := base64.StdEncoding.DecodeString(strings.ReplaceAll(image[1], "&#43;", "+"))
+	for _, encoded := range images {
+		raw, err := base64.StdEncoding.DecodeString(strings.ReplaceAll(encoded[1], "&#43;", "+"))
 		require.NoError(t, err)
-		_, err = png.Decode(bytes.NewReader(raw))
+		drawn, err := png.Decode(bytes.NewReader(raw))
 		require.NoError(t, err)
+		require.True(t, hasColor(drawn, palette[0]), "the first line is drawn")
 	}
 	read, err := load.ReadFile(filepath.Join(dir, "2-after_all.json"))
 	require.NoError(t, err)
 	require.Equal(t, second, read)
 }
 
+func hasColor(m image.Image, want color.Color) bool {
+	r, g, b, _ := want.RGBA()
+	for y := m.Bounds().Min.Y; y < m.Bounds().Max.Y; y++ {
+		for x := m.Bounds().Min.X; x < m.Bounds().Max.X; x++ {
+			if xr, xg, xb, _ := m.At(x, y).RGBA(); xr == r && xg == g && xb == b {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func TestCompare(t *testing.T) {
 	c := Compare(resultOf("a", 2000), resultOf("b", 3000))
 	var text bytes.Buffer
