--- a/cmd/internal/report/report_test.go
+++ b/cmd/internal/report/report_test.go
@@ -33,7 +33,9 @@
 		Name: name, Started: time.Unix(0, 0).UTC(), Seconds: 2, Interrupted: true, Whole: summary,
 		Phases: []load.PhaseResult{{Name: "steady", Seconds: 2, Summary: summary}},
 		Series: []load.Series{{Rank: "all", Points: []load.Point{
-			{Arrived: 5, GoodTokens: 40, FirstTokenP95: 900}, {Arrived: 5, FirstTokenP95: 800},
+			{Arrived: 10, GoodTokens: 80, FirstTokenP95: 900},
+			{Arrived: 5, GoodTokens: 40, FirstTokenP95: 500},
+			{Arrived: 2, GoodTokens: 10, FirstTokenP95: 200},
 		}}},
 		Faults: []load.FaultResult{{Name: "one", AtSeconds: 1, RecoverySeconds: -1}},
 		Checks: &load.Checks{Violations: 3},
@@ -70,10 +72,13 @@
 	require.Equal(t, second, read)
 }
 
+// hasColor looks at the inside of a plot, left of the legend, where there is no
+// text either.
 func hasColor(m image.Image, want color.Color) bool {
+	size := m.Bounds()
 	r, g, b, _ := want.RGBA()
-	for y := m.Bounds().Min.Y; y < m.Bounds().Max.Y; y++ {
-		for x := m.Bounds().Min.X; x < m.Bounds().Max.X; x++ {
+	for y := size.Dy() / 6; y < size.Dy()*3/4; y++ {
+		for x := size.Dx() / 6; x < size.Dx()/2; x++ {
 			if xr, xg, xb, _ := m.At(x, y).RGBA(); xr == r && xg == g && xb == b {
 				return true
 			}
