--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -48,6 +48,7 @@
 	cost := usableCost(r.Cost)
 	if retryAfter, hopeless := q.hopeless(now, f, cost, r.Deadline); hopeless {
 		q.effects = append(q.effects, Effect{Kind: Refuse, ID: r.ID, Reason: ReasonHopeless, RetryAfter: retryAfter})
+		q.fill(now)
 		return q.effects
 	}
 	req := q.newRequest()
@@ -55,6 +56,7 @@
 	q.seq++
 	q.requests[r.ID] = req
 	f.rank.demand.add(now, cost)
+	f.demand.add(now, cost)
 	q.enqueue(req)
 	q.fill(now)
 	q.boundWorkspace(now, f.workspace)
@@ -70,20 +72,20 @@
 	return q.effects
 }
 
-// Done reports that a dispatched request ended and what it cost in tokens.
+// Done reports that a dispatched request was served to its end and what it
+// cost in tokens.
 func (q *Queue) Done(now time.Time, id string, cost float64) []Effect {
 	q.begin(now)
 	if r, ok := q.requests[id]; ok && r.running {
-		cost = usableCost(cost)
-		q.pace.observe(cost, now.Sub(r.dispatchedAt))
-		q.settle(r, cost)
+		q.pace.observe(r.cost, now.Sub(r.dispatchedAt), q.slots)
+		q.settle(r, usableCost(cost))
 		q.fill(now)
 	}
 	return q.effects
 }
 
-// Cancel reports that the caller of a request left. A running request is
-// charged for what it is expected to have used so far.
+// Cancel reports that a request ended early. A running request is charged for
+// what it is expected to have used so far.
 func (q *Queue) Cancel(now time.Time, id string) []Effect {
 	q.begin(now)
 	r, ok := q.requests[id]
@@ -112,6 +114,7 @@
 	q.account(r.flow.rank, -r.cost, r.guaranteed)
 	r.returned = true
 	q.enqueue(r)
+	q.expire(now)
 	return q.effects
 }
 
