--- /dev/null
+++ b/core/poison/fingerprint.go
@@ -0,0 +1,36 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies what a request asks of a model, whoever sends it.
+type Fingerprint [16]byte
+
+// String returns the fingerprint in lower-case hex.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(f[:])
+}
+
+// FingerprintOf returns the first 128 bits of the SHA-256 of model, prompt and
+// parameters, each preceded by its length. Parameters are to be given in a fixed
+// order, with everything in them that the upstream sees and nothing of the caller.
+func FingerprintOf(model, prompt string, parameters ...string) Fingerprint {
+	h := sha256.New()
+	var length [8]byte
+	write := func(s string) {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(s)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(s))
+	}
+	write(model)
+	write(prompt)
+	for _, p := range parameters {
+		write(p)
+	}
+	var f Fingerprint
+	copy(f[:], h.Sum(nil))
+	return f
+}
