Spread choices by what the other instances are likely to do

Nine instances that place requests on the same stale reports used to gather: each took its own dispatches for all, and the near-equal set of 10 % often held one chain.

Own dispatches since a report are now multiplied by the number of instances (Table.SetInstances), and the tolerance rises from 10 % to 100 % with the choices that the others are likely to have made; the draw falls with the square of the distance.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -21,8 +21,9 @@
 // Choose picks a chain for the request at time now. random is a uniformly random
 // number; equal arguments on equal tables give equal choices.
 //
-// Under PolicyCost the chain's expected time is at most 1+Tolerance times the
-// lowest of all chains.
+// Under PolicyCost the chain's expected time is at most 1+MaxTolerance times the
+// lowest of all chains, and at most 1+MinTolerance times while this instance is the
+// only one or the others are idle.
 func (t *Table) Choose(now time.Time, req Request, random uint64) Decision {
 	at := now.UnixNano()
 	t.begin(at, &req)
@@ -30,12 +31,14 @@
 	if math.IsInf(t.best[0], 1) {
 		return t.explainFailure(at)
 	}
+	t.rate.count++
 	return Decision{Outcome: Chosen, Chain: t.walk(random)}
 }
 
 // begin starts a choice: it marks excluded replicas and expected cache hits.
 func (t *Table) begin(now int64, req *Request) {
 	t.stamp++
+	t.tolerance = t.toleranceFor(now)
 	for _, id := range req.Exclude {
 		if r, ok := t.replicas[id]; ok {
 			r.excludedAt = t.stamp
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -27,7 +27,7 @@
 // one is freed per hold time divided by the number of slots.
 func (t *Table) terms(now int64, req *Request, r *replica, cached float64) Terms {
 	slots := max(r.slots()*r.weight, 1)
-	occupancy := float64(r.occupancy(now))
+	occupancy := float64(r.expected(now, t.instances))
 	slow := slowdown(occupancy+1, slots)
 	step := r.decodePace() * slow
 	prefill := r.prefillPace() * slow
@@ -36,7 +36,7 @@
 	backlog := 0.0
 	if r.fresh(now) {
 		queued = max(queued, float64(r.load.Waiting))
-		backlog = float64(r.newTokens)
+		backlog = float64(r.newTokens * t.instances)
 	}
 	steps := float64(max(req.OutputTokens, 1))
 	uncached := float64(req.PromptTokens) * (1 - cached)
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -56,14 +56,18 @@
 	Decision Decision
 	// Lowest is the lowest expected time of all chains, when there is one.
 	Lowest time.Duration
+	// Tolerance is how far above Lowest, relative to it, PolicyCost draws.
+	Tolerance float64
 	// Replicas are sorted by first layer, last layer and ID.
 	Replicas []ReplicaView
 }
 
-// Explain makes the choice that Choose would make and returns its grounds. It
-// counts as a turn under PolicyRoundRobin.
+// Explain makes the choice that Choose would make and returns its grounds. Under
+// PolicyRoundRobin it counts as a turn.
 func (t *Table) Explain(now time.Time, req Request, random uint64) Explanation {
-	e := Explanation{Decision: t.Choose(now, req, random)}
+	rate := t.rate
+	e := Explanation{Decision: t.Choose(now, req, random), Tolerance: t.tolerance}
+	t.rate = rate
 	if e.Decision.Outcome == Chosen {
 		e.Lowest = seconds(t.best[0])
 	}
@@ -115,7 +119,7 @@
 		return NoChain
 	}
 	c := candidate{replica: r, excess: r.cost + t.best[r.Last+1] - t.best[r.First]}
-	if math.IsInf(r.cost, 1) || c.drawWeight() == 0 {
+	if math.IsInf(r.cost, 1) || c.drawWeight(t.tolerance) == 0 {
 		return TooSlow
 	}
 	return Drawable
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -57,6 +57,6 @@
 	case PolicyLeastInFlight:
 		return leastInFlightPolicy{}
 	default:
-		return costPolicy{}
+		return costPolicy{fixed: -1}
 	}
 }
--- a/core/route/replica.go
+++ b/core/route/replica.go
@@ -171,6 +171,16 @@
 	return max(r.load.Running+r.delta, r.inFlight)
 }
 
+// expected estimates the sequences held with the dispatches of the other instances
+// since the last report, which are taken to equal the own ones.
+func (r *replica) expected(now int64, instances int) int {
+	n := r.occupancy(now)
+	if r.fresh(now) && r.delta > 0 {
+		n += r.delta * (instances - 1)
+	}
+	return n
+}
+
 // full tells whether the replica holds as many requests as it takes.
 func (r *replica) full(now int64) bool {
 	if r.limit == 0 {
--- a/core/route/search.go
+++ b/core/route/search.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		r.cost = t.terms(now, req, r, t.cachedPart(r)).Total()
-		r.free = max(r.slots()-float64(r.occupancy(now)), 1)
+		r.free = max(r.slots()-float64(r.expected(now, t.instances)), 1)
 		lowest = min(lowest, r.cost)
 	}
 	return lowest
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -9,8 +9,10 @@
 // Table holds the replicas of one model and chooses chains among them. It is not
 // safe for concurrent use.
 type Table struct {
-	layers   int
-	replicas map[string]*replica
+	layers int
+	// instances is the number of instances that dispatch to the replicas.
+	instances int
+	replicas  map[string]*replica
 	// from lists the groups that begin at a layer.
 	from  [][]*group
 	kinds map[string]*pace
@@ -21,6 +23,9 @@
 	// stamp numbers the choices, so that marks on replicas expire by themselves.
 	stamp uint64
 
+	rate choiceRate
+	// tolerance is that of the choice under way.
+	tolerance float64
 	// best is the lowest cost from a layer boundary to the end.
 	best       []float64
 	source     rand.PCG
@@ -41,16 +46,17 @@
 // which chooses by the given policy.
 func NewTable(layers int, p Policy) *Table {
 	return &Table{
-		layers:   layers,
-		replicas: make(map[string]*replica),
-		from:     make([][]*group, layers),
-		kinds:    make(map[string]*pace),
-		cache:    newCacheIndex(maxCacheHints),
-		rule:     newPolicy(p),
-		turns:    make([]uint64, layers),
-		best:     make([]float64, layers+1),
-		forward:  make([]bool, layers+1),
-		backward: make([]bool, layers+1),
+		layers:    layers,
+		instances: 1,
+		replicas:  make(map[string]*replica),
+		from:      make([][]*group, layers),
+		kinds:     make(map[string]*pace),
+		cache:     newCacheIndex(maxCacheHints),
+		rule:      newPolicy(p),
+		turns:     make([]uint64, layers),
+		best:      make([]float64, layers+1),
+		forward:   make([]bool, layers+1),
+		backward:  make([]bool, layers+1),
 	}
 }
 
@@ -64,6 +70,17 @@
 	return len(t.replicas)
 }
 
+// maxInstances bounds by how much dispatches of other instances are taken into
+// account.
+const maxInstances = 16
+
+// SetInstances sets the number of instances, this one included, that dispatch to the
+// replicas. All see the same reports, so that what this instance dispatched since a
+// report is taken as a sample of what all did.
+func (t *Table) SetInstances(n int) {
+	t.instances = min(max(n, 1), maxInstances)
+}
+
 // Upsert adds a replica with weight 1 or changes a known one. A changed range
 // discards what was learnt of the old one: load, pace and cached blocks. It
 // returns a *RangeError when the layers do not fit the model; the table is then
