Count connections that fail together as one fault

An upstream is ejected after several faults in a row although it answers probes. The count was of connections, so that one cause which silences many connections at once, with the upstream alive, ejected it. It now counts answered probes: connections that fail while one probe is open are one fault.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -34,9 +34,10 @@
 	// HeldWeight is the weight of an upstream that fails its probes while the
 	// group allows no more ejections.
 	HeldWeight float64
-	// MaxFaults is the number of faulty connections in a row, without progress on
-	// any connection in between, after which the upstream is ejected although it
-	// answers probes.
+	// MaxFaults is the number of times in a row that connections fail, without
+	// progress on any connection in between, after which the upstream is ejected
+	// although it answers probes. Connections that fail while one probe is open
+	// count once.
 	MaxFaults int
 }
 
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -115,14 +115,25 @@
 			{2 * second, ProbeFailed{2}, []Effect{FailAttempts{}, SetWeight{0}, Eject{}}},
 			{2 * second, Unlisted{}, []Effect{Remove{}}},
 		},
-		"progress ends the row of faults": {
+		"connections that fail together are one fault": {
 			{second, Silent{1}, []Effect{probe(2)}},
 			{second, Silent{2}, nil},
-			{second, Silent{3}, nil},
-			{second, ProbeAnswered{2}, []Effect{ReplaceConnection{1}, ReplaceConnection{2}, ReplaceConnection{3}}},
+			{second, Lost{3}, nil},
+			{second, Lost{4}, nil},
+			{second, ProbeAnswered{2}, []Effect{
+				ReplaceConnection{1}, ReplaceConnection{2}, ReplaceConnection{3}, ReplaceConnection{4},
+			}},
+		},
+		"progress ends the row of faults": {
+			{second, Silent{1}, []Effect{probe(2)}},
+			{second, ProbeAnswered{2}, []Effect{ReplaceConnection{1}}},
+			{second, Silent{2}, []Effect{probe(3)}},
+			{second, ProbeAnswered{3}, []Effect{ReplaceConnection{2}}},
+			{second, Silent{3}, []Effect{probe(4)}},
+			{second, ProbeAnswered{4}, []Effect{ReplaceConnection{3}}},
 			{second, Progress{5}, nil},
-			{second, Silent{4}, []Effect{probe(3)}},
-			{second, ProbeAnswered{3}, []Effect{ReplaceConnection{4}}},
+			{second, Silent{4}, []Effect{probe(5)}},
+			{second, ProbeAnswered{5}, []Effect{ReplaceConnection{4}}},
 		},
 		"the upstream's own sign of leaving outlasts the list": {
 			{second, Leaving{FromUpstream}, []Effect{SetWeight{0}, AnnounceLeaving{}}},
@@ -263,7 +274,7 @@
 		case Eject:
 			require.LessOrEqual(t, u.group.Ejected(), u.group.Allowed())
 			require.True(t, before.probe.open && !u.probe.open, "ejection without a probe")
-			require.True(t, !alive || before.faults >= u.config.MaxFaults, "ejected though alive")
+			require.True(t, !alive || before.faults+1 >= u.config.MaxFaults, "ejected though alive")
 		case Probe:
 			require.False(t, before.probe.open, "two probes at once")
 		}
--- a/core/health/probe.go
+++ b/core/health/probe.go
@@ -14,7 +14,6 @@
 		return
 	}
 	u.suspects = append(u.suspects, connection)
-	u.faults++
 	u.sendProbe(now)
 }
 
@@ -51,7 +50,7 @@
 	case held:
 		u.startSlowly(now)
 	case inUse, returning:
-		if u.faults >= u.config.MaxFaults {
+		if u.isFaulty() {
 			u.eject(now)
 			return
 		}
@@ -60,6 +59,15 @@
 	u.replaceSuspects()
 }
 
+// isFaulty counts a fault whose probe was answered. Connections that fail together
+// are one fault, as one cause may have taken them all.
+func (u *Upstream) isFaulty() bool {
+	if len(u.suspects) > 0 {
+		u.faults++
+	}
+	return u.faults >= u.config.MaxFaults
+}
+
 // unanswered acts on a probe that failed. Progress after the probe was sent proves
 // that the upstream works all the same.
 func (u *Upstream) unanswered(now time.Time) {
--- a/core/health/upstream.go
+++ b/core/health/upstream.go
@@ -42,7 +42,7 @@
 	suspects     []uint64
 	probe        openProbe
 	lastProgress time.Time
-	// faults counts faulty connections since the last progress.
+	// faults counts answered probes of faulty connections since the last progress.
 	faults int
 	// failures counts ejections, and probes failed meanwhile, in a row.
 	failures  int
