Keyed orders through the log, in the running instance

Cause: a call with an idempotency key was sent at most once by one instance; two instances could each send it.

node/router hands such calls to the coordinator, which claims the key in the log before the service is called; a repeat through any instance gets the recorded answer. With the log away a caller that vouches for the first use of its key is refused at once as not_run; other callers are told unknown, since an earlier attempt through another instance may have run.

--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -168,8 +168,13 @@
 %s`, id, zone, callers, admin, peers, peerKey, at.Instances, at.Log, AdminKey, level, c.opts.Extra)
 }
 
+// stopTimeout bounds the end of all instances.
+const stopTimeout = 30 * time.Second
+
 // Close ends the instances and the stand-ins.
 func (c *Cluster) Close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
 	for _, a := range c.Apps {
 		_ = a.Stop(ctx)
 	}
--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -8,12 +8,14 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"masticbank.example/standin/fault"
 	"masticbank.example/standin/fleet"
+	"masticbank.example/standin/logservice"
 )
 
 func start(t *testing.T) *Cluster {
@@ -37,7 +39,12 @@
 
 func (d *Cluster) do(t *testing.T, method, path, body string, header ...string) reply {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+d.Apps[0].CallerAddr()+path, strings.NewReader(body))
+	return d.doOn(t, d.Apps[0].CallerAddr(), method, path, body, header...)
+}
+
+func (d *Cluster) doOn(t *testing.T, address, method, path, body string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer "+Key)
 	for i := 0; i+1 < len(header); i += 2 {
@@ -229,3 +236,47 @@
 	require.Equal(t, "ejected", d.states()["dev-4-8-m0"])
 	d.post(t, "p")
 }
+
+// TestOrderThroughTwoInstances sends one order with the same key through two
+// instances, once after the other and then many times at once.
+func TestOrderThroughTwoInstances(t *testing.T) {
+	t.Parallel()
+	d, err := Start(Options{Instances: 2, Spec: fleet.Dev(), Configuration: DevConfiguration})
+	require.NoError(t, err)
+	defer d.Close(context.Background())
+	send := func(i int, key, body string) reply {
+		return d.doOn(t, d.Apps[i%2].CallerAddr(), http.MethodPost, "/services/orders/orders", body, "Idempotency-Key", key)
+	}
+	first := send(0, "k1", `{"item":"timber"}`)
+	require.Equal(t, http.StatusCreated, first.status, string(first.body))
+	second := send(1, "k1", `{"item":"timber"}`)
+	require.Equal(t, first.body, second.body)
+	require.Equal(t, "true", second.header.Get("X-Masticbank-Replayed"))
+	other := send(1, "k1", `{"item":"mesh"}`)
+	require.Equal(t, http.StatusUnprocessableEntity, other.status)
+	require.Equal(t, 1, d.Fleet.Service("orders").Records("k1"))
+
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			r := send(i, "k2", "{}")
+			require.Equal(t, http.StatusCreated, r.status, string(r.body))
+		})
+	}
+	wg.Wait()
+	require.Equal(t, 1, d.Fleet.Service("orders").Records("k2"))
+	require.Empty(t, d.Fleet.RepeatedOrders())
+}
+
+// TestOrderWhileLogIsAway refuses at once and runs nothing.
+func TestOrderWhileLogIsAway(t *testing.T) {
+	d := start(t)
+	d.Log.SetFaults(logservice.Faults{Down: true})
+	r := d.do(t, http.MethodPost, "/services/orders/orders", "{}", "Idempotency-Key", "k", "X-Masticbank-First-Use", "true")
+	require.Equal(t, http.StatusServiceUnavailable, r.status, string(r.body))
+	require.Equal(t, "not_run", r.header.Get("X-Masticbank-Execution"))
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Zero(t, d.Fleet.Service("orders").Records("k"))
+	d.post(t, "models go on")
+	d.Log.SetFaults(logservice.Faults{})
+}
--- a/node/api/api.go
+++ b/node/api/api.go
@@ -31,6 +31,11 @@
 	HeaderReplayed = "X-Masticbank-Replayed"
 	// HeaderKey holds the idempotency key of a call to a service.
 	HeaderKey = "Idempotency-Key"
+	// HeaderKeyDate holds the time, as in RFC 3339, at which the caller made the
+	// key; a key that is a UUID of version 7 carries it.
+	HeaderKeyDate = "X-Masticbank-Key-Date"
+	// HeaderFirstUse is "true" when the caller has not sent the key before.
+	HeaderFirstUse = "X-Masticbank-First-Use"
 )
 
 // Options configures a Server.
--- a/node/api/completion.go
+++ b/node/api/completion.go
@@ -209,8 +209,12 @@
 		return http.StatusGatewayTimeout
 	case router.CodePoison, router.CodeKeyReused:
 		return http.StatusUnprocessableEntity
-	case router.CodeKeyExpired:
+	case router.CodeKeyMalformed:
+		return http.StatusBadRequest
+	case router.CodeKeyExpired, router.CodeKeyUndecided:
 		return http.StatusConflict
+	case router.CodeAnswerTooLarge:
+		return http.StatusInsufficientStorage
 	case router.CodeAttempts, router.CodeUpstreamFailed, router.CodeRetryBudget:
 		return http.StatusBadGateway
 	case router.CodeCancelled:
--- a/node/api/service.go
+++ b/node/api/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"masticbank.example/node/router"
 )
@@ -25,6 +26,11 @@
 		s.fail(w, c.id, f)
 		return
 	}
+	date, f := keyDate(r)
+	if f != nil {
+		s.fail(w, c.id, f)
+		return
+	}
 	res := s.opts.Router.CallService(r.Context(), &router.ServiceRequest{
 		ID:        c.id,
 		Workspace: c.workspace,
@@ -35,6 +41,8 @@
 		Header:    serviceHeader(r, c),
 		Body:      body,
 		Key:       r.Header.Get(HeaderKey),
+		KeyDate:   date,
+		FirstUse:  r.Header.Get(HeaderFirstUse) == "true",
 		Deadline:  c.deadline,
 		Arrived:   c.arrived,
 	})
@@ -46,6 +54,20 @@
 	writeServiceAnswer(w, &res)
 }
 
+// keyDate reads the date of the idempotency key, which is zero when it is not
+// given.
+func keyDate(r *http.Request) (time.Time, *failure) {
+	text := r.Header.Get(HeaderKeyDate)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return time.Time{}, &failure{status: http.StatusBadRequest, code: "invalid_key_date", message: "not a time as in RFC 3339", param: HeaderKeyDate}
+	}
+	return at, nil
+}
+
 func servicePath(r *http.Request) string {
 	path := "/" + strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+r.PathValue("service")+"/")
 	if r.URL.RawQuery != "" {
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -19,6 +19,7 @@
 	"masticbank.example/node/instancelist"
 	"masticbank.example/node/logstream"
 	"masticbank.example/node/metrics"
+	"masticbank.example/node/orders"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
 	"masticbank.example/node/router"
@@ -41,18 +42,20 @@
 
 // App is one running entry instance. It is safe for concurrent use.
 type App struct {
-	opts     Options
-	log      *zap.Logger
-	state    state
-	metrics  *metrics.Registry
-	router   *router.Router
-	services *service.Client
-	poller   *instancelist.Poller
-	logs     logstream.Log      // nil without a log
-	follower *follower.Follower // nil without a log
-	peers    *peer.Node         // nil when the instance runs alone
-	callers  *httpserver.Server
-	admin    *httpserver.Server
+	opts      Options
+	log       *zap.Logger
+	state     state
+	metrics   *metrics.Registry
+	router    *router.Router
+	services  *service.Client
+	poller    *instancelist.Poller
+	logs      logstream.Log // nil without a log
+	appenders []*logstream.Appender
+	follower  *follower.Follower  // nil without a log
+	orders    *orders.Coordinator // nil without a log
+	peers     *peer.Node          // nil when the instance runs alone
+	callers   *httpserver.Server
+	admin     *httpserver.Server
 
 	cancel context.CancelFunc
 	group  *errgroup.Group
@@ -65,9 +68,13 @@
 	if !ok {
 		return nil, trace.BadParameter("unknown route policy %q", o.Settings.Policy.Route)
 	}
+	if err := a.openLog(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	a.router = router.New(router.Options{
 		Engines:     httpjson.New(),
 		Services:    a.services,
+		Orders:      a.orderPort(),
 		Metrics:     &observer{registry: a.metrics, log: a.log, leaving: a.announceLeaving},
 		Logger:      a.log,
 		RoutePolicy: policy,
@@ -86,6 +93,7 @@
 }
 
 func (a *App) start(ctx context.Context) error {
+	a.runLog(ctx)
 	if err := a.startConfig(ctx); err != nil {
 		return trace.Wrap(err)
 	}
@@ -173,6 +181,9 @@
 	}
 	wait(ctx, a.opts.Settings.Limits.UnreadyDelay)
 	err := a.callers.Shutdown(ctx)
+	if a.orders != nil {
+		err = trace.NewAggregate(err, a.orders.Flush(ctx))
+	}
 	a.cancel()
 	a.router.Close()
 	a.services.Close()
--- a/node/app/config.go
+++ b/node/app/config.go
@@ -11,14 +11,9 @@
 	"masticbank.example/core/record"
 	"masticbank.example/node/config"
 	"masticbank.example/node/follower"
-	"masticbank.example/node/logstream"
 	"masticbank.example/node/metrics"
 )
 
-// snapshotsPerRetention is how often the configuration is written again within
-// the time for which the log keeps a record.
-const snapshotsPerRetention = 8
-
 // startConfig follows the log's configuration stream, or reads the folder of
 // INI files when the settings name no log.
 func (a *App) startConfig(ctx context.Context) error {
@@ -28,7 +23,8 @@
 	if a.opts.ConfigDir != "" {
 		return trace.BadParameter("--config and platform.log exclude each other: publish the folder with masticctl instead")
 	}
-	a.followLog(ctx)
+	a.run(ctx, a.follower.Run)
+	a.run(ctx, a.applyRevisions)
 	return nil
 }
 
@@ -44,29 +40,6 @@
 	return nil
 }
 
-func (a *App) followLog(ctx context.Context) {
-	p := a.opts.Settings.Platform
-	a.logs = &logstream.HTTP{Base: p.Log}
-	appender := a.appender(ctx, p.ConfigStream)
-	a.follower = follower.New(follower.Options{
-		Log:               a.logs,
-		Appender:          appender,
-		Stream:            p.ConfigStream,
-		HoldsSnapshotDuty: a.holdsSnapshotDuty,
-		SnapshotEvery:     p.LogRetention / snapshotsPerRetention,
-		Logger:            a.log,
-	})
-	a.run(ctx, a.follower.Run)
-	a.run(ctx, a.applyRevisions)
-}
-
-// appender returns a running appender to one stream.
-func (a *App) appender(ctx context.Context, stream string) *logstream.Appender {
-	ap := logstream.NewAppender(a.logs, stream, logstream.AppenderOptions{})
-	a.run(ctx, ap.Run)
-	return ap
-}
-
 // run runs f until ctx ends.
 func (a *App) run(ctx context.Context, f func(context.Context) error) {
 	a.group.Go(func() error {
@@ -137,6 +110,3 @@
 	data, err := record.Encode(record.Record{ID: "state", Snapshot: &s})
 	return data, trace.Wrap(err)
 }
-
-// holdsSnapshotDuty tells whether this instance writes snapshots.
-func (a *App) holdsSnapshotDuty() bool { return true }
--- /dev/null
+++ b/node/router/orders.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/core/order"
+	"masticbank.example/node/service"
+)
+
+// Orders makes non-idempotent calls at most once by key. Implementations are
+// safe for concurrent use.
+type Orders interface {
+	// Do returns the recorded answer of the key, or claims the key and calls
+	// send at most once.
+	Do(ctx context.Context, call order.Call, send func(ctx context.Context) order.Answer) order.Result
+}
+
+// retryAfterLog is the hint given while the log cannot be used.
+const retryAfterLog = 5 * time.Second
+
+// callKeyed makes a non-idempotent call under its key.
+func (r *Router) callKeyed(ctx context.Context, pool *servicePool, req *ServiceRequest) ServiceResult {
+	if r.opts.Orders == nil {
+		return failedCall(CodeLogUnavailable, execution.NotRun, "this instance has no log, which calls with a key need")
+	}
+	deadline, _ := ctx.Deadline()
+	var sent ServiceResult
+	res := r.opts.Orders.Do(ctx, order.Call{
+		Workspace:   req.Workspace,
+		Service:     req.Service,
+		Key:         req.Key,
+		Fingerprint: fingerprint(req),
+		Date:        req.KeyDate,
+		First:       req.FirstUse,
+		Deadline:    deadline,
+	}, func(ctx context.Context) order.Answer {
+		sent = r.callOnce(ctx, pool, req)
+		return orderAnswer(&sent)
+	})
+	return keyedResult(&res, &sent)
+}
+
+// fingerprint binds a key to method, path and body of its first call.
+func fingerprint(req *ServiceRequest) string {
+	h := sha256.New()
+	for _, part := range []string{req.Method, req.Path, string(req.Body)} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func orderAnswer(res *ServiceResult) order.Answer {
+	a := order.Answer{Execution: res.Execution}
+	if res.Answer != nil {
+		a.Status = res.Answer.Status
+		a.ContentType = res.Answer.Header.Get("Content-Type")
+		a.Body = res.Answer.Body
+	}
+	return a
+}
+
+// keyedResult translates the result of Do. The service's own answer keeps all
+// its headers; a replayed one has those that were recorded.
+func keyedResult(res *order.Result, sent *ServiceResult) ServiceResult {
+	if res.Reason != order.ReasonNone {
+		out := failedCall(orderCode(res.Reason), res.Execution, string(res.Reason))
+		out.RetryAfter = orderRetry(res.Reason)
+		return out
+	}
+	if sent.Answer != nil && !res.Replayed {
+		out := *sent
+		out.Execution = res.Execution
+		return out
+	}
+	if res.Answer.Status == 0 {
+		out := *sent
+		out.Execution = res.Execution
+		return out
+	}
+	out := ServiceResult{Replayed: res.Replayed, Answer: &service.Answer{
+		Status: res.Answer.Status,
+		Header: http.Header{"Content-Type": {res.Answer.ContentType}},
+		Body:   res.Answer.Body,
+	}}
+	out.Complete = true
+	out.Execution = res.Execution
+	return out
+}
+
+func orderCode(r order.Reason) Code {
+	switch r {
+	case order.ReasonMalformed:
+		return CodeKeyMalformed
+	case order.ReasonKeyReused:
+		return CodeKeyReused
+	case order.ReasonKeyExpired, order.ReasonKeyFuture:
+		return CodeKeyExpired
+	case order.ReasonLogUnavailable, order.ReasonVersion:
+		return CodeLogUnavailable
+	case order.ReasonOverloaded:
+		return CodePoolFull
+	case order.ReasonRunning, order.ReasonClaimantGone:
+		return CodeKeyUndecided
+	case order.ReasonTooLate, order.ReasonReleased:
+		return CodeDeadline
+	case order.ReasonCallerGone:
+		return CodeCancelled
+	case order.ReasonAnswerTooLarge:
+		return CodeAnswerTooLarge
+	default:
+		return CodeUpstreamFailed
+	}
+}
+
+// orderRetry returns when the same key may be sent again with a better chance.
+func orderRetry(r order.Reason) time.Duration {
+	switch r {
+	case order.ReasonLogUnavailable, order.ReasonOverloaded, order.ReasonTooLate, order.ReasonReleased:
+		return retryAfterLog
+	case order.ReasonRunning:
+		return retryAfterFailure
+	default:
+		return 0
+	}
+}
--- a/node/router/request.go
+++ b/node/router/request.go
@@ -62,6 +62,9 @@
 	CodeNotReady       Code = "not_ready"
 	CodeKeyReused      Code = "idempotency_key_reused"
 	CodeKeyExpired     Code = "idempotency_key_expired"
+	CodeKeyMalformed   Code = "idempotency_key_malformed"
+	CodeKeyUndecided   Code = "idempotency_key_undecided"
+	CodeAnswerTooLarge Code = "recorded_answer_too_large"
 	CodeLogUnavailable Code = "log_unavailable"
 )
 
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -53,8 +53,11 @@
 type Options struct {
 	Engines  engine.Client
 	Services *service.Client
-	Metrics  Metrics
-	Logger   *zap.Logger
+	// Orders makes calls with an idempotency key at most once on all instances
+	// together; nil refuses them.
+	Orders  Orders
+	Metrics Metrics
+	Logger  *zap.Logger
 	// RoutePolicy and FIFO select baselines for measurement.
 	RoutePolicy route.Policy
 	FIFO        bool
--- a/node/router/service.go
+++ b/node/router/service.go
@@ -24,10 +24,14 @@
 	Service   string
 	Method    string
 	// Path is the path and query below the service.
-	Path     string
-	Header   http.Header
-	Body     []byte
-	Key      string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Key is the idempotency key, KeyDate when the caller made it, or zero.
+	Key     string
+	KeyDate time.Time
+	// FirstUse is true when the caller vouches that it has not sent Key before.
+	FirstUse bool
 	Deadline time.Time
 	Arrived  time.Time
 }
@@ -82,10 +86,14 @@
 	}
 	defer pool.queue.done(req.ID, 1)
 	idempotent := slices.Contains(cfg.IdempotentMethods, req.Method)
-	if idempotent {
+	switch {
+	case idempotent:
 		return r.callRepeatable(ctx, pool, req)
+	case req.Key != "":
+		return r.callKeyed(ctx, pool, req)
+	default:
+		return r.callOnce(ctx, pool, req)
 	}
-	return r.callOnce(ctx, pool, req)
 }
 
 // callRepeatable tries other replicas until one answers.
