--- a/core/admission/naive_test.go
+++ b/core/admission/naive_test.go
@@ -20,7 +20,7 @@
 
 type naiveRequest struct {
 	Request
-	rank              int
+	flow              *naiveFlow
 	running, returned bool
 	guaranteed        bool
 	start, weight     float64
@@ -38,38 +38,30 @@
 	return &naive{cfg: c, credit: make([]float64, n), vtime: make([]float64, n)}
 }
 
-func (n *naive) weight(f *naiveFlow) float64 {
-	p := n.cfg.policy(f.workspace)
-	return p.Weight
+func every(*naiveRequest) bool { return true }
+
+func of(workspace string) func(*naiveRequest) bool {
+	return func(r *naiveRequest) bool { return r.Workspace == workspace }
 }
 
-// count returns the number of running or waiting requests that match.
-func (n *naive) count(running bool, match func(*naiveRequest) bool) int {
-	c := 0
+// filter returns the running or the waiting requests that match.
+func (n *naive) filter(running bool, match func(*naiveRequest) bool) []*naiveRequest {
+	var out []*naiveRequest
 	for _, r := range n.all {
 		if r.running == running && match(r) {
-			c++
+			out = append(out, r)
 		}
 	}
-	return c
+	return out
 }
 
 // queue returns the waiting requests of f, the returned ones first.
 func (n *naive) queue(f *naiveFlow) []*naiveRequest {
-	var returned, fresh []*naiveRequest
-	for _, r := range n.all {
-		if r.running || r.Workspace != f.workspace || r.rank != f.rank {
-			continue
-		}
-		if r.returned {
-			returned = append(returned, r)
-		} else {
-			fresh = append(fresh, r)
-		}
-	}
-	return append(returned, fresh...)
+	returned := n.filter(false, func(r *naiveRequest) bool { return r.flow == f && r.returned })
+	return append(returned, n.filter(false, func(r *naiveRequest) bool { return r.flow == f && !r.returned })...)
 }
 
+// start is the start tag of the first request of f, which must have one.
 func (n *naive) start(f *naiveFlow) float64 {
 	if head := n.queue(f)[0]; head.returned {
 		return head.start
@@ -77,11 +69,6 @@
 	return max(f.floor, f.finish)
 }
 
-func (n *naive) held(workspace string) bool {
-	limit := n.cfg.policy(workspace).MaxInFlight
-	return limit > 0 && n.count(true, func(r *naiveRequest) bool { return r.Workspace == workspace }) >= limit
-}
-
 // ready returns the flow of the rank to be served next, or nil.
 func (n *naive) ready(rank int) *naiveFlow {
 	var best *naiveFlow
@@ -89,24 +76,24 @@
 		if f.rank != rank || !f.eligible {
 			continue
 		}
-		if best == nil || n.before(f, best) {
+		if best == nil || n.later(n.start(best), n.queue(best)[0], n.start(f), n.queue(f)[0]) {
 			best = f
 		}
 	}
 	return best
 }
 
-func (n *naive) before(a, b *naiveFlow) bool {
-	if n.start(a) != n.start(b) {
-		return n.start(a) < n.start(b)
-	}
-	return slices.Index(n.all, n.queue(a)[0]) < slices.Index(n.all, n.queue(b)[0])
+// later tells whether a comes after b by tag, then by arrival.
+func (n *naive) later(tagA float64, a *naiveRequest, tagB float64, b *naiveRequest) bool {
+	return tagA > tagB || tagA == tagB && slices.Index(n.all, a) > slices.Index(n.all, b)
 }
 
 // refresh updates which flows are eligible.
 func (n *naive) refresh() {
 	for _, f := range n.flows {
-		eligible := len(n.queue(f)) > 0 && !n.held(f.workspace)
+		limit := n.cfg.policy(f.workspace).MaxInFlight
+		held := limit > 0 && len(n.filter(true, of(f.workspace))) >= limit
+		eligible := len(n.queue(f)) > 0 && !held
 		if eligible && !f.eligible {
 			f.floor = n.vtime[f.rank]
 		}
@@ -119,91 +106,70 @@
 	}
 }
 
-func (n *naive) share(rank int) float64 {
-	if rank == 0 {
-		return 0
-	}
-	return n.cfg.Ranks[rank].MinShare
-}
-
-func (n *naive) account(served int, cost float64, guaranteed bool) {
+func (n *naive) account(r *naiveRequest, cost float64) {
 	for i := range n.credit {
+		share := n.cfg.Ranks[i].MinShare
 		switch {
-		case i == served && guaranteed:
-			n.credit[i] -= (1 - n.share(i)) * cost
-		case i == served:
+		case i == 0 || i == r.flow.rank && !r.guaranteed:
+		case i == r.flow.rank:
+			n.credit[i] -= (1 - share) * cost
 		case n.ready(i) != nil:
-			n.credit[i] += n.share(i) * cost
+			n.credit[i] += share * cost
 		default:
-			n.credit[i] = min(n.credit[i]+n.share(i)*max(cost, 0), 0)
+			n.credit[i] = min(n.credit[i]+share*max(cost, 0), 0)
 		}
 	}
 }
 
 func (n *naive) fill() {
-	any := func(*naiveRequest) bool { return true }
-	for n.count(true, any) < n.slots {
-		rank, guaranteed := n.next()
-		if rank < 0 {
+	for {
+		f, guaranteed := n.next()
+		if f == nil {
 			return
 		}
-		f := n.ready(rank)
 		r := n.queue(f)[0]
-		n.account(rank, r.Cost, guaranteed)
+		r.guaranteed = guaranteed
+		n.account(r, r.Cost)
 		if !r.returned {
 			r.start = n.start(f)
 			f.finish = r.start
 		}
-		r.weight = n.weight(f)
+		r.weight = n.cfg.policy(f.workspace).Weight
 		f.finish += r.Cost / r.weight
-		n.vtime[rank] = max(n.vtime[rank], r.start)
-		r.running, r.returned, r.guaranteed = true, false, guaranteed
+		n.vtime[f.rank] = max(n.vtime[f.rank], r.start)
+		r.running, r.returned = true, false
 		n.out = append(n.out, Effect{Kind: Dispatch, ID: r.ID})
 		n.refresh()
 	}
 }
 
-func (n *naive) next() (rank int, guaranteed bool) {
+func (n *naive) next() (f *naiveFlow, guaranteed bool) {
+	if len(n.filter(true, every)) >= n.slots {
+		return nil, false
+	}
 	q := Queue{cfg: n.cfg, slots: n.slots, load: n.load}
-	others := n.count(true, func(r *naiveRequest) bool { return r.rank > 0 })
-	capped := others >= n.slots-q.reserved()
-	best := -1
+	others := n.filter(true, func(r *naiveRequest) bool { return r.flow.rank > 0 })
+	capped := len(others) >= n.slots-q.reserved()
+	most := 0.0
 	for i, c := range n.credit {
-		f := n.ready(i)
-		if f == nil || c <= 0 || capped && c < n.queue(f)[0].Cost {
-			continue
+		if r := n.ready(i); r != nil && c > most && !(capped && c < n.queue(r)[0].Cost) {
+			f, most = r, c
 		}
-		if best < 0 || c > n.credit[best] {
-			best = i
-		}
-	}
-	if best >= 0 {
-		return best, true
 	}
-	for i := range n.credit {
-		if n.ready(i) != nil && (i == 0 || !capped) {
-			return i, false
-		}
+	for i := 0; f == nil && i < len(n.credit) && (i == 0 || !capped); i++ {
+		f = n.ready(i)
 	}
-	return -1, false
+	return f, most > 0
 }
 
 // evict refuses victims until the bounds of the workspaces and the pool hold.
 func (n *naive) evict(workspaces ...string) {
 	for _, w := range workspaces {
 		limit := n.cfg.policy(w).MaxQueued
-		mine := func(r *naiveRequest) bool { return r.Workspace == w }
-		for limit > 0 && n.count(false, mine) > limit {
-			if !n.refuseLast(mine, ReasonWorkspaceFull) {
-				break
-			}
+		for limit > 0 && len(n.filter(false, of(w))) > limit && n.refuseLast(of(w), ReasonWorkspaceFull) {
 		}
 	}
-	any := func(*naiveRequest) bool { return true }
-	for n.count(false, any) > n.cfg.MaxQueued {
-		if !n.refuseLast(any, ReasonPoolFull) {
-			break
-		}
+	for len(n.filter(false, every)) > n.cfg.MaxQueued && n.refuseLast(every, ReasonPoolFull) {
 	}
 }
 
@@ -214,22 +180,14 @@
 	var victimTag float64
 	for _, f := range n.flows {
 		queue := n.queue(f)
-		if len(queue) == 0 {
-			continue
-		}
-		last := queue[len(queue)-1]
-		if last.returned || !match(last) {
+		if len(queue) == 0 || queue[len(queue)-1].returned || !match(queue[0]) {
 			continue
 		}
-		tag := n.start(f)
+		last, tag := queue[len(queue)-1], n.start(f)
 		for _, r := range queue[:len(queue)-1] {
-			tag += r.Cost / n.weight(f)
+			tag += r.Cost / n.cfg.policy(f.workspace).Weight
 		}
-		later := victim == nil || last.rank > victim.rank
-		if victim != nil && last.rank == victim.rank {
-			later = tag > victimTag || tag == victimTag && slices.Index(n.all, last) > slices.Index(n.all, victim)
-		}
-		if later {
+		if victim == nil || f.rank > victim.flow.rank || f.rank == victim.flow.rank && n.later(tag, last, victimTag, victim) {
 			victim, victimTag = last, tag
 		}
 	}
@@ -246,28 +204,20 @@
 	n.refresh()
 }
 
-func (n *naive) flow(r *naiveRequest) *naiveFlow {
-	for _, f := range n.flows {
-		if f.workspace == r.Workspace && f.rank == r.rank {
-			return f
-		}
-	}
-	f := &naiveFlow{workspace: r.Workspace, rank: r.rank}
-	n.flows = append(n.flows, f)
-	return f
-}
-
 // step begins an event at now.
 func (n *naive) step(now time.Time) {
 	n.out = nil
-	rank0 := func(r *naiveRequest) bool { return r.rank == 0 }
-	n.load.observe(now, n.count(true, rank0)+n.count(false, rank0))
+	rank0 := func(r *naiveRequest) bool { return r.flow.rank == 0 }
+	n.load.observe(now, len(n.filter(true, rank0))+len(n.filter(false, rank0)))
 }
 
 func (n *naive) arrive(r Request) {
-	req := &naiveRequest{Request: r, rank: int(r.Rank)}
-	n.flow(req)
-	n.all = append(n.all, req)
+	i := slices.IndexFunc(n.flows, func(f *naiveFlow) bool { return f.workspace == r.Workspace && f.rank == int(r.Rank) })
+	if i < 0 {
+		i = len(n.flows)
+		n.flows = append(n.flows, &naiveFlow{workspace: r.Workspace, rank: int(r.Rank)})
+	}
+	n.all = append(n.all, &naiveRequest{Request: r, flow: n.flows[i]})
 	n.refresh()
 	n.fill()
 	n.evict(r.Workspace)
@@ -287,17 +237,15 @@
 // end settles a running request at its actual cost.
 func (n *naive) end(r *naiveRequest, cost float64) {
 	r.running = false
-	f := n.flow(r)
-	f.finish += (cost - r.Cost) / r.weight
-	n.account(r.rank, cost-r.Cost, r.guaranteed)
+	r.flow.finish += (cost - r.Cost) / r.weight
+	n.account(r, cost-r.Cost)
 	n.forget(r)
 	n.fill()
 }
 
 func (n *naive) requeue(r *naiveRequest) {
-	f := n.flow(r)
-	f.finish -= r.Cost / r.weight
-	n.account(r.rank, -r.Cost, r.guaranteed)
+	r.flow.finish -= r.Cost / r.weight
+	n.account(r, -r.Cost)
 	r.running, r.returned = false, true
 	n.refresh()
 }
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -54,12 +54,7 @@
 
 // drawHeld draws one of the requests that the naive version holds.
 func drawHeld(t *rapid.T, n *naive, running bool) *naiveRequest {
-	var held []*naiveRequest
-	for _, r := range n.all {
-		if r.running == running {
-			held = append(held, r)
-		}
-	}
+	held := n.filter(running, every)
 	if len(held) == 0 {
 		return nil
 	}
@@ -131,7 +126,7 @@
 
 // checkQueue checks what must hold between events.
 func checkQueue(t *rapid.T, q *Queue, n *naive) {
-	running := n.count(true, func(*naiveRequest) bool { return true })
+	running := len(n.filter(true, every))
 	require.Equal(t, running, q.inFlight)
 	require.Equal(t, len(n.all)-running, q.queued)
 	require.Len(t, q.requests, len(n.all))
