Advice after a refusal in O(log n), and a benchmark of the tick

RetryAfter is now the wait of a new request in the place of the refused one, which needs no walk through the workspace's queue. A tick over 8000 waiting requests of 2000 workspaces takes 0.14 to 0.18 ms on a busy machine, without allocation.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -95,7 +95,8 @@
 	Kind Kind
 	ID   string
 	// Reason and RetryAfter belong to Refuse. RetryAfter is the time after
-	// which the work that is ahead of the request now will have been served.
+	// which the work that would be ahead of the request now will have been
+	// served, as far as it must be for the deadline.
 	Reason     Reason
 	RetryAfter time.Duration
 }
--- a/core/admission/bench_test.go
+++ b/core/admission/bench_test.go
@@ -247,3 +247,22 @@
 		})
 	}
 }
+
+// BenchmarkTick measures one tick with 8000 waiting requests of 2000
+// workspaces, of which it examines a bounded number.
+func BenchmarkTick(b *testing.B) {
+	c := benchConfig(DefaultUrgentReserve)
+	c.MaxQueued = 10_000
+	d := newDriver(New(c))
+	for i := range 8000 {
+		d.arrive(fmt.Sprint("w", i%2000), i/2000%3, 100, time.Hour)
+	}
+	d.capacity(simulatedSlots)
+	d.now = d.now.Add(time.Second)
+	d.done(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		d.now = d.now.Add(time.Microsecond)
+		d.apply(d.q.Tick(d.now))
+	}
+}
--- a/core/admission/bounds.go
+++ b/core/admission/bounds.go
@@ -11,7 +11,7 @@
 		if victim == nil {
 			break
 		}
-		q.evict(now, victim, ReasonWorkspaceFull)
+		q.refuse(now, victim, ReasonWorkspaceFull)
 	}
 }
 
@@ -22,7 +22,7 @@
 		if victim == nil {
 			break
 		}
-		q.evict(now, victim, ReasonPoolFull)
+		q.refuse(now, victim, ReasonPoolFull)
 	}
 }
 
@@ -47,7 +47,3 @@
 	}
 	return nil
 }
-
-func (q *Queue) evict(now time.Time, r *request, reason Reason) {
-	q.refuse(r, reason, q.adviseRetry(now, r))
-}
--- a/core/admission/deadline.go
+++ b/core/admission/deadline.go
@@ -72,7 +72,7 @@
 			heap.Fix(&q.deadlines, 0)
 			continue
 		}
-		q.refuse(r, ReasonDeadline, q.adviseRetry(now, r))
+		q.refuse(now, r, ReasonDeadline)
 	}
 }
 
@@ -112,7 +112,7 @@
 		examined++
 		wait, known := q.wait(now, f, before)
 		if known && q.late(now, r, wait) {
-			q.refuse(r, ReasonDeadline, retryAfter(wait, known))
+			q.refuse(now, r, ReasonDeadline)
 		} else {
 			before += r.cost
 		}
--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -151,13 +151,6 @@
 	return (mean*over + before) / (perSlot * float64(w.policy.MaxInFlight))
 }
 
-// adviseRetry returns the expected wait of a waiting request as advice.
-func (q *Queue) adviseRetry(now time.Time, r *request) time.Duration {
-	_, before := r.flow.before(r)
-	wait, known := q.wait(now, r.flow, before)
-	return retryAfter(wait, known)
-}
-
 // duration converts seconds, saturating at a day.
 func duration(seconds float64) time.Duration {
 	const day = 24 * time.Hour
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -283,10 +283,13 @@
 	q.forget(r)
 }
 
-// refuse drops a waiting request and tells its caller.
-func (q *Queue) refuse(r *request, reason Reason, retryAfter time.Duration) {
-	q.effects = append(q.effects, Effect{Kind: Refuse, ID: r.id, Reason: reason, RetryAfter: retryAfter})
+// refuse drops a waiting request and tells its caller, with the wait of a new
+// request in its place as advice.
+func (q *Queue) refuse(now time.Time, r *request, reason Reason) {
+	id, f := r.id, r.flow
 	q.drop(r)
+	wait, known := q.wait(now, f, f.queuedCost)
+	q.effects = append(q.effects, Effect{Kind: Refuse, ID: id, Reason: reason, RetryAfter: retryAfter(wait, known)})
 }
 
 // forget removes a request from the index. The object is reused, so the caller
