Instances share upstream slots, duties and neighbours

Digests of demand go to the neighbours; each instance runs the shared max-min computation and bounds its queues by its own row. Sessions go to the neighbours that rendezvous hashing gives, which are all others at nine.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -126,6 +126,8 @@
 	Tick(now time.Time) []Effect
 	// Stats summarises the pool with at most top workspaces.
 	Stats(top int) Stats
+	// Loads returns the work of each workspace and rank that has some.
+	Loads() []Load
 	// Position tells where a waiting request stands.
 	Position(now time.Time, id string) (Position, bool)
 }
--- a/core/admission/fifo.go
+++ b/core/admission/fifo.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// Loads returns all work as that of one workspace in the most urgent rank.
+func (f *FIFO) Loads() []Load {
+	if f.waiting.Len()+f.inFlight == 0 {
+		return nil
+	}
+	return []Load{{Weight: 1, Queued: f.waiting.Len(), QueuedCost: f.cost, InFlight: f.inFlight}}
+}
+
 // Position tells where a waiting request stands in the whole queue.
 func (f *FIFO) Position(_ time.Time, id string) (Position, bool) {
 	p := Position{Place: 1}
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -58,6 +58,7 @@
 	returned    returnedHeap // dispatched once; they come before the list
 	queued      int
 	queuedCost  float64
+	inFlight    int
 
 	demand demand // of accepted requests
 
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -218,6 +218,7 @@
 	if r.index == 0 {
 		q.urgentInFlight++
 	}
+	f.inFlight++
 	f.workspace.inFlight++
 	f.workspace.inFlightCost += req.cost
 	q.reindex(f.workspace)
@@ -244,6 +245,7 @@
 	if q.inFlight == 0 {
 		q.inFlightCost = 0
 	}
+	r.flow.inFlight--
 	w := r.flow.workspace
 	w.inFlight--
 	w.inFlightCost -= r.cost
--- a/core/admission/stats.go
+++ b/core/admission/stats.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"masticbank.example/core/config"
 )
 
 // Stats summarises a pool for digests and operators.
@@ -104,3 +106,31 @@
 	}
 	return Position{Place: place + 1, CostAhead: ahead, Wait: duration(wait), WaitKnown: known}, true
 }
+
+// Load is the work of one workspace in one rank.
+type Load struct {
+	Workspace  string
+	Rank       config.Rank
+	Weight     float64
+	Queued     int
+	QueuedCost float64 // tokens
+	InFlight   int
+}
+
+// Loads returns the work of each workspace and rank that has some, in no order.
+// It takes time linear in the number of workspaces.
+func (q *Queue) Loads() []Load {
+	var out []Load
+	for _, w := range q.workspaces {
+		for rank, f := range w.flows {
+			if f == nil || f.queued+f.inFlight == 0 {
+				continue
+			}
+			out = append(out, Load{
+				Workspace: w.name, Rank: config.Rank(rank), Weight: w.policy.Weight,
+				Queued: f.queued, QueuedCost: f.queuedCost, InFlight: f.inFlight,
+			})
+		}
+	}
+	return out
+}
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -10,9 +10,12 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"masticbank.example/core/membership"
+	"masticbank.example/core/neighbor"
 	"masticbank.example/core/route"
 	"masticbank.example/node/admin"
 	"masticbank.example/node/api"
+	"masticbank.example/node/duty"
 	"masticbank.example/node/engine/httpjson"
 	"masticbank.example/node/follower"
 	"masticbank.example/node/httpserver"
@@ -22,6 +25,7 @@
 	"masticbank.example/node/orders"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
+	"masticbank.example/node/peer/sharing"
 	"masticbank.example/node/router"
 	"masticbank.example/node/service"
 	"masticbank.example/node/settings"
@@ -53,7 +57,10 @@
 	appenders []*logstream.Appender
 	follower  *follower.Follower  // nil without a log
 	orders    *orders.Coordinator // nil without a log
-	peers     *peer.Node          // nil when the instance runs alone
+	duties    *duty.Keeper        // nil without a log
+	sharer    *sharing.Sharer     // nil when the instance runs alone
+	neighbors *neighbor.Chooser
+	peers     *peer.Node // nil when the instance runs alone
 	callers   *httpserver.Server
 	admin     *httpserver.Server
 
@@ -79,6 +86,7 @@
 		Logger:      a.log,
 		RoutePolicy: policy,
 		FIFO:        o.Settings.Policy.Admission == "fifo",
+		Wake:        a.wakeSharer,
 		Seed:        seedOf(o.Settings.Instance.ID),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,7 +105,7 @@
 	if err := a.startConfig(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := a.startPeers(); err != nil {
+	if err := a.startPeers(ctx); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := a.startInstances(ctx); err != nil {
@@ -176,14 +184,10 @@
 func (a *App) Stop(ctx context.Context) error {
 	a.log.Info("leaving", zap.Int("in_flight", a.callers.InFlight()))
 	a.state.leaving.Store(true)
-	if a.peers != nil {
-		a.peers.SetState(peerpb.InstanceState_INSTANCE_STATE_LEAVING)
-	}
+	a.setPeerState(membership.Leaving, peerpb.InstanceState_INSTANCE_STATE_LEAVING)
 	wait(ctx, a.opts.Settings.Limits.UnreadyDelay)
 	err := a.callers.Shutdown(ctx)
-	if a.orders != nil {
-		err = trace.NewAggregate(err, a.orders.Flush(ctx))
-	}
+	err = trace.NewAggregate(err, a.closeLog(ctx))
 	a.cancel()
 	a.router.Close()
 	a.services.Close()
--- a/node/app/log.go
+++ b/node/app/log.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/gravitational/trace"
 
-	"masticbank.example/core/order"
+	"masticbank.example/node/duty"
 	"masticbank.example/node/follower"
 	"masticbank.example/node/logstream"
 	"masticbank.example/node/orders"
@@ -17,17 +16,6 @@
 	// snapshotsPerRetention is how often the configuration is written again
 	// within the time for which the log keeps a record.
 	snapshotsPerRetention = 8
-	// windowsPerRetention is the retention divided by the time for which a key
-	// is accepted.
-	windowsPerRetention = 2
-	// orderDispatch is how long after the append of its claim a call may be
-	// sent.
-	orderDispatch = 5 * time.Second
-	// orderSkew bounds the differences between clocks.
-	orderSkew = 30 * time.Second
-	// orderGrace is added to the deadline of a claim before its claimant counts
-	// as gone.
-	orderGrace = 5 * time.Second
 )
 
 // openLog makes the readers and writers of the log's streams, if a log is set.
@@ -45,20 +33,23 @@
 		SnapshotEvery:     p.LogRetention / snapshotsPerRetention,
 		Logger:            a.log,
 	})
+	a.duties = duty.New(duty.Options{
+		Log:      a.logs,
+		Appender: a.appender(p.LeaseStream),
+		Stream:   p.LeaseStream,
+		Self:     a.opts.Settings.Instance.ID,
+		Terms:    duty.DefaultTerms(),
+		Logger:   a.log,
+	})
+	a.duties.Want(duty.Snapshots, true)
 	var err error
 	a.orders, err = orders.New(orders.Options{
 		Log:      a.logs,
 		Appender: a.appender(p.OrderStream),
 		Stream:   p.OrderStream,
 		Claimant: a.opts.Settings.Instance.ID,
-		Policy: order.Policy{
-			Window:    p.LogRetention / windowsPerRetention,
-			Retention: p.LogRetention,
-			Dispatch:  orderDispatch,
-			Skew:      orderSkew,
-			Grace:     orderGrace,
-		},
-		Logger: a.log,
+		Policy:   orders.DefaultPolicy(p.LogRetention),
+		Logger:   a.log,
 	})
 	return trace.Wrap(err, "platform.log_retention of %s", p.LogRetention)
 }
@@ -75,8 +66,9 @@
 	for _, ap := range a.appenders {
 		a.run(ctx, ap.Run)
 	}
-	if a.orders != nil {
+	if a.logs != nil {
 		a.run(ctx, a.orders.Run)
+		a.run(ctx, a.duties.Run)
 	}
 }
 
@@ -89,4 +81,15 @@
 }
 
 // holdsSnapshotDuty tells whether this instance writes snapshots.
-func (a *App) holdsSnapshotDuty() bool { return true }
+func (a *App) holdsSnapshotDuty() bool {
+	_, ok := a.duties.Valid(duty.Snapshots)
+	return ok
+}
+
+// closeLog records what calls have left and gives the duties back.
+func (a *App) closeLog(ctx context.Context) error {
+	if a.logs == nil {
+		return nil
+	}
+	return trace.NewAggregate(a.orders.Flush(ctx), a.duties.Release(ctx))
+}
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -1,17 +1,22 @@
 package app
 
 import (
+	"context"
+
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"masticbank.example/core/membership"
+	"masticbank.example/core/neighbor"
 	"masticbank.example/core/record"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
+	"masticbank.example/node/peer/sharing"
 	"masticbank.example/node/wire"
 )
 
 // startPeers opens the listener for other entry instances, if one is set.
-func (a *App) startPeers() error {
+func (a *App) startPeers(ctx context.Context) error {
 	s := a.opts.Settings
 	if s.Listen.Peers == "" {
 		return nil
@@ -28,19 +33,47 @@
 		return err
 	}
 	a.peers = n
+	a.neighbors = neighbor.NewChooser(neighbor.DefaultLimits())
+	a.sharer = sharing.New(sharing.Options{ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log})
+	a.run(ctx, a.sharer.Run)
 	return n.Start()
 }
 
-// setPeers keeps sessions with the entry instances of the platform's list.
+// wakeSharer asks for a new computation of the shares when a request waits.
+func (a *App) wakeSharer() {
+	if a.sharer != nil {
+		a.sharer.Wake()
+	}
+}
+
+// setPeerState tells the peers the state of this instance.
+func (a *App) setPeerState(state membership.State, told peerpb.InstanceState) {
+	if a.peers == nil {
+		return
+	}
+	a.sharer.SetState(state)
+	a.peers.SetState(told)
+}
+
+// setPeers keeps sessions with the neighbours among the entry instances of the
+// platform's list.
 func (a *App) setPeers(list []wire.Instance) {
 	if a.peers == nil {
 		return
 	}
+	a.sharer.SetList(list)
+	candidates := a.sharer.Candidates()
+	all := make([]neighbor.Instance, 0, len(candidates))
+	byID := make(map[string]membership.Member, len(candidates))
+	for _, m := range candidates {
+		all = append(all, neighbor.Instance{ID: m.ID, Zone: m.Zone})
+		byID[m.ID] = m
+	}
+	self := neighbor.Instance{ID: a.opts.Settings.Instance.ID, Zone: a.opts.Settings.Instance.Zone}
 	var peers []peer.Peer
-	for _, in := range list {
-		if in.Role == wire.RoleEntry && in.ID != a.opts.Settings.Instance.ID {
-			peers = append(peers, peer.Peer{ID: in.ID, Address: in.Address, Zone: in.Zone})
-		}
+	for _, id := range a.neighbors.Choose(self, all) {
+		m := byID[id]
+		peers = append(peers, peer.Peer{ID: m.ID, Address: m.Address, Zone: m.Zone})
 	}
 	a.peers.SetPeers(peers)
 }
@@ -57,7 +90,7 @@
 		return
 	}
 	a.peers.SetConfigState(&peerpb.ConfigState{Revision: s.Revision, AsOfOffset: s.Next, Content: content})
-	a.peers.SetState(peerpb.InstanceState_INSTANCE_STATE_READY)
+	a.setPeerState(membership.Ready, peerpb.InstanceState_INSTANCE_STATE_READY)
 }
 
 // peerHandler receives what peers send.
@@ -66,6 +99,12 @@
 	app *App
 }
 
+// Heard implements peer.Handler.
+func (h *peerHandler) Heard(info peer.Info) { h.app.sharer.Heard(info) }
+
+// Digest implements peer.Handler.
+func (h *peerHandler) Digest(_ string, d *peerpb.Digest) { h.app.sharer.Digest(d) }
+
 // ConfigState implements peer.Handler.
 func (h *peerHandler) ConfigState(from string, state *peerpb.ConfigState) {
 	r, err := record.Decode(state.GetContent())
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -27,7 +27,9 @@
 	events  Metrics
 	// background runs a function that the router's Close waits for.
 	background func(func())
-	seed       uint64
+	// wake is called when a request has to wait.
+	wake func()
+	seed uint64
 }
 
 // pool holds the replicas and the queue of one model. It is safe for
@@ -50,7 +52,7 @@
 	return &pool{
 		poolOptions: o,
 		model:       model,
-		queue:       newQueue(adm),
+		queue:       newQueue(adm, o.wake),
 		cfg:         cfg,
 		table:       route.NewTable(cfg.Layers, policy),
 		upstreams:   map[string]*upstream{},
--- a/node/router/queue.go
+++ b/node/router/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -14,10 +15,21 @@
 	mu      sync.Mutex
 	adm     admission.Admitter
 	waiting map[string]chan admission.Effect
+	// capacity is what the upstreams carry for all instances together, share
+	// what this instance may use of it.
+	capacity int
+	share    int
+	// slots is the smaller of the two, as told to adm.
+	slots int
+	// wake is called when a request has to wait.
+	wake func()
 }
 
-func newQueue(adm admission.Admitter) *queue {
-	return &queue{adm: adm, waiting: map[string]chan admission.Effect{}}
+// unlimited is the share of an instance that runs alone.
+const unlimited = math.MaxInt
+
+func newQueue(adm admission.Admitter, wake func()) *queue {
+	return &queue{adm: adm, waiting: map[string]chan admission.Effect{}, share: unlimited, wake: wake}
 }
 
 // enter waits until the request is dispatched or refused. When ctx ends first,
@@ -46,6 +58,12 @@
 }
 
 func (q *queue) wait(ctx context.Context, id string, ch chan admission.Effect) (admission.Effect, error) {
+	select {
+	case e := <-ch:
+		return e, nil
+	default:
+		q.wake()
+	}
 	select {
 	case e := <-ch:
 		return e, nil
@@ -70,12 +88,38 @@
 	q.deliver(q.adm.Done(time.Now(), id, cost))
 }
 
+// setCapacity sets what the upstreams carry for all instances together.
 func (q *queue) setCapacity(slots int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.capacity = slots
+	q.updateSlots()
+}
+
+// setShare sets what this instance may use of the capacity.
+func (q *queue) setShare(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.share = slots
+	q.updateSlots()
+}
+
+// updateSlots tells a change to adm. The caller holds q.mu.
+func (q *queue) updateSlots() {
+	slots := min(q.capacity, q.share)
+	if slots == q.slots {
+		return
+	}
+	q.slots = slots
 	q.deliver(q.adm.Capacity(time.Now(), slots))
 }
 
+func (q *queue) total() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.capacity
+}
+
 func (q *queue) configure(c admission.Config) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -94,6 +138,12 @@
 	return q.adm.Stats(top)
 }
 
+func (q *queue) loads() []admission.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.adm.Loads()
+}
+
 func (q *queue) position(id string) (admission.Position, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -61,6 +61,9 @@
 	// RoutePolicy and FIFO select baselines for measurement.
 	RoutePolicy route.Policy
 	FIFO        bool
+	// Wake is called when a request has to wait for a slot; nil means nothing.
+	// It must not block.
+	Wake func()
 	// Seed makes the choices among near-equal routes differ between instances.
 	Seed uint64
 }
@@ -128,6 +131,7 @@
 			log:        r.opts.Logger,
 			events:     r.metrics,
 			background: r.background,
+			wake:       r.wake,
 			seed:       r.opts.Seed,
 		})
 		p.setInstances(r.instances)
@@ -144,7 +148,7 @@
 	for name, s := range c.Services {
 		sp, ok := r.services[name]
 		if !ok {
-			sp = newServicePool(name, s, r.admitter(policy))
+			sp = newServicePool(name, s, r.admitter(policy), r.wake)
 			sp.setInstances(r.instances)
 			r.services[name] = sp
 		}
@@ -207,6 +211,12 @@
 	return result
 }
 
+func (r *Router) wake() {
+	if r.opts.Wake != nil {
+		r.opts.Wake()
+	}
+}
+
 // finished records the result of a request.
 func (r *Router) finished(res Result) {
 	r.history.add(res)
--- a/node/router/servicepool.go
+++ b/node/router/servicepool.go
@@ -28,8 +28,8 @@
 	leaving  bool
 }
 
-func newServicePool(name string, cfg config.ServiceConfig, adm admission.Admitter) *servicePool {
-	return &servicePool{name: name, queue: newQueue(adm), cfg: cfg, replicas: map[string]*serviceReplica{}}
+func newServicePool(name string, cfg config.ServiceConfig, adm admission.Admitter, wake func()) *servicePool {
+	return &servicePool{name: name, queue: newQueue(adm, wake), cfg: cfg, replicas: map[string]*serviceReplica{}}
 }
 
 func (s *servicePool) configure(cfg config.ServiceConfig, policy admission.Config) {
