--- a/core/health/probe.go
+++ b/core/health/probe.go
@@ -14,6 +14,11 @@
 		return
 	}
 	u.suspects = append(u.suspects, connection)
+	// Connections that fail together count once: what lies between the two ends
+	// may lose track of all of them at the same time.
+	if !u.probe.open {
+		u.faults++
+	}
 	u.sendProbe(now)
 }
 
@@ -50,7 +55,7 @@
 	case held:
 		u.startSlowly(now)
 	case inUse, returning:
-		if u.isFaulty() {
+		if u.faults >= u.config.MaxFaults {
 			u.eject(now)
 			return
 		}
@@ -59,15 +64,6 @@
 	u.replaceSuspects()
 }
 
-// isFaulty counts a fault whose probe was answered. Connections that fail together
-// are one fault, as one cause may have taken them all.
-func (u *Upstream) isFaulty() bool {
-	if len(u.suspects) > 0 {
-		u.faults++
-	}
-	return u.faults >= u.config.MaxFaults
-}
-
 // unanswered acts on a probe that failed. Progress after the probe was sent proves
 // that the upstream works all the same.
 func (u *Upstream) unanswered(now time.Time) {
