--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -95,7 +95,8 @@
 	Kind Kind
 	ID   string
 	// Reason and RetryAfter belong to Refuse. RetryAfter is the time after
-	// which the work that is ahead of the request now will have been served.
+	// which the work that would be ahead of the request now will have been
+	// served, as far as it must be for the deadline.
 	Reason     Reason
 	RetryAfter time.Duration
 }
@@ -109,9 +110,12 @@
 	// Capacity sets how many requests may run at once. It may be lower than the
 	// number of requests that run.
 	Capacity(now time.Time, slots int) []Effect
-	// Done reports that a dispatched request ended and what it cost in tokens.
+	// Done reports that a dispatched request was served to its end and what it
+	// cost in tokens. Its time counts towards the service rate.
 	Done(now time.Time, id string, cost float64) []Effect
-	// Cancel reports that the caller of a waiting or running request left.
+	// Cancel reports that a waiting or running request ended early, because its
+	// caller left or it failed. Its time does not count towards the service
+	// rate, so that quick failures do not make the pool look fast.
 	Cancel(now time.Time, id string) []Effect
 	// Requeue returns a dispatched request that found no replica to its place.
 	// It dispatches nothing itself: the next event does.
--- a/core/health/upstream.go
+++ b/core/health/upstream.go
@@ -42,8 +42,7 @@
 	suspects     []uint64
 	probe        openProbe
 	lastProgress time.Time
-	// faults counts the probes that faulty connections gave rise to since the last
-	// progress.
+	// faults counts answered probes of faulty connections since the last progress.
 	faults int
 	// failures counts ejections, and probes failed meanwhile, in a row.
 	failures  int
