--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -130,7 +130,48 @@
 	require.Equal(t, running, q.inFlight)
 	require.Equal(t, len(n.all)-running, q.queued)
 	require.Len(t, q.requests, len(n.all))
-	for i, r := range q.ranks {
-		require.Equal(t, n.credit[i], r.credit, "credit of rank %d", i)
+	stats := q.Stats(2)
+	require.LessOrEqual(t, len(stats.Heaviest), 2)
+	for i, r := range stats.Ranks {
+		require.Equal(t, n.credit[i], r.Credit, "credit of rank %d", i)
+		waiting := n.filter(false, func(r *naiveRequest) bool { return r.flow.rank == i })
+		require.Equal(t, cost(waiting), r.QueuedCost, "queued cost of rank %d", i)
 	}
+	for _, w := range stats.Heaviest {
+		require.Equal(t, cost(n.filter(false, of(w.Workspace))), w.QueuedCost, "queued cost of %s", w.Workspace)
+		require.Equal(t, cost(n.filter(true, of(w.Workspace))), w.InFlightCost, "running cost of %s", w.Workspace)
+	}
+}
+
+func cost(requests []*naiveRequest) (total float64) {
+	for _, r := range requests {
+		total += r.Cost
+	}
+	return total
+}
+
+// FIFO serves in order of arrival, whatever rank, workspace and deadline, and a
+// request that came back goes first.
+func TestFIFOServesInOrder(t *testing.T) {
+	d := newDriver(NewFIFO(4))
+	d.capacity(1)
+	var want, got []string
+	d.observe = func(r Request) { got = append(got, r.ID) }
+	for i := range 7 {
+		want = append(want, d.arrive(fmt.Sprint("w", i%2), i%3, 10, time.Second).ID)
+	}
+	require.Len(t, d.refused, 2)
+	require.Equal(t, 40.0, d.q.Stats(0).Ranks[0].QueuedCost)
+	first := d.running[0]
+	d.running, d.waiting[first.ID] = nil, first
+	d.apply(d.q.Requeue(d.now, first.ID))
+	p, _ := d.q.Position(d.now, want[4])
+	require.Equal(t, Position{Place: 5, CostAhead: 40}, p)
+	got = nil
+	d.now = d.now.Add(time.Minute)
+	d.apply(d.q.Tick(d.now))
+	for len(d.running) > 0 {
+		d.done(0)
+	}
+	require.Equal(t, want[:5], got)
 }
