--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -88,10 +88,15 @@
 		&peerpb.Poison{Fingerprint: []byte{1, 2}, TtlMs: 500},
 		&peerpb.Suspicion{Upstream: "replica-1"},
 		&peerpb.Leaving{Upstream: "replica-2"},
-		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: "asistente"}}},
+		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: 7}}},
 	} {
 		require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
 		got := receive(t, atB.messages)
+		if digest, ok := got.(*peerpb.Digest); ok {
+			require.Equal(t, "a", digest.GetInstance())
+			require.Equal(t, info.Incarnation, digest.GetIncarnation())
+			digest.Instance, digest.Incarnation = "", 0
+		}
 		require.True(t, proto.Equal(message, got), "sent %v, got %v", message, got)
 	}
 	require.Error(t, a.Send("c", &peerpb.Digest{}))
@@ -116,6 +121,9 @@
 	require.True(t, proto.Equal(second, receive(t, atB.messages)))
 	a.SetConfigState(first)
 	require.Equal(t, uint64(4), a.config.GetRevision())
+	a.SetConfigState(&peerpb.ConfigState{Revision: 4, AsOfOffset: 99})
+	a.SetConfigState(&peerpb.ConfigState{Revision: 4, AsOfOffset: 98})
+	require.Equal(t, uint64(99), a.config.GetAsOfOffset(), "the log moved on within the revision")
 }
 
 func TestRestartedPeerTakesPlaceOfFormerIncarnation(t *testing.T) {
