Poison requests, learnt limits and the retry budget in the running instance

Cause: the cores existed without a caller: a request that crashed replicas was tried again until its attempts were used up, limits were the reported slots, and retries had no budget.

A broken connection now waits for the verdict of a probe: a replica that answers gets the step again on a new connection, a dead one counts as a crash against the requests that it was running. Copies are refused before dispatch on every instance. Retries are paid from a budget whose bank covers every running attempt several times, and wait for it within their deadline. Limits per replica are learnt; costs use the mean output of the workspace and rank.

--- a/cmd/internal/local/local.go
+++ b/cmd/internal/local/local.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -102,11 +101,7 @@
 func (c *Cluster) Add() (*app.App, error) {
 	id := fmt.Sprintf("entry-%d", c.next)
 	zone := fmt.Sprintf("zone-%d", c.next%3)
-	peers, err := reserve()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	set, err := settings.Parse(id, []byte(c.settings(id, zone, peers)))
+	set, err := settings.Parse(id, []byte(c.settings(id, zone)))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -120,22 +115,11 @@
 	}
 	c.next++
 	c.Apps = append(c.Apps, a)
-	c.Fleet.Instances().Add(wire.Instance{ID: id, Role: wire.RoleEntry, Zone: zone, Address: peers})
+	c.Fleet.Instances().Add(wire.Instance{ID: id, Role: wire.RoleEntry, Zone: zone, Address: a.PeerAddr()})
 	return a, nil
 }
 
-// reserve finds a free port for the peer listener, which must be listed before
-// it is known to be open.
-func reserve() (string, error) {
-	ln, err := net.Listen("tcp", freePort)
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
-}
-
-func (c *Cluster) settings(id, zone, peers string) string {
+func (c *Cluster) settings(id, zone string) string {
 	callers, admin, level := freePort, freePort, c.opts.LogLevel
 	if c.next == 0 && c.opts.Listen != "" {
 		callers = c.opts.Listen
@@ -165,7 +149,7 @@
 level = %s
 [limits]
 unready_delay = 10ms
-%s`, id, zone, callers, admin, peers, peerKey, at.Instances, at.Log, AdminKey, level, c.opts.Extra)
+%s`, id, zone, callers, admin, freePort, peerKey, at.Instances, at.Log, AdminKey, level, c.opts.Extra)
 }
 
 // stopTimeout bounds the end of all instances.
--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -280,3 +281,32 @@
 	d.post(t, "models go on")
 	d.Log.SetFaults(logservice.Faults{})
 }
+
+// TestPoisonRequest sends a request that crashes every replica that runs it,
+// then a copy, and an innocent request beside it.
+func TestPoisonRequest(t *testing.T) {
+	t.Parallel()
+	d, err := Start(Options{Instances: 2, Spec: fleet.Dev(), Configuration: DevConfiguration})
+	require.NoError(t, err)
+	defer d.Close(context.Background())
+	for _, in := range []string{"dev-0-3-l0", "dev-0-3-l1"} {
+		require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: in, Kind: fault.Poison, Text: "poison"}))
+	}
+	body := `{"model":"dev","prompt":"poison","max_tokens":4}`
+	first := d.do(t, http.MethodPost, "/v1/completions", body, "X-Masticbank-Deadline", "10")
+	require.Equal(t, http.StatusUnprocessableEntity, first.status, string(first.body))
+	require.NotEqual(t, "not_run", first.header.Get("X-Masticbank-Execution"))
+
+	again := d.do(t, http.MethodPost, "/v1/completions", body)
+	require.Equal(t, "poison_request", again.parse(t).Error.Code)
+	require.Equal(t, "not_run", again.header.Get("X-Masticbank-Execution"))
+	require.Eventually(t, func() bool {
+		r := d.doOn(t, d.Apps[1].CallerAddr(), http.MethodPost, "/v1/completions", body, "X-Masticbank-Deadline", "1")
+		return r.header.Get("X-Masticbank-Execution") == "not_run" && r.parse(t).Error.Code == "poison_request"
+	}, time.Minute, 50*time.Millisecond)
+
+	for _, in := range []string{"dev-0-3-l0", "dev-0-3-l1"} {
+		require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: in, Kind: fault.Restore}))
+	}
+	d.post(t, "innocent")
+}
--- a/cmd/masticbank/serve.go
+++ b/cmd/masticbank/serve.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return startError(err)
 	}
+	if err := a.PublishMetrics(); err != nil {
+		return trace.Wrap(err)
+	}
 	return c.waitAndStop(a, set, logger)
 }
 
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -173,6 +173,20 @@
 // maxConfigBytes bounds a configuration sent to the administration API.
 const maxConfigBytes = 8 << 20
 
+// PublishMetrics shows the metrics in expvar, where one instance of a process
+// can have the name.
+func (a *App) PublishMetrics() error {
+	return trace.Wrap(a.metrics.Publish("masticbank"))
+}
+
+// PeerAddr returns the address for other entry instances, or "".
+func (a *App) PeerAddr() string {
+	if a.peers == nil {
+		return ""
+	}
+	return a.peers.Addr().String()
+}
+
 // CallerAddr returns the address for callers.
 func (a *App) CallerAddr() string { return a.callers.Addr() }
 
--- a/node/app/observer.go
+++ b/node/app/observer.go
@@ -63,6 +63,9 @@
 	if !r.Complete {
 		o.registry.Refuse(string(r.Code))
 	}
+	if r.Code == router.CodePoison && r.Attempts == 0 {
+		o.registry.Add(metrics.PoisonRefusals, 1)
+	}
 	o.logResult(r)
 }
 
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -2,19 +2,29 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"masticbank.example/core/membership"
 	"masticbank.example/core/neighbor"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/record"
+	"masticbank.example/node/metrics"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
 	"masticbank.example/node/peer/sharing"
 	"masticbank.example/node/wire"
 )
 
+const (
+	// poisonPeriod is the time between two looks for fingerprints to tell.
+	poisonPeriod = 250 * time.Millisecond
+	// poisonRepeat is the time after which a fingerprint is told again.
+	poisonRepeat = 30 * time.Second
+)
+
 // startPeers opens the listener for other entry instances, if one is set.
 func (a *App) startPeers(ctx context.Context) error {
 	s := a.opts.Settings
@@ -34,11 +44,66 @@
 	}
 	a.peers = n
 	a.neighbors = neighbor.NewChooser(neighbor.DefaultLimits())
-	a.sharer = sharing.New(sharing.Options{ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log})
+	a.sharer = sharing.New(sharing.Options{
+		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
+		OnMember: func(membership.Changed) { a.countEntries() },
+	})
 	a.run(ctx, a.sharer.Run)
+	a.run(ctx, a.sharePoison)
 	return n.Start()
 }
 
+// countEntries tells the router how many instances dispatch to the upstreams.
+func (a *App) countEntries() {
+	n := 0
+	for _, m := range a.sharer.Members() {
+		if m.State == membership.Ready || m.ID == a.opts.Settings.Instance.ID {
+			n++
+		}
+	}
+	a.router.SetEntries(n)
+	a.metrics.Set(metrics.Peers, int64(n-1))
+}
+
+// sharePoison tells the peers of requests that crash upstreams, each when it is
+// found and again from time to time, as messages may be lost.
+func (a *App) sharePoison(ctx context.Context) error {
+	ticker := time.NewTicker(poisonPeriod)
+	defer ticker.Stop()
+	told := map[poison.Fingerprint]time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			a.tellPoison(now, told)
+		}
+	}
+}
+
+// tellPoison tells the blocks that were not told within poisonRepeat.
+func (a *App) tellPoison(now time.Time, told map[poison.Fingerprint]time.Time) {
+	blocks := a.router.PoisonBlocks()
+	current := map[poison.Fingerprint]bool{}
+	for _, b := range blocks {
+		current[b.Fingerprint] = true
+		if now.Sub(told[b.Fingerprint]) < poisonRepeat {
+			continue
+		}
+		told[b.Fingerprint] = now
+		a.broadcast(poisonMessage(b, now))
+	}
+	for f := range told {
+		if !current[f] {
+			delete(told, f)
+		}
+	}
+}
+
+func poisonMessage(b poison.Block, now time.Time) *peerpb.Poison {
+	return &peerpb.Poison{Fingerprint: b.Fingerprint[:], TtlMs: uint32(b.Expiry.Sub(now).Milliseconds())}
+}
+
 // wakeSharer asks for a new computation of the shares when a request waits.
 func (a *App) wakeSharer() {
 	if a.sharer != nil {
@@ -99,12 +164,33 @@
 	app *App
 }
 
+// PeerUp implements peer.Handler. A new session gets what was told before it.
+func (h *peerHandler) PeerUp(info peer.Info) {
+	now := time.Now()
+	for _, b := range h.app.router.PoisonBlocks() {
+		if err := h.app.peers.Send(info.ID, poisonMessage(b, now)); err != nil {
+			h.app.log.Warn("poison fingerprint cannot be sent", zap.String("peer", info.ID), zap.Error(err))
+			return
+		}
+	}
+}
+
 // Heard implements peer.Handler.
 func (h *peerHandler) Heard(info peer.Info) { h.app.sharer.Heard(info) }
 
 // Digest implements peer.Handler.
 func (h *peerHandler) Digest(_ string, d *peerpb.Digest) { h.app.sharer.Digest(d) }
 
+// Poison implements peer.Handler.
+func (h *peerHandler) Poison(_ string, p *peerpb.Poison) {
+	var f poison.Fingerprint
+	if len(p.GetFingerprint()) != len(f) {
+		return
+	}
+	copy(f[:], p.GetFingerprint())
+	h.app.router.LearnPoison(f, time.Duration(p.GetTtlMs())*time.Millisecond)
+}
+
 // ConfigState implements peer.Handler.
 func (h *peerHandler) ConfigState(from string, state *peerpb.ConfigState) {
 	r, err := record.Decode(state.GetContent())
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -7,7 +7,10 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/health"
+	"masticbank.example/core/limit"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
 )
 
 // maxEjectedShare is the largest part of the replicas of one layer range that
@@ -18,7 +21,7 @@
 const verdictTimeout = 3 * time.Second
 
 // begin prepares a step of prefill tokens, 0 for a decode step, on a replica.
-func (p *pool) begin(id string, prefill int, initial time.Duration) (call, bool) {
+func (p *pool) begin(id string, f poison.Fingerprint, prefill int, initial time.Duration) (call, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u, ok := p.upstreams[id]
@@ -26,6 +29,7 @@
 		return call{}, false
 	}
 	p.calls++
+	u.open[p.calls] = f
 	return call{number: p.calls, target: u.target(), timeout: u.pace.ProgressTimeout(prefill, initial), live: u.live}, true
 }
 
@@ -37,26 +41,63 @@
 	if !ok {
 		return
 	}
+	delete(u.open, c.number)
+	now := time.Now()
 	if prefill > 0 {
-		computed := max(prefill-cached, 0)
+		computed := max(prefill-cached, 1)
 		p.table.Observe(c.target.ID, computed, 0, d)
-		u.pace.ObservePrefill(max(computed, 1), d)
+		u.pace.ObservePrefill(computed, d)
+		u.limit.Observe(now, limit.Prefill, u.inFlight, d/time.Duration(computed))
 	} else {
 		p.table.Observe(c.target.ID, 0, 1, d)
 		u.pace.ObserveDecode(d)
+		u.limit.Observe(now, limit.Decode, u.inFlight, d)
 	}
+	p.updateLimit(u)
 	p.step(u, health.Progress{Connection: c.number})
 }
 
-// lost records a connection that was refused, reset or closed.
-func (p *pool) lost(c call) {
+// refused records a step that the replica refused or that was not sent.
+func (p *pool) refused(c call, code string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u, ok := p.upstreams[c.target.ID]; ok {
+	u, ok := p.upstreams[c.target.ID]
+	if !ok {
+		return
+	}
+	delete(u.open, c.number)
+	switch code {
+	case wire.CodeLeaving:
+		p.step(u, health.Leaving{Source: health.FromUpstream})
+	case wire.CodeOverloaded:
+		u.limit.Refused(time.Now())
+		p.updateLimit(u)
+	case engine.CodeConnection:
 		p.step(u, health.Lost{Connection: c.number})
 	}
 }
 
+// ended records a step that ended without an answer and without a verdict.
+func (p *pool) ended(c call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if u, ok := p.upstreams[c.target.ID]; ok {
+		delete(u.open, c.number)
+	}
+}
+
+// updateLimit puts the learnt limit of a replica in force. The caller holds
+// p.mu.
+func (p *pool) updateLimit(u *upstream) {
+	l := u.limit.Limit()
+	if l == u.inForce {
+		return
+	}
+	u.inForce = l
+	p.table.SetLimit(u.instance.ID, l)
+	p.updateCapacity()
+}
+
 // leaving records a sign that a replica leaves.
 func (p *pool) leaving(id string, source health.Source) {
 	p.mu.Lock()
@@ -66,20 +107,14 @@
 	}
 }
 
-// suspect reports that a call made no progress and waits until a probe on a new
+// suspect reports that a call got no answer, because it made no progress or, if
+// broken, because its connection broke. It waits until a probe on a new
 // connection has told whether the replica answers.
-func (p *pool) suspect(ctx context.Context, c call) bool {
-	ch := make(chan bool, 1)
-	p.mu.Lock()
-	u, ok := p.upstreams[c.target.ID]
-	if !ok {
-		p.mu.Unlock()
+func (p *pool) suspect(ctx context.Context, c call, broken bool) bool {
+	ch := p.accuse(c, broken)
+	if ch == nil {
 		return false
 	}
-	u.pace.Expired()
-	u.verdicts[c.number] = ch
-	p.step(u, health.Silent{Connection: c.number})
-	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
 	select {
@@ -90,6 +125,29 @@
 	}
 }
 
+// accuse feeds the event to the replica's state machine and returns the channel
+// of the verdict, or nil when the replica is not known any more.
+func (p *pool) accuse(c call, broken bool) chan bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[c.target.ID]
+	if !ok {
+		return nil
+	}
+	ch := make(chan bool, 1)
+	u.verdicts[c.number] = ch
+	if broken {
+		u.lost[c.number] = u.open[c.number]
+		delete(u.open, c.number)
+		p.step(u, health.Lost{Connection: c.number})
+		return ch
+	}
+	delete(u.open, c.number)
+	u.pace.Expired()
+	p.step(u, health.Silent{Connection: c.number})
+	return ch
+}
+
 // tick gives every replica whose time has come its event.
 func (p *pool) tick(now time.Time) {
 	p.mu.Lock()
@@ -112,12 +170,13 @@
 		case health.ReplaceConnection:
 			p.events.ConnectionReplaced(u.instance.ID)
 			p.engines.ReplaceConnections(u.target())
+			delete(u.lost, effect.Connection)
 			u.decide(effect.Connection, true)
 		case health.SetWeight:
 			p.table.SetWeight(u.instance.ID, effect.Weight)
 			changed = true
 		case health.FailAttempts:
-			u.failAttempts()
+			p.failAttempts(u)
 		case health.Eject:
 			p.log.Warn("upstream ejected", zap.String("upstream", u.instance.ID), zap.Time("until", effect.Until))
 			p.events.Ejected(u.instance.ID)
@@ -134,6 +193,15 @@
 	}
 }
 
+// failAttempts ends the open attempts on a replica that does not answer. When
+// connections broke before, it crashed, and what it was running is suspect.
+func (p *pool) failAttempts(u *upstream) {
+	if len(u.lost) > 0 {
+		p.poisons.crashed(u.instance.ID, u.suspects())
+	}
+	u.failAttempts()
+}
+
 // probe asks a replica on a new connection in the background whether it answers.
 func (p *pool) probe(t engine.Target, e health.Probe) {
 	p.background(func() {
--- /dev/null
+++ b/node/router/poison.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"masticbank.example/core/poison"
+)
+
+// poisons holds the evidence on requests that crash replicas. It is safe for
+// concurrent use.
+type poisons struct {
+	mu        sync.Mutex
+	tracker   *poison.Tracker
+	retention time.Duration
+}
+
+func newPoisons(retention time.Duration) *poisons {
+	return &poisons{tracker: poison.NewTracker(retention), retention: retention}
+}
+
+// configure sets the time for which evidence is kept. A change discards what
+// was known.
+func (p *poisons) configure(retention time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if retention == p.retention {
+		return
+	}
+	p.retention = retention
+	p.tracker = poison.NewTracker(retention)
+}
+
+func fingerprintOf(req *Request) poison.Fingerprint {
+	return poison.FingerprintOf(req.Model, req.Prompt, strconv.Itoa(req.MaxTokens))
+}
+
+func (p *poisons) blocked(f poison.Fingerprint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Blocked(time.Now(), f)
+}
+
+// crashed records that a replica crashed while it ran steps of suspects.
+func (p *poisons) crashed(replica string, suspects []poison.Fingerprint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Crash(time.Now(), replica, suspects...)
+}
+
+// verdict tells whether a request whose step was lost with a crashed replica
+// must not run again.
+func (p *poisons) verdict(replica string, f poison.Fingerprint) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Crash(time.Now(), replica, f)[0] == poison.Stop
+}
+
+func (p *poisons) completed(f poison.Fingerprint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Completed(time.Now(), f)
+}
+
+func (p *poisons) place(f poison.Fingerprint, replicas []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Place(f, replicas)
+}
+
+func (p *poisons) avoid(f poison.Fingerprint) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Avoid(f)
+}
+
+// PoisonBlocks returns the fingerprints to tell the peers.
+func (r *Router) PoisonBlocks() []poison.Block {
+	r.poisons.mu.Lock()
+	defer r.poisons.mu.Unlock()
+	return r.poisons.tracker.Recent(time.Now())
+}
+
+// LearnPoison takes a fingerprint from a peer.
+func (r *Router) LearnPoison(f poison.Fingerprint, ttl time.Duration) {
+	r.poisons.mu.Lock()
+	defer r.poisons.mu.Unlock()
+	now := time.Now()
+	r.poisons.tracker.Learn(now, f, now.Add(ttl))
+}
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -12,13 +12,31 @@
 	"masticbank.example/core/capacity"
 	"masticbank.example/core/config"
 	"masticbank.example/core/health"
+	"masticbank.example/core/retry"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
 
-// defaultSlots is assumed of a replica that has not reported its slots.
-const defaultSlots = 4
+const (
+	defaultRetryRatio = 0.1
+	// banksPerSlot and minBank bound the retries saved up: the loss of several
+	// replicas ends many attempts at once, and each is to be resumed.
+	banksPerSlot = 4
+	minBank      = 64
+	// retriesPerSlot is the rate of retries, per slot and second, that needs no
+	// first attempts.
+	retriesPerSlot = 0.1
+)
+
+// retryConfig returns the retry budget of a pool with the given slots.
+func retryConfig(slots int, ratio float64) retry.BudgetConfig {
+	return retry.BudgetConfig{
+		Ratio:        ratio,
+		MinPerSecond: max(1, retriesPerSlot*float64(slots)),
+		Bank:         float64(max(minBank, banksPerSlot*slots)),
+	}
+}
 
 // poolOptions is what a pool shares with its router.
 type poolOptions struct {
@@ -27,6 +45,7 @@
 	events  Metrics
 	// background runs a function that the router's Close waits for.
 	background func(func())
+	poisons    *poisons
 	// wake is called when a request has to wait.
 	wake func()
 	seed uint64
@@ -46,6 +65,10 @@
 	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
 	calls     uint64 // number of the last call
+	budget    *retry.Budget
+	outputs   outputs
+	slots     int // what the replicas in use carry at once
+	ratio     float64
 }
 
 func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, o poolOptions) *pool {
@@ -58,6 +81,9 @@
 		upstreams:   map[string]*upstream{},
 		groups:      map[route.Range]*health.Group{},
 		random:      rand.New(rand.NewPCG(o.seed, uint64(len(model)))),
+		budget:      retry.NewBudget(retryConfig(0, defaultRetryRatio)),
+		ratio:       defaultRetryRatio,
+		outputs:     outputs{means: map[outputKey]float64{}},
 	}
 }
 
@@ -98,8 +124,8 @@
 	if !ok {
 		u = newUpstream(in, health.NewUpstream(health.DefaultConfig(), p.group(r), p.random.Uint64()))
 		p.upstreams[in.ID] = u
-		p.table.SetLimit(in.ID, u.slots)
 		p.table.SetWeight(in.ID, 0)
+		p.updateLimit(u)
 	}
 	u.instance = in
 	p.step(u, health.Listed{Leaving: in.Leaving})
@@ -126,10 +152,15 @@
 	edges := make([]capacity.Edge, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		if u.usable() {
-			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.slots})
+			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.limit.Limit()})
 		}
 	}
 	slots := capacity.Max(p.cfg.Layers, edges)
+	if slots == p.slots {
+		return
+	}
+	p.slots = slots
+	p.budget.Configure(time.Now(), retryConfig(slots, p.ratio))
 	p.queue.setCapacity(slots)
 }
 
@@ -151,11 +182,8 @@
 	if r.Leaving {
 		p.step(u, health.Leaving{Source: health.FromUpstream})
 	}
-	if r.Slots > 0 && r.Slots != u.slots {
-		u.slots = r.Slots
-		p.table.SetLimit(id, r.Slots)
-		p.updateCapacity()
-	}
+	u.limit.Report(time.Now(), r.Waiting, r.Slots)
+	p.updateLimit(u)
 }
 
 // targets returns the replicas to ask for load reports.
@@ -195,6 +223,9 @@
 	}
 	for _, h := range d.Chain.Hops {
 		p.table.Begin(h.ReplicaID, req.PromptTokens)
+		if u, ok := p.upstreams[h.ReplicaID]; ok {
+			u.inFlight++
+		}
 	}
 	return d
 }
@@ -204,6 +235,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.End(id, tokens)
+	if u, ok := p.upstreams[id]; ok && u.inFlight > 0 {
+		u.inFlight--
+	}
 }
 
 // release ends an attempt on its replicas and then frees their places.
@@ -231,9 +265,11 @@
 
 // configure puts a changed configuration in force; the layers stay the same.
 // Replicas of another version than the configured one leave the pool.
-func (p *pool) configure(cfg config.ModelConfig, policy admission.Config, list []wire.Instance) {
+func (p *pool) configure(cfg config.ModelConfig, ratio float64, policy admission.Config, list []wire.Instance) {
 	p.mu.Lock()
 	p.cfg = cfg
+	p.ratio = ratio
+	p.budget.Configure(time.Now(), retryConfig(p.slots, ratio))
 	p.mu.Unlock()
 	p.queue.configure(policy)
 	p.setInstances(list)
@@ -245,3 +281,38 @@
 	defer p.mu.Unlock()
 	return p.cfg.Version
 }
+
+// first pays a first attempt into the retry budget.
+func (p *pool) first() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.First(time.Now())
+}
+
+// mayRetry spends one retry, or returns false when the budget is used up.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Take(time.Now())
+}
+
+// setInstanceCount sets the number of entry instances that dispatch to the pool.
+func (p *pool) setInstanceCount(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetInstances(n)
+}
+
+// expectedOutput estimates the number of tokens that a request generates.
+func (p *pool) expectedOutput(r *Request) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outputs.expect(outputKey{workspace: r.Workspace, rank: r.Rank}, r.MaxTokens)
+}
+
+// observeOutput learns from a complete answer.
+func (p *pool) observeOutput(r *Request, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outputs.observe(outputKey{workspace: r.Workspace, rank: r.Rank}, tokens)
+}
--- a/node/router/request.go
+++ b/node/router/request.go
@@ -30,11 +30,6 @@
 	return len(r.Prompt)/bytesPerToken + 1
 }
 
-// cost estimates the tokens that the request will use.
-func (r *Request) cost() float64 {
-	return float64(r.PromptTokens() + r.MaxTokens)
-}
-
 // Sink takes the tokens of one answer in order. An error ends the request.
 type Sink interface {
 	Token(t attempt.Token) error
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -29,6 +29,9 @@
 	loadTimeout = time.Second
 	// loadReaders bounds the load reports read at once.
 	loadReaders = 16
+	// poisonRetention is the time for which evidence on crashes is kept until a
+	// configuration is in force.
+	poisonRetention = 10 * time.Minute
 	// retryAfterFailure is the hint given when upstreams failed.
 	retryAfterFailure = 2 * time.Second
 )
@@ -74,12 +77,15 @@
 	opts    Options
 	metrics Metrics
 	history *history
+	poisons *poisons
 	cfg     atomic.Pointer[config.Config]
 
 	mu        sync.RWMutex
 	pools     map[string]*pool
 	services  map[string]*servicePool
 	instances []wire.Instance
+	// entries is the number of live entry instances, this one included.
+	entries int
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -94,6 +100,7 @@
 		opts:     o,
 		metrics:  o.Metrics,
 		history:  newHistory(),
+		poisons:  newPoisons(poisonRetention),
 		pools:    map[string]*pool{},
 		services: map[string]*servicePool{},
 		ctx:      ctx,
@@ -114,6 +121,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cfg.Store(c)
+	r.poisons.configure(c.Limits.PoisonTTL)
 	policy := admission.FromConfig(c)
 	r.configurePools(c, policy)
 	r.configureServices(c, policy)
@@ -123,7 +131,7 @@
 	for name, m := range c.Models {
 		p, ok := r.pools[name]
 		if ok && p.cfg.Layers == m.Layers {
-			p.configure(m, policy, r.instances)
+			p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 			continue
 		}
 		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), poolOptions{
@@ -131,9 +139,11 @@
 			log:        r.opts.Logger,
 			events:     r.metrics,
 			background: r.background,
+			poisons:    r.poisons,
 			wake:       r.wake,
 			seed:       r.opts.Seed,
 		})
+		p.setInstanceCount(max(r.entries, 1))
 		p.setInstances(r.instances)
 		r.pools[name] = p
 	}
@@ -181,6 +191,16 @@
 	}
 }
 
+// SetEntries sets the number of live entry instances, this one included.
+func (r *Router) SetEntries(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = n
+	for _, p := range r.pools {
+		p.setInstanceCount(max(n, 1))
+	}
+}
+
 // MarkLeaving stops new work to an upstream on the word of a peer or operator.
 func (r *Router) MarkLeaving(upstream string) {
 	for _, p := range r.allPools() {
@@ -195,11 +215,18 @@
 	if p == nil {
 		return Result{RequestID: req.ID, Workspace: req.Workspace, Rank: req.Rank, Code: CodeUnknownModel, Message: "unknown model " + req.Model}
 	}
+	f := fingerprintOf(req)
+	if r.poisons.blocked(f) {
+		res := Result{RequestID: req.ID, Workspace: req.Workspace, Rank: req.Rank, Model: req.Model, Code: CodePoison, Message: "requests like this one crashed several upstreams"}
+		r.finished(res)
+		return res
+	}
 	x := &run{
-		router: r,
-		pool:   p,
-		req:    req,
-		sink:   sink,
+		router:      r,
+		pool:        p,
+		req:         req,
+		fingerprint: f,
+		sink:        sink,
 		machine: attempt.New(attempt.Config{
 			RequestID:   req.ID,
 			MaxAttempts: maxAttempts,
--- a/node/router/run.go
+++ b/node/router/run.go
@@ -4,13 +4,15 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"masticbank.example/core/admission"
 	"masticbank.example/core/attempt"
 	"masticbank.example/core/execution"
-	"masticbank.example/core/health"
+	"masticbank.example/core/poison"
+	"masticbank.example/core/retry"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
@@ -20,31 +22,37 @@
 	cancelTimeout = time.Second
 	// maxAttempts bounds the routes tried for one request.
 	maxAttempts = 6
-	// backoffBase and backoffCap bound the wait before a new route, in full
-	// jitter.
-	backoffBase = 20 * time.Millisecond
-	backoffCap  = 500 * time.Millisecond
 )
 
+// backoff spreads the waits before a new route.
+var backoff = retry.Backoff{Base: 20 * time.Millisecond, Cap: 500 * time.Millisecond}
+
 // run carries one request from the queue to its outcome.
 type run struct {
-	router  *Router
-	pool    *pool
-	req     *Request
-	sink    Sink
-	machine *attempt.Machine
-	hops    []route.Hop // of the current attempt
-	result  Result
+	router *Router
+	pool   *pool
+	req    *Request
+	sink   Sink
+	// fingerprint identifies what is asked, whoever asks it.
+	fingerprint poison.Fingerprint
+	machine     *attempt.Machine
+	hops        []route.Hop // of the current attempt
+	result      Result
 	// dispatched is true while admission counts the request as running.
 	dispatched bool
 	refusal    *admission.Effect
 	lastToken  time.Time
 	// releases counts the attempts that replicas still have to forget.
 	releases sync.WaitGroup
-	// call is the step under way, or the last one.
-	call call
+	// call is the step under way, or the last one; broken tells that its
+	// connection broke, expected the estimate of the answer's length.
+	call     call
+	broken   bool
+	expected int
 	// version is the model version of the current attempt.
 	version string
+	// poisoned tells that the request must not run again.
+	poisoned bool
 	// lastFailure describes the last step that failed.
 	lastFailure string
 }
@@ -53,6 +61,7 @@
 func (x *run) serve(ctx context.Context) Result {
 	ctx, cancel := context.WithDeadline(ctx, x.req.Deadline)
 	defer cancel()
+	x.expected = x.pool.expectedOutput(x.req)
 	x.result = Result{RequestID: x.req.ID, Workspace: x.req.Workspace, Rank: x.req.Rank, Model: x.req.Model}
 	effects := x.machine.Start()
 	for len(effects) > 0 {
@@ -119,7 +128,7 @@
 		ID:        x.req.ID,
 		Workspace: x.req.Workspace,
 		Rank:      x.req.Rank,
-		Cost:      x.req.cost(),
+		Cost:      float64(x.req.PromptTokens() + x.expected),
 		Deadline:  x.req.Deadline,
 	})
 	for {
@@ -134,6 +143,7 @@
 		d := x.pool.choose(x.routeRequest(nil))
 		if d.Outcome == route.Chosen {
 			x.result.QueueWait = time.Since(x.req.Arrived)
+			x.pool.first()
 			return x.routed(d.Chain)
 		}
 		x.dispatched = false
@@ -141,28 +151,53 @@
 	}
 }
 
-// nextRoute chooses a chain for a later attempt, as soon as there is one.
+// nextRoute chooses a chain for a later attempt, as soon as there is one and the
+// retry budget pays for it.
 func (x *run) nextRoute(ctx context.Context, e attempt.Route) attempt.Event {
-	for try := 0; ; try++ {
-		if !sleep(ctx, backoff(e.Attempt+try-2)) {
+	if x.poisoned {
+		return attempt.Unroutable{Reason: string(CodePoison)}
+	}
+	paid := !e.Retry
+	for try := e.Attempt - 2; ; try++ {
+		delay, ok := backoff.Delay(try, rand.Uint64(), time.Now(), x.req.Deadline, 0)
+		if !ok || !sleep(ctx, delay) {
 			return contextEvent(ctx)
 		}
-		d := x.pool.choose(x.routeRequest(e.Exclude))
+		if !paid {
+			paid = x.pool.mayRetry()
+		}
+		if !paid {
+			continue
+		}
+		d := x.pool.choose(x.routeRequest(x.exclude(e.Exclude)))
 		if d.Outcome == route.Chosen {
+			x.router.poisons.place(x.fingerprint, hopIDs(d.Chain.Hops))
 			return x.routed(d.Chain)
 		}
 	}
 }
 
+// exclude adds the replicas that a suspect of a crash is to keep away from.
+func (x *run) exclude(failed []string) []string {
+	return append(slices.Clone(failed), x.router.poisons.avoid(x.fingerprint)...)
+}
+
+func hopIDs(hops []route.Hop) []string {
+	out := make([]string, 0, len(hops))
+	for _, h := range hops {
+		out = append(out, h.ReplicaID)
+	}
+	return out
+}
+
 func (x *run) routed(c route.Chain) attempt.Event {
 	x.hops = c.Hops
 	x.version = x.pool.version()
 	x.result.Expected = c.Expected
-	x.result.Route = x.result.Route[:0]
+	x.result.Route = hopIDs(c.Hops)
 	hops := make([]attempt.Hop, 0, len(c.Hops))
 	for _, h := range c.Hops {
 		hops = append(hops, attempt.Hop{ReplicaID: h.ReplicaID, FirstLayer: h.First, LastLayer: h.Last})
-		x.result.Route = append(x.result.Route, h.ReplicaID)
 	}
 	return attempt.Routed{Hops: hops}
 }
@@ -170,7 +205,7 @@
 func (x *run) routeRequest(exclude []string) route.Request {
 	return route.Request{
 		PromptTokens: x.req.PromptTokens() + x.result.Tokens,
-		OutputTokens: x.req.MaxTokens - x.result.Tokens,
+		OutputTokens: max(x.expected-x.result.Tokens, 1),
 		Blocks:       prefixBlocks(x.req.Prompt),
 		Exclude:      exclude,
 	}
@@ -183,7 +218,7 @@
 	if s.Prefill {
 		prefill = req.CoveredTokens
 	}
-	c, ok := x.pool.begin(s.Hop.ReplicaID, prefill, x.router.stepTimeout())
+	c, ok := x.pool.begin(s.Hop.ReplicaID, x.fingerprint, prefill, x.router.stepTimeout())
 	if !ok {
 		return attempt.Refused{Asked: s.Step, Reason: "not_listed"}
 	}
@@ -243,40 +278,36 @@
 
 func (x *run) stepFailed(ctx context.Context, s attempt.Send, err error) attempt.Event {
 	if ctx.Err() != nil {
+		x.pool.ended(x.call)
 		return contextEvent(ctx)
 	}
 	var ce *engine.CallError
 	if !errors.As(err, &ce) {
-		return attempt.Failed{Asked: s.Step, Reason: engine.CodeProtocol}
+		ce = &engine.CallError{Code: engine.CodeProtocol, Err: err}
 	}
 	x.lastFailure = s.Hop.ReplicaID + ": " + ce.Error()
-	x.reportFailure(ce)
 	switch {
 	case ce.Proof != engine.ProofNone:
+		x.pool.refused(x.call, ce.Code)
 		return attempt.Refused{Asked: s.Step, Reason: ce.Code}
-	case ce.Code == engine.CodeTimeout:
+	case ce.Code == engine.CodeTimeout, ce.Code == engine.CodeConnection:
+		x.broken = ce.Code == engine.CodeConnection
 		return attempt.Silent{Asked: s.Step}
 	default:
+		x.pool.ended(x.call)
 		return attempt.Failed{Asked: s.Step, Reason: ce.Code}
 	}
 }
 
-// reportFailure tells the replica's state machine about a failed step.
-func (x *run) reportFailure(ce *engine.CallError) {
-	switch ce.Code {
-	case wire.CodeLeaving:
-		x.pool.leaving(x.call.target.ID, health.FromUpstream)
-	case engine.CodeConnection:
-		x.pool.lost(x.call)
-	}
-}
-
-// probe waits for the verdict on a replica whose step made no progress.
+// probe waits for the verdict on a replica whose step got no answer.
 func (x *run) probe(ctx context.Context, e attempt.Probe) attempt.Event {
-	alive := x.pool.suspect(ctx, x.call)
+	alive := x.pool.suspect(ctx, x.call, x.broken)
 	if ctx.Err() != nil {
 		return contextEvent(ctx)
 	}
+	if !alive && x.broken {
+		x.poisoned = x.router.poisons.verdict(e.Hop.ReplicaID, x.fingerprint)
+	}
 	return attempt.Probed{Asked: e.Step, Alive: alive}
 }
 
@@ -320,11 +351,22 @@
 		return
 	}
 	x.dispatched = false
-	cost := float64(x.req.PromptTokens() + o.Tokens)
-	x.router.background(func() {
-		x.releases.Wait()
-		x.pool.queue.done(x.req.ID, cost)
-	})
+	if o.Complete {
+		x.pool.observeOutput(x.req, o.Tokens)
+		x.router.poisons.completed(x.fingerprint)
+	}
+	x.router.background(func() { x.leave(o) })
+}
+
+// leave gives the place in the pool back when the replicas are free. A request
+// that failed says nothing about the pace of the pool.
+func (x *run) leave(o attempt.Outcome) {
+	x.releases.Wait()
+	if !o.Complete {
+		x.pool.queue.cancel(x.req.ID)
+		return
+	}
+	x.pool.queue.done(x.req.ID, float64(x.req.PromptTokens()+o.Tokens))
 }
 
 // explain sets code, message and retry hint of an unsuccessful result.
@@ -341,6 +383,8 @@
 		x.result.Code = CodeDeadline
 	case attempt.ReasonCancelled:
 		x.result.Code = CodeCancelled
+	case string(CodePoison):
+		x.result.Code = CodePoison
 	default:
 		x.result.Code = CodeNoRoute
 		x.result.RetryAfter = retryAfterFailure
@@ -380,12 +424,6 @@
 	return attempt.Cancelled{}
 }
 
-// backoff returns a random wait before try n, counted from 0.
-func backoff(n int) time.Duration {
-	limit := min(backoffCap, backoffBase<<min(max(n, 0), 10))
-	return rand.N(limit)
-}
-
 // sleep waits for d and returns false when ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/node/router/status.go
+++ b/node/router/status.go
@@ -73,7 +73,7 @@
 			Zone:     u.instance.Zone,
 			Layers:   fmt.Sprintf("%d-%d", u.instance.FirstLayer, u.instance.LastLayer),
 			Leaving:  u.health.Leaving(),
-			Slots:    u.slots,
+			Slots:    u.limit.Limit(),
 			InFlight: views[id].InFlight,
 			Weight:   views[id].Weight,
 		})
--- a/node/router/upstream.go
+++ b/node/router/upstream.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"masticbank.example/core/health"
+	"masticbank.example/core/limit"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
@@ -13,9 +15,18 @@
 // it.
 type upstream struct {
 	instance wire.Instance
-	slots    int
 	health   *health.Upstream
 	pace     health.Pace
+	// limit learns how many sequences the replica takes.
+	limit *limit.Limiter
+	// inForce is the limit that the route table and the queue know.
+	inForce int
+	// inFlight counts the attempts of this instance on the replica.
+	inFlight int
+	// open holds the requests whose steps run now, by call number, and lost
+	// those whose connection broke and whose verdict is open.
+	open map[uint64]poison.Fingerprint
+	lost map[uint64]poison.Fingerprint
 	// verdicts are waited for by steps that made no progress, by call number.
 	verdicts map[uint64]chan bool
 	// live ends when the open attempts on the replica are to end.
@@ -24,7 +35,14 @@
 }
 
 func newUpstream(in wire.Instance, h *health.Upstream) *upstream {
-	u := &upstream{instance: in, slots: defaultSlots, health: h, verdicts: map[uint64]chan bool{}}
+	u := &upstream{
+		instance: in,
+		health:   h,
+		limit:    limit.New(),
+		open:     map[uint64]poison.Fingerprint{},
+		lost:     map[uint64]poison.Fingerprint{},
+		verdicts: map[uint64]chan bool{},
+	}
 	u.revive()
 	return u
 }
@@ -38,6 +56,20 @@
 	return engine.Target{ID: u.instance.ID, Address: u.instance.Address}
 }
 
+// suspects returns the requests that were running when the replica crashed, and
+// forgets those whose connection broke.
+func (u *upstream) suspects() []poison.Fingerprint {
+	out := make([]poison.Fingerprint, 0, len(u.open)+len(u.lost))
+	for _, f := range u.lost {
+		out = append(out, f)
+	}
+	for _, f := range u.open {
+		out = append(out, f)
+	}
+	clear(u.lost)
+	return out
+}
+
 // usable tells whether the replica gets new work.
 func (u *upstream) usable() bool {
 	return u.health.Weight() > 0
