--- a/cmd/internal/load/figures_test.go
+++ b/cmd/internal/load/figures_test.go
@@ -226,6 +226,10 @@
 		"[scenario]\nmodel = m" + rest + "[other]\na = b":   {Section: "other"},
 		"[scenario]\nmodel = m\nfleet = none" + rest:        {Section: "scenario", Key: "fleet"},
 		"[scenario]\nmodel = m" + rest + "rate.f = 2000000": {Section: "scenario"},
+		"[scenario]\nmodel = m\nmax_in_flight = 0" + rest:   {Section: "scenario", Key: "max_in_flight"},
+		"[scenario]\nmodel = m" + rest + "[flow.g]\nworkspaces = w\nprompt_bytes = 9-99999999": {
+			Section: "flow.g", Key: "prompt_bytes",
+		},
 	} {
 		_, err := ParseScenario("x.ini", []byte(text))
 		var got *ParseError
@@ -261,3 +265,26 @@
 		}
 	}
 }
+
+// Whatever the bytes, a scenario is refused or can be scheduled.
+func FuzzParseScenario(f *testing.F) {
+	files, err := filepath.Glob("../../../scenarios/*.ini")
+	require.NoError(f, err)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Add([]byte("[scenario]\nmodel=m\n[workspace.w]\nkey=k\n[flow.f]\nworkspaces=w\n" +
+		"[phase.p]\nduration=1s\nrate.f=1e-300\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := ParseScenario("fuzz.ini", data)
+		if err != nil || s.Arrivals() > 10_000 || s.promptBytes() > 1<<20 {
+			return
+		}
+		for _, a := range s.schedule() {
+			require.NotEmpty(t, a.workspace)
+			require.LessOrEqual(t, a.at, s.Duration()+maxRepeatDelay)
+		}
+	})
+}
--- a/cmd/internal/load/parse.go
+++ b/cmd/internal/load/parse.go
@@ -18,7 +18,10 @@
 	defaultMaxInFlight = 2000
 	// maxArrivals bounds the requests of a run, whose samples are kept.
 	maxArrivals = 1_000_000
-	ratePrefix  = "rate."
+	// maxPromptBytes bounds one prompt, maxTotalBytes all prompts of a run.
+	maxPromptBytes = 64 << 10
+	maxTotalBytes  = 1 << 30
+	ratePrefix     = "rate."
 )
 
 // ParseError is an invalid scenario.
@@ -147,6 +150,12 @@
 	if s.Arrivals() > maxArrivals {
 		return fail("scenario", "", "%.0f arrivals are over the limit of %d", s.Arrivals(), maxArrivals)
 	}
+	if s.MaxInFlight < 1 {
+		return fail("scenario", "max_in_flight", "must be above 0")
+	}
+	if s.Timeout <= 0 {
+		return fail("scenario", "timeout", "must be above 0")
+	}
 	if _, known := fleets[s.Fleet]; s.Fleet != "" && !known {
 		return fail("scenario", "fleet", "unknown fleet %q", s.Fleet)
 	}
@@ -159,16 +168,38 @@
 		return fail("phase", "", "at least one phase is needed")
 	}
 	for _, p := range s.Phases {
-		if p.Duration <= 0 {
-			return fail("phase."+p.Name, "duration", "must be above 0")
+		if key, reason := s.checkPhase(p); reason != "" {
+			return fail("phase."+p.Name, key, "%s", reason)
 		}
+	}
+	if s.promptBytes() > maxTotalBytes {
+		return fail("scenario", "", "all prompts together are over %d bytes", maxTotalBytes)
+	}
+	return nil
+}
+
+func (s *Scenario) checkPhase(p Phase) (key, reason string) {
+	if p.Duration <= 0 {
+		return "duration", "must be above 0"
+	}
+	for _, r := range p.Rates {
+		if s.flow(r.Flow) == nil {
+			return ratePrefix + r.Flow, "no such flow"
+		}
+	}
+	return "", ""
+}
+
+// promptBytes returns the most bytes that the prompts of a run are expected to
+// take.
+func (s *Scenario) promptBytes() float64 {
+	n := 0.0
+	for _, p := range s.Phases {
 		for _, r := range p.Rates {
-			if s.flow(r.Flow) == nil {
-				return fail("phase."+p.Name, ratePrefix+r.Flow, "no such flow")
-			}
+			n += r.PerSecond * p.Duration.Seconds() * float64(s.flow(r.Flow).PromptBytes.Max)
 		}
 	}
-	return nil
+	return n
 }
 
 func (s *Scenario) checkFlow(f *Flow) (key, reason string) {
@@ -182,8 +213,12 @@
 		return "service", "is needed for this kind"
 	case (f.Kind == Chat || f.Kind == Text) && s.Model == "":
 		return "kind", "the scenario names no model"
-	case f.MaxTokens.Min < 1 || f.PromptBytes.Min < 1:
-		return "max_tokens", "lengths must be above 0"
+	case f.MaxTokens.Min < 1:
+		return "max_tokens", "must be above 0"
+	case f.PromptBytes.Min < 1 || f.PromptBytes.Max > maxPromptBytes:
+		return "prompt_bytes", fmt.Sprintf("must lie between 1 and %d", maxPromptBytes)
+	case f.Repeat > 1:
+		return "repeat", "must be at most 1"
 	}
 	for _, share := range f.Shares {
 		if s.key(share.Workspace) == "" {
--- a/cmd/internal/load/schedule.go
+++ b/cmd/internal/load/schedule.go
@@ -59,10 +59,11 @@
 	end := start + s.Phases[phase].Duration
 	at := start
 	for rate > 0 {
-		at += time.Duration(source.ExpFloat64() / rate * float64(time.Second))
-		if at >= end {
+		wait := source.ExpFloat64() / rate
+		if wait >= (end - at).Seconds() {
 			break
 		}
+		at += time.Duration(wait * float64(time.Second))
 		a := f.draw(source, phase, at)
 		if f.Kind == Order {
 			a.orderKey = fmt.Sprintf("%s-%s-%d", s.Phases[phase].Name, f.Name, len(out))
