--- a/cmd/internal/report/report_test.go
+++ b/cmd/internal/report/report_test.go
@@ -45,6 +45,7 @@
 // The page holds every result, its plots and its alarms, and the JSON files
 // hold all figures.
 func TestWrite(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	first, second := resultOf("before <b>", 2000), resultOf("after/all", 1000)
 	require.NoError(t, Write(dir, first, second))
--- a/cmd/internal/report/smoke_test.go
+++ b/cmd/internal/report/smoke_test.go
@@ -53,5 +53,14 @@
 }
 
 func TestSmokeModels(t *testing.T) {
+	t.Parallel()
 	requireSound(t, runSmoke(t, func(f *load.Flow) bool { return f.Kind == load.Chat || f.Kind == load.Text }))
 }
+
+// Orders, half of them sent again through the other instance, are recorded once.
+func TestSmokeOrders(t *testing.T) {
+	t.Parallel()
+	result := runSmoke(t, func(f *load.Flow) bool { return f.Kind == load.Order || f.Kind == load.Query })
+	requireSound(t, result)
+	require.Positive(t, result.Checks.OrdersRecorded)
+}
