Operations page with generated settings reference, and fuzz targets with corpora

The settings table is made from the table that the program reads; reference-check fails on a changed line (tried) and on a missing marker (tried). fuzz-corpus fails when a target has no corpus (tried by moving one away). make fuzz: 3 s a target, three targets, about 150,000 to 200,000 executions each, no failure.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export GOBIN := $(CURDIR)/bin
 export CGO_ENABLED := 1
 
-.PHONY: all build test race lint fmt fmt-check fuzz tools proto dev tidy check slopes
+.PHONY: all build test race lint fmt fmt-check fuzz fuzz-corpus reference reference-check tools proto dev tidy check slopes
 
 all: build test
 
@@ -22,6 +22,48 @@
 test:
 	go test -race -timeout 15m $(PACKAGES)
 
+# Every fuzz target as file:name, one a line.
+FUZZ_TARGETS := grep -rHo --include='*_test.go' '^func Fuzz[A-Za-z]*' $(MODULES) | sed 's/func //'
+
+# Runs the fuzzing engine for FUZZ_TIME on each target. What it finds depends on
+# the machine and its load, so that the CI runs only fuzz-corpus.
+fuzz:
+	@$(FUZZ_TARGETS) | while IFS=: read -r file name; do \
+		go test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME) "./$$(dirname "$$file")" </dev/null || exit 1; \
+	done
+
+# Runs the committed corpus of each target, which must not be empty.
+fuzz-corpus:
+	@$(FUZZ_TARGETS) | while IFS=: read -r file name; do \
+		dir="$$(dirname "$$file")"; \
+		test -n "$$(ls "$$dir/testdata/fuzz/$$name" 2>/dev/null)" || { echo "$$dir: no corpus for $$name"; exit 1; }; \
+		go test -count=1 -run "^$$name\$$" "./$$dir" </dev/null || exit 1; \
+	done
+
+# Prints docs/OPERATIONS.md with the present settings between its two markers,
+# and fails when a marker is missing.
+OPERATIONS := docs/OPERATIONS.md
+WITH_SETTINGS = awk -v table=bin/settings.md ' \
+	/^<!-- settings: begin -->$$/ { print; while ((getline line < table) > 0) print line; skip = 1; begin = 1 } \
+	/^<!-- settings: end -->$$/ { skip = 0; end = begin } \
+	!skip { print } \
+	END { exit !end }' $(OPERATIONS)
+
+bin/settings.md: FORCE
+	@mkdir -p bin
+	@go run ./cmd/masticbank settings > $@
+
+.PHONY: FORCE
+FORCE:
+
+reference: bin/settings.md
+	$(WITH_SETTINGS) > bin/operations.md
+	cp bin/operations.md $(OPERATIONS)
+
+reference-check: bin/settings.md
+	@$(WITH_SETTINGS) > bin/operations.md || { echo "$(OPERATIONS): a settings marker is missing"; exit 1; }
+	@diff -u $(OPERATIONS) bin/operations.md || { echo "$(OPERATIONS) is out of date: run make reference"; exit 1; }
+
 tools:
 	go install mvdan.cc/gofumpt@$(GOFUMPT_VERSION)
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
@@ -45,4 +87,4 @@
 tidy:
 	@for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
 
-check: fmt-check lint build test
+check: fmt-check lint build test fuzz-corpus reference-check
