--- a/cmd/masticctl/main.go
+++ b/cmd/masticctl/main.go
@@ -19,6 +19,7 @@
 	Drain    drainCmd    `cmd:"" help:"Stop new work to an upstream."`
 	LogLevel logLevelCmd `cmd:"" help:"Change the log level of an instance."`
 	Standin  standinCmd  `cmd:"" help:"Serve stand-ins of the upstreams and the platform on loopback ports."`
+	Load     loadCmd     `cmd:"" help:"Send load from a scenario and report what came back."`
 	Dev      devCmd      `cmd:"" help:"Run stand-ins and one entry instance in this process."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- a/cmd/masticctl/standin.go
+++ b/cmd/masticctl/standin.go
@@ -51,7 +51,7 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
-	return report(f)
+	return checkFleet(f)
 }
 
 var fleets = map[string]func() fleet.Spec{
@@ -60,9 +60,9 @@
 	"apuntador": fleet.Apuntador,
 }
 
-// report fails when an engine saw a step out of order or a service recorded an
+// checkFleet fails when an engine saw a step out of order or a service recorded an
 // order twice.
-func report(f *fleet.Fleet) error {
+func checkFleet(f *fleet.Fleet) error {
 	violations := f.Violations()
 	for _, v := range violations {
 		fmt.Printf("violation: %+v\n", v)
--- a/node/api/completion.go
+++ b/node/api/completion.go
@@ -133,6 +133,8 @@
 		t.started = true
 		t.w.Header().Set("Content-Type", "text/event-stream")
 		t.w.Header().Set("Cache-Control", "no-store")
+		// The first token proves that the request ran.
+		t.w.Header().Set(HeaderExecution, execution.Ran.String())
 		t.w.WriteHeader(http.StatusOK)
 	}
 	if err := t.answer.WriteChunk(t.w, tok.Text, tok.Finish); err != nil {
