--- a/cmd/internal/load/text.go
+++ b/cmd/internal/load/text.go
@@ -5,22 +5,28 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // WriteText prints a table with one line for each phase and rank.
-func (r *Result) WriteText(w io.Writer) {
-	fmt.Fprintf(w, "%-14s %-8s %8s %8s %9s %9s %9s %9s %9s\n",
+func (r *Result) WriteText(out io.Writer) error {
+	var w strings.Builder
+	fmt.Fprintf(&w, "%-14s %-8s %8s %8s %9s %9s %9s %9s %9s\n",
 		"phase", "rank", "requests", "in time", "tokens/s", "first p50", "first p95", "token p95", "total p95")
 	for _, p := range r.Phases {
-		writePhase(w, &p)
+		writePhase(&w, &p)
 	}
 	if c := r.Checks; c != nil {
-		fmt.Fprintf(w, "checks: %+v\n", *c)
+		fmt.Fprintf(&w, "checks: %+v\n", *c)
 	}
+	_, err := io.WriteString(out, w.String())
+	return trace.Wrap(err)
 }
 
-func writePhase(w io.Writer, p *PhaseResult) {
+func writePhase(w *strings.Builder, p *PhaseResult) {
 	s := &p.Summary
 	writeGroup(w, p.Name, "all", &s.All)
 	for _, rank := range slices.Sorted(maps.Keys(s.Ranks)) {
@@ -33,7 +39,7 @@
 	}
 }
 
-func writeGroup(w io.Writer, phase, rank string, g *Group) {
+func writeGroup(w *strings.Builder, phase, rank string, g *Group) {
 	fmt.Fprintf(w, "%-14s %-8s %8d %8d %9.1f %9s %9s %9s %9s\n", phase, rank, g.Requests, g.InTime, g.GoodputTokensPerSecond,
 		micros(g.FirstToken.P50), micros(g.FirstToken.P95), micros(g.BetweenTokens.P95), micros(g.Total.P95))
 }
--- a/cmd/masticctl/load.go
+++ b/cmd/masticctl/load.go
@@ -47,7 +47,9 @@
 	if err := report.Write(c.Report, res); err != nil {
 		return err
 	}
-	res.WriteText(os.Stdout)
+	if err := res.WriteText(os.Stdout); err != nil {
+		return err
+	}
 	fmt.Printf("report: %s/report.html\n", c.Report)
 	if defects := res.Defects(); len(defects) > 0 {
 		return fmt.Errorf("defects: %s", strings.Join(defects, "; "))
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -25,8 +25,9 @@
 	// the next one.
 	reportMaxAge = 5 * time.Second
 	// slowdownAllowed is the growth of step times, relative to the fastest window,
-	// that fuller batches explain.
-	slowdownAllowed = 2
+	// that a busy replica explains: a step waits for the batch under way, which
+	// doubles its time, and fuller batches double it again.
+	slowdownAllowed = 4
 	// maxUnmoved is the number of windows in a row in which a lower limit did not
 	// make steps faster, after which the replica's pace itself is taken to have
 	// changed, as by longer contexts.
@@ -86,9 +87,10 @@
 	return int(l.limit)
 }
 
-// Report takes a load report: the steps waiting for a slot, and the slots, 0 when
+// Report takes a load report: the sequences held, the steps waiting for a slot,
+// and the slots, 0 when
 // unknown. The first report of slots sets the limit to them.
-func (l *Limiter) Report(now time.Time, waiting, slots int) {
+func (l *Limiter) Report(now time.Time, running, waiting, slots int) {
 	l.window.open(now)
 	if slots > 0 && l.slots == 0 {
 		l.limit = float64(slots)
@@ -97,7 +99,10 @@
 		l.slots = slots
 	}
 	l.window.reported = true
-	l.window.waiting = l.window.waiting || waiting > 0
+	// Steps that wait while all slots are held only show that several instances
+	// dispatched at once.
+	full := slots > 0 && running >= slots
+	l.window.waiting = l.window.waiting || waiting > 0 && !full
 	l.reportedAt = now
 	l.set(l.limit)
 	l.close(now)
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -62,7 +62,7 @@
 			if e.tells {
 				slots = e.slots
 			}
-			l.Report(e.now, e.waiting[len(e.waiting)-reportTicks], slots)
+			l.Report(e.now, min(held, e.slots), e.waiting[len(e.waiting)-reportTicks], slots)
 		}
 		o.used += min(float64(held)/float64(e.slots), 1) / float64(ticks)
 		o.beyond += max(float64(held)/float64(e.slots)-1, 0) / float64(ticks)
@@ -117,7 +117,7 @@
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				slots = max(slots, rapid.IntRange(0, 40).Draw(t, "slots"))
-				l.Report(now, rapid.IntRange(0, 1).Draw(t, "waiting"), slots)
+				l.Report(now, rapid.IntRange(0, 10).Draw(t, "running"), rapid.IntRange(0, 1).Draw(t, "waiting"), slots)
 			case 1:
 				l.Refused(now)
 			default:
@@ -133,7 +133,7 @@
 // However many refusals one moment brings, they lower the first report's limit once.
 func TestRefusalsOfOneMomentCountOnce(t *testing.T) {
 	l := New()
-	l.Report(start, 0, 40)
+	l.Report(start, 0, 0, 40)
 	require.Equal(t, 40, l.Limit())
 	for range 100 {
 		l.Refused(start.Add(windowTime))
@@ -145,13 +145,13 @@
 // by a report.
 func feed(l *Limiter, waiting int, windows ...int) {
 	now := start
-	l.Report(now, 0, 100)
+	l.Report(now, 0, 0, 100)
 	for _, took := range windows {
 		for range windowSamples + 1 {
 			now = now.Add(windowTime / windowSamples)
 			l.Observe(now, Decode, 100, time.Duration(took)*time.Millisecond)
 		}
-		l.Report(now, waiting, 100)
+		l.Report(now, 50, waiting, 100)
 	}
 }
 
@@ -168,7 +168,7 @@
 // The limit rises without reports once these stop, and only while it is used.
 func TestLimitRises(t *testing.T) {
 	used, unused := New(), New()
-	used.Report(start, 0, 0)
+	used.Report(start, 0, 0, 0)
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * tick)
 		used.Observe(now, Decode, used.Limit(), time.Millisecond)
@@ -177,3 +177,15 @@
 	require.Greater(t, used.Limit(), 2*initial)
 	require.Equal(t, initial, unused.Limit())
 }
+
+// TestWaitingWhileFullKeepsTheLimit reports steps that wait although every slot
+// is held, as when several instances dispatch to one replica at once.
+func TestWaitingWhileFullKeepsTheLimit(t *testing.T) {
+	l := New()
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * windowTime)
+		l.Report(now, 8, 3, 8)
+		l.Observe(now, Decode, 8, 20*time.Millisecond)
+	}
+	require.Equal(t, 8, l.Limit())
+}
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -182,7 +182,7 @@
 	if r.Leaving {
 		p.step(u, health.Leaving{Source: health.FromUpstream})
 	}
-	u.limit.Report(time.Now(), r.Waiting, r.Slots)
+	u.limit.Report(time.Now(), r.Running, r.Waiting, r.Slots)
 	p.updateLimit(u)
 }
 
