Placement of layers on engines: target states decided as pure code

A Planner compares what the engines hold with the wanted models and returns orders that carry the whole target state and the epoch. Fewest loads come from a shortest augmenting path over layer boundaries, checked against trying all sets of loads. Property tests cover lost ranges, version changes, lost orders, changed demand and an old holder that wakes at any step, with engines that fence and engines that do not.

--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,410 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/capacity"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+const (
+	layers   = 12
+	maxSteps = 300
+)
+
+// fleet is a set of simulated engines.
+type fleet struct {
+	engines []Engine
+	left    []int // steps until the load ends, by engine
+	models  []Model
+	max     int
+}
+
+// draw returns replicas of three ranges for two models and some spare engines.
+func draw(t *rapid.T, fencing func() bool) *fleet {
+	f := &fleet{max: rapid.IntRange(1, 3).Draw(t, "maxLoads")}
+	for _, name := range []string{"a", "b"} {
+		replicas := rapid.IntRange(2, 4).Draw(t, "replicas")
+		demand := rapid.IntRange(1, 8*(replicas-1)).Draw(t, "demand")
+		f.models = append(f.models, Model{Name: name, Version: "1", Layers: layers, Demand: demand})
+		for i := range replicas {
+			for _, r := range [][2]int{{0, 3}, {4, 8}, {9, 11}} {
+				f.add(fmt.Sprintf("%s%d-%d", name, r[0], i), Assignment{name, "1", r[0], r[1]}, fencing())
+			}
+		}
+	}
+	for i := range rapid.IntRange(3, 5).Draw(t, "spare") {
+		f.add(fmt.Sprint("spare", i), Assignment{"idle", "1", 0, 4}, fencing())
+	}
+	return f
+}
+
+func (f *fleet) add(id string, held Assignment, fencing bool) {
+	f.engines = append(f.engines, Engine{ID: id, Held: held, Live: true, Units: 8, Fencing: fencing})
+	f.left = append(f.left, 0)
+}
+
+func (f *fleet) read(epoch uint64) Input {
+	return Input{Epoch: epoch, Engines: slices.Clone(f.engines), Models: f.models, MaxLoads: f.max}
+}
+
+func (f *fleet) index(id string) int {
+	return slices.IndexFunc(f.engines, func(e Engine) bool { return e.ID == id })
+}
+
+// deliver hands an order to its engine and tells whether the engine took it.
+func (f *fleet) deliver(t *rapid.T, o Order) bool {
+	i := f.index(o.Engine)
+	e := &f.engines[i]
+	if !e.Live || (e.Fencing && o.Fence < e.Fence) {
+		return false
+	}
+	e.Fence = max(e.Fence, o.Fence)
+	if e.Held != o.Target {
+		e.Held, e.Loading = o.Target, true
+		f.left[i] = rapid.IntRange(1, 4).Draw(t, "loadSteps")
+	}
+	return true
+}
+
+// tick lets one step of all loads pass.
+func (f *fleet) tick() {
+	for i := range f.engines {
+		f.left[i] = max(0, f.left[i]-1)
+		f.engines[i].Loading = f.left[i] > 0
+	}
+}
+
+func (f *fleet) loading() int {
+	n := 0
+	for _, e := range f.engines {
+		if e.Loading {
+			n++
+		}
+	}
+	return n
+}
+
+// served returns what the engines carry of a model, over all versions.
+func (f *fleet) served(model string) int {
+	edges := map[string][]capacity.Edge{}
+	for _, e := range f.engines {
+		if e.Held.Model == model && e.usable() {
+			edges[e.Held.Version] = append(edges[e.Held.Version], capacity.Edge{First: e.Held.First, Last: e.Held.Last, Units: e.units()})
+		}
+	}
+	total := 0
+	for _, version := range edges {
+		total += capacity.Max(layers, version)
+	}
+	return total
+}
+
+// ofOneVersion returns what the engines would carry of a model if none were
+// loading and all had one version.
+func (f *fleet) ofOneVersion(model string) int {
+	same := &fleet{engines: slices.Clone(f.engines)}
+	for i := range same.engines {
+		same.engines[i].Loading = false
+		same.engines[i].Held.Version = ""
+	}
+	return same.served(model)
+}
+
+// deliverAll hands over the orders of one plan, some of which are lost, and
+// requires that no model loses what it must keep.
+func (f *fleet) deliverAll(t *rapid.T, orders []Order, lossy bool) {
+	for _, o := range orders {
+		if lossy && rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+			continue
+		}
+		before, whole := map[string]int{}, map[string]int{}
+		for _, m := range f.models {
+			before[m.Name], whole[m.Name] = f.served(m.Name), f.ofOneVersion(m.Name)
+		}
+		held := f.engines[f.index(o.Engine)].Held
+		f.deliver(t, o)
+		for _, m := range f.models {
+			keep := DefaultTerms().RollShare * float64(min(m.Demand, whole[m.Name]))
+			if o.Reason == ReasonShortage && held.Model == m.Name && held.Version == m.Version {
+				keep = DefaultTerms().Slack * float64(m.Demand)
+			}
+			floor := min(before[m.Name], max(1, int(keep)))
+			require.GreaterOrEqual(t, f.served(m.Name), floor, "%s after %+v", m.Name, o)
+		}
+		require.LessOrEqual(t, f.loading(), f.max)
+	}
+}
+
+// run steps until nothing changes any more and returns the last plan.
+func (f *fleet) run(t *rapid.T, p *Planner, epoch uint64) Plan {
+	for range maxSteps {
+		plan := p.Step(f.read(epoch))
+		if len(plan.Orders) == 0 && plan.Loading == 0 {
+			return plan
+		}
+		f.deliverAll(t, plan.Orders, true)
+		f.tick()
+	}
+	require.Fail(t, "the orders do not end")
+	return Plan{}
+}
+
+func (f *fleet) requireWanted(t *rapid.T, p *Planner, last Plan) {
+	require.Empty(t, last.Short)
+	require.Zero(t, last.Outdated)
+	for _, e := range f.engines {
+		if target, ok := p.Target(e.ID); ok && e.Live {
+			require.Equal(t, target, e.Held)
+		}
+	}
+	for _, m := range f.models {
+		require.GreaterOrEqual(t, f.served(m.Name), m.Demand)
+	}
+}
+
+// crashRange ends all engines of one range of model a and of no other.
+func (f *fleet) crashRange(first int) {
+	for i := range f.engines {
+		if e := &f.engines[i]; e.Held.Model == "a" && e.Held.First == first {
+			e.Live = false
+		}
+	}
+}
+
+// A lost range comes back, a version change goes through, at most MaxLoads
+// engines load at once and no order takes away what a model must keep.
+func TestConvergesAndKeepsServing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := draw(t, func() bool { return false })
+		p := New(DefaultTerms())
+		require.Empty(t, p.Step(f.read(1)).Orders, "a fleet that carries its demand is left alone")
+		if rapid.Bool().Draw(t, "crash") {
+			f.crashRange(rapid.SampledFrom([]int{0, 4, 9}).Draw(t, "range"))
+			f.models[0].Demand = min(f.models[0].Demand, 8)
+		}
+		if rapid.Bool().Draw(t, "newVersion") {
+			f.models[rapid.IntRange(0, 1).Draw(t, "model")].Version = "2"
+		}
+		for range rapid.IntRange(0, 6).Draw(t, "before") {
+			f.deliverAll(t, p.Step(f.read(1)).Orders, true)
+			f.tick()
+		}
+		if rapid.Bool().Draw(t, "back") {
+			f.models[0].Version = "1"
+		}
+		f.requireWanted(t, p, f.run(t, p, 1))
+	})
+}
+
+// With few spare engines and changing demand the shortfalls only shrink while the
+// demand is steady, and the orders end.
+func TestShortfallsShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := draw(t, func() bool { return false })
+		f.engines = f.engines[:len(f.engines)-rapid.IntRange(0, 3).Draw(t, "fewer")]
+		p := New(DefaultTerms())
+		for range rapid.IntRange(1, 4).Draw(t, "demands") {
+			for i := range f.models {
+				f.models[i].Demand = rapid.IntRange(1, 48).Draw(t, "demand")
+			}
+			f.engines[rapid.IntRange(0, len(f.engines)-1).Draw(t, "crashed")].Live = rapid.Bool().Draw(t, "back")
+			f.models[0].Version = rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")
+			f.requireShrinking(t, p, rapid.IntRange(1, 20).Draw(t, "steps"))
+		}
+		require.Empty(t, f.requireShrinking(t, p, maxSteps).Orders, "the orders do not end")
+	})
+}
+
+// requireShrinking steps until nothing changes any more, at most steps times.
+func (f *fleet) requireShrinking(t *rapid.T, p *Planner, steps int) (plan Plan) {
+	last := math.MaxInt
+	for range steps {
+		plan = p.Step(f.read(1))
+		sum := 0
+		for _, s := range plan.Short {
+			sum += s.Demand - s.Planned
+		}
+		require.LessOrEqual(t, sum, last)
+		last = sum
+		if len(plan.Orders) == 0 && plan.Loading == 0 {
+			break
+		}
+		f.deliverAll(t, plan.Orders, false)
+		f.tick()
+	}
+	return plan
+}
+
+// Demand that swings by less than the slack moves no engine to and fro.
+func TestSwingingDemandMovesNothing(t *testing.T) {
+	f := &fleet{max: 3, models: []Model{{Name: "a", Version: "1", Layers: layers}, {Name: "b", Version: "1", Layers: layers}}}
+	for i, model := range []string{"a", "a", "a", "b", "b", "b"} {
+		for _, r := range [][2]int{{0, 3}, {4, 8}, {9, 11}} {
+			f.add(fmt.Sprint(model, i, r), Assignment{model, "1", r[0], r[1]}, false)
+		}
+	}
+	p := New(DefaultTerms())
+	for round := range 20 {
+		f.models[round%2].Demand, f.models[1-round%2].Demand = 14, 26
+		require.Empty(t, p.Step(f.read(1)).Orders)
+	}
+}
+
+// While the other replicas of its ranges load, a model with much slack gives none
+// of the engines that serve.
+func TestServingEnginesStayWhileOthersLoad(t *testing.T) {
+	f := &fleet{max: 9, models: []Model{{Name: "a", Version: "1", Layers: layers}, {Name: "b", Version: "1", Layers: layers, Demand: 8}}}
+	for i, model := range []string{"a", "a", "b"} {
+		for _, r := range [][2]int{{0, 3}, {4, 8}, {9, 11}} {
+			f.add(fmt.Sprint(model, i, r), Assignment{model, "1", r[0], r[1]}, false)
+			f.engines[len(f.engines)-1].Loading = i == 1
+		}
+	}
+	f.engines[6].Live = false
+	require.Empty(t, New(DefaultTerms()).Step(f.read(1)).Orders)
+}
+
+// An engine that a late order has put to use is not ordered back.
+func TestLateOrderThatIsOfUseStays(t *testing.T) {
+	f := &fleet{max: 1, models: []Model{{Name: "a", Version: "1", Layers: 9}}}
+	f.add("x", Assignment{"a", "1", 0, 3}, false)
+	f.add("y", Assignment{"a", "1", 4, 8}, false)
+	f.add("z", Assignment{"idle", "1", 0, 4}, false)
+	p := New(DefaultTerms())
+	require.Empty(t, p.Step(f.read(1)).Orders)
+	f.engines[2].Held = Assignment{"a", "1", 4, 8}
+	f.engines[1].Live = false
+	require.Empty(t, p.Step(f.read(1)).Orders)
+}
+
+// A holder that held the duty before keeps no targets from then.
+func TestNewEpochStartsFromWhatIsHeld(t *testing.T) {
+	f := &fleet{max: 1}
+	f.add("x", Assignment{"a", "1", 0, 3}, false)
+	p := New(DefaultTerms())
+	require.Empty(t, p.Step(f.read(1)).Orders)
+	f.engines[0].Held = Assignment{"a", "1", 4, 8}
+	require.Empty(t, p.Step(f.read(3)).Orders)
+}
+
+// The old holder is paused at any step; its orders arrive at any later time, some
+// of them twice.
+func TestOldHolderWakes(t *testing.T) {
+	for _, name := range []string{"fencing", "ignoring", "mixed"} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				f := draw(t, func() bool { return name == "fencing" || (name == "mixed" && rapid.Bool().Draw(t, "fences")) })
+				checkOldHolder(t, f)
+			})
+		})
+	}
+}
+
+func checkOldHolder(t *rapid.T, f *fleet) {
+	older, newer := New(DefaultTerms()), New(DefaultTerms())
+	f.models[0].Version = "2"
+	var late []Order
+	for range rapid.IntRange(1, 10).Draw(t, "older") {
+		orders := older.Step(f.read(1)).Orders
+		late = append(late, orders...)
+		f.deliverAll(t, orders, true)
+		f.tick()
+	}
+	f.models[0].Version = rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "wanted")
+	for round := range rapid.IntRange(1, 12).Draw(t, "newer") {
+		for _, o := range newer.Step(f.read(2)).Orders {
+			f.deliver(t, o)
+		}
+		for range rapid.IntRange(0, min(len(late), 3)).Draw(t, "wakes") {
+			o := rapid.SampledFrom(late).Draw(t, "late")
+			taken := f.deliver(t, o)
+			require.False(t, taken && f.engines[f.index(o.Engine)].Fencing, "round %d: a late order was taken", round)
+		}
+		f.tick()
+	}
+	last := Plan{}
+	for range maxSteps {
+		last = newer.Step(f.read(2))
+		if len(last.Orders) == 0 && last.Loading == 0 {
+			break
+		}
+		for _, o := range last.Orders {
+			f.deliver(t, o)
+		}
+		f.tick()
+	}
+	require.Empty(t, last.Orders)
+	f.requireWanted(t, newer, last)
+}
+
+// The search finds as few loads as trying all sets of loads does.
+func TestSearchFindsFewestLoads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(t, "layers")
+		s := newSearch(boundaries(n, []Assignment{{First: 1, Last: 1}, {First: 2, Last: 2}}))
+		var have, candidates []capacity.Edge
+		for first := range n {
+			for last := first; last < n; last++ {
+				a := Assignment{First: first, Last: last}
+				if units := rapid.IntRange(0, 2).Draw(t, "units"); units > 0 {
+					s.addUnits(a, units)
+					have = append(have, capacity.Edge{First: first, Last: last, Units: units})
+				}
+				if rapid.Bool().Draw(t, "candidate") {
+					s.setCost(a, costMove)
+					candidates = append(candidates, capacity.Edge{First: first, Last: last, Units: 1})
+				}
+			}
+		}
+		costs := s.cost
+		s.cost = newSearch(s.cuts).cost
+		s.saturate()
+		s.cost = costs
+		require.Len(t, s.cheapest(&Model{}), fewest(n, have, candidates))
+	})
+}
+
+// fewest is the size of the smallest set of candidates that raises the flow, 0
+// when there is none.
+func fewest(n int, have, candidates []capacity.Edge) int {
+	best := 0
+	base := capacity.Max(n, have)
+	for set := range 1 << len(candidates) {
+		all := slices.Clone(have)
+		for i, c := range candidates {
+			if set>>i&1 == 1 {
+				all = append(all, c)
+			}
+		}
+		size := len(all) - len(have)
+		if (best == 0 || size < best) && capacity.Max(n, all) > base {
+			best = size
+		}
+	}
+	return best
+}
+
+func TestLimitFollowsRefusals(t *testing.T) {
+	l := NewLimit(4)
+	l.Refused(2)
+	require.Equal(t, 2, l.Value())
+	l.Finished()
+	require.Equal(t, 2, l.Value())
+	l.Finished()
+	require.Equal(t, 3, l.Value())
+	l.Refused(0)
+	require.Equal(t, 1, l.Value())
+	for range 20 {
+		l.Finished()
+	}
+	require.Equal(t, 4, l.Value())
+}
--- /dev/null
+++ b/core/placement/view.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"masticbank.example/core/capacity"
+)
+
+// view is the state of one decision: what the engines hold and what they are to
+// hold with the changes decided so far.
+type view struct {
+	terms   Terms
+	epoch   uint64
+	engines []Engine
+	models  map[string]*Model
+	names   []string
+	target  []Assignment // by engine index
+	// held holds the units that can serve now, planned those that are to.
+	held    tally
+	planned tally
+	// reach is the longest range that each kind of accelerator holds.
+	reach map[string]int
+
+	loading int
+	budget  int
+	changes []Order
+	changed map[string]bool
+}
+
+// tally holds the units of each assignment.
+type tally map[Assignment]int
+
+func (t tally) add(a Assignment, units int) {
+	t[a] += units
+	if t[a] == 0 {
+		delete(t, a)
+	}
+}
+
+func newView(terms Terms, in Input, targets map[string]Assignment) *view {
+	v := &view{
+		terms: terms, epoch: in.Epoch, engines: in.Engines,
+		models: map[string]*Model{}, target: make([]Assignment, len(in.Engines)),
+		held: tally{}, planned: tally{}, reach: map[string]int{}, changed: map[string]bool{},
+	}
+	for i := range in.Engines {
+		v.addEngine(i, targets)
+	}
+	for _, m := range in.Models {
+		if m.Version == "" {
+			m.Version = v.commonVersion(m.Name)
+		}
+		if m.Version != "" && m.Layers > 0 {
+			v.models[m.Name] = &m
+		}
+	}
+	v.names = slices.Sorted(maps.Keys(v.models))
+	v.budget = max(0, in.MaxLoads-v.loading)
+	return v
+}
+
+func (v *view) addEngine(i int, targets map[string]Assignment) {
+	e := &v.engines[i]
+	v.target[i] = e.Held
+	if t, known := targets[e.ID]; known {
+		v.target[i] = t
+	}
+	unread := !e.Live && v.target[i] != e.Held
+	if e.Loading || unread {
+		v.loading++
+	}
+	v.reach[e.Accelerator] = max(v.reach[e.Accelerator], e.Held.layers(), v.target[i].layers())
+	if e.usable() {
+		v.held.add(e.Held, e.units())
+	}
+	if e.Live && !e.Leaving {
+		v.planned.add(v.target[i], e.units())
+	}
+}
+
+// commonVersion returns the version of the model with the most units planned,
+// the highest of equal ones.
+func (v *view) commonVersion(model string) string {
+	units := map[string]int{}
+	for a, n := range v.planned {
+		if a.Model == model {
+			units[a.Version] += n
+		}
+	}
+	best := ""
+	for _, version := range slices.Sorted(maps.Keys(units)) {
+		if best == "" || units[version] >= units[best] {
+			best = version
+		}
+	}
+	return best
+}
+
+func (v *view) setTarget(i int, a Assignment) {
+	e := &v.engines[i]
+	if e.Live && !e.Leaving {
+		v.planned.add(v.target[i], -e.units())
+		v.planned.add(a, e.units())
+	}
+	v.target[i] = a
+}
+
+// order changes the engine's target and counts its load.
+func (v *view) order(i int, target Assignment, reason Reason) {
+	e := &v.engines[i]
+	if e.usable() {
+		v.held.add(e.Held, -e.units())
+	}
+	if !e.Loading {
+		v.budget--
+	}
+	v.setTarget(i, target)
+	v.changed[e.ID] = true
+	v.changes = append(v.changes, Order{Engine: e.ID, Fence: v.epoch, Target: target, Reason: reason})
+}
+
+// usable returns the units that the model can serve now, over all versions.
+func (v *view) usable(m *Model) int {
+	versions := map[string]tally{}
+	for a, units := range v.held {
+		if a.Model != m.Name {
+			continue
+		}
+		if versions[a.Version] == nil {
+			versions[a.Version] = tally{}
+		}
+		versions[a.Version][a] = units
+	}
+	total := 0
+	for _, t := range versions {
+		total += flow(m.Layers, slices.Collect(maps.Keys(t)), t)
+	}
+	return total
+}
+
+// plannedUnits returns the units that the wanted version is to serve.
+func (v *view) plannedUnits(m *Model) int {
+	var ranges []Assignment
+	for a := range v.planned {
+		if a.Model == m.Name && a.Version == m.Version {
+			ranges = append(ranges, a)
+		}
+	}
+	return flow(m.Layers, ranges, v.planned)
+}
+
+// allVersions returns the units that the model would serve if all its engines
+// had the same version.
+func (v *view) allVersions(m *Model) int {
+	var ranges []Assignment
+	for a := range v.planned {
+		if a.Model == m.Name {
+			ranges = append(ranges, a)
+		}
+	}
+	return flow(m.Layers, ranges, v.planned)
+}
+
+// usableWithout returns the units that the model of a usable engine can serve
+// without it.
+func (v *view) usableWithout(e *Engine) int {
+	v.held.add(e.Held, -e.units())
+	defer v.held.add(e.Held, e.units())
+	return v.usable(v.models[e.Held.Model])
+}
+
+func (v *view) rollFloor(m *Model) int {
+	need := min(m.demand(), v.allVersions(m))
+	return max(1, int(math.Ceil(v.terms.RollShare*float64(need))))
+}
+
+func (v *view) moveFloor(m *Model) int {
+	return max(1, int(math.Ceil(v.terms.Slack*float64(m.demand()))))
+}
+
+// mayTake tells whether the engine may load something else.
+func (v *view) mayTake(e *Engine) bool {
+	m, wanted := v.models[e.Held.Model]
+	if !wanted {
+		return true
+	}
+	if e.Held.Version != m.Version {
+		return v.usableWithout(e) >= min(v.usable(m), v.rollFloor(m))
+	}
+	floor := v.moveFloor(m)
+	if v.usableWithout(e) < min(v.usable(m), floor) {
+		return false
+	}
+	before := v.plannedUnits(m)
+	v.planned.add(e.Held, -e.units())
+	after := v.plannedUnits(m)
+	v.planned.add(e.Held, e.units())
+	return after >= min(before, floor)
+}
+
+// coverage returns the planned units of the layer of the range that has fewest.
+func (v *view) coverage(m *Model, r Assignment) int {
+	least := math.MaxInt
+	for layer := r.First; layer <= r.Last; layer++ {
+		units := 0
+		for a, n := range v.planned {
+			if a.Model == m.Name && a.Version == m.Version && a.First <= layer && layer <= a.Last {
+				units += n
+			}
+		}
+		least = min(least, units)
+	}
+	return least
+}
+
+// group is the first engine, by zone and ID, of those that hold the same and
+// have the same size.
+type group struct {
+	engine int
+	zones  int
+}
+
+type groupKey struct {
+	held        Assignment
+	units       int
+	accelerator string
+	zone        string
+}
+
+// groups returns one engine of every kind that could load something else, in a
+// steady order. Of the zones those come first that hold most of the assignment.
+func (v *view) groups() []group {
+	byKey := map[groupKey]*group{}
+	for i := range v.engines {
+		e := &v.engines[i]
+		if !e.usable() || v.changed[e.ID] || v.target[i] != e.Held {
+			continue
+		}
+		key := groupKey{held: e.Held, units: e.units(), accelerator: e.Accelerator, zone: e.Zone}
+		g := byKey[key]
+		if g == nil {
+			byKey[key] = &group{engine: i, zones: 1}
+			continue
+		}
+		g.zones++
+		if e.ID < v.engines[g.engine].ID {
+			g.engine = i
+		}
+	}
+	out := make([]group, 0, len(byKey))
+	for _, g := range byKey {
+		out = append(out, *g)
+	}
+	slices.SortFunc(out, func(a, b group) int {
+		return cmp.Or(cmp.Compare(b.zones, a.zones), cmp.Compare(v.engines[a.engine].ID, v.engines[b.engine].ID))
+	})
+	return out
+}
+
+// flow returns the units that exact tilings of the ranges carry. Layers between
+// which no range begins or ends are counted as one.
+func flow(layers int, ranges []Assignment, units tally) int {
+	cuts := boundaries(layers, ranges)
+	edges := make([]capacity.Edge, 0, len(ranges))
+	for _, a := range ranges {
+		first, ok1 := slices.BinarySearch(cuts, a.First)
+		next, ok2 := slices.BinarySearch(cuts, a.Last+1)
+		if ok1 && ok2 {
+			edges = append(edges, capacity.Edge{First: first, Last: next - 1, Units: units[a]})
+		}
+	}
+	return capacity.Max(len(cuts)-1, edges)
+}
+
+// boundaries returns 0, layers and all ends of the ranges between, sorted.
+func boundaries(layers int, ranges []Assignment) []int {
+	cuts := []int{0, layers}
+	for _, a := range ranges {
+		if a.First >= 0 && a.First < layers {
+			cuts = append(cuts, a.First)
+		}
+		if a.Last >= 0 && a.Last+1 < layers {
+			cuts = append(cuts, a.Last+1)
+		}
+	}
+	slices.Sort(cuts)
+	return slices.Compact(cuts)
+}
