Loader: orders engines to load models while the instance holds the duty

Reads all engines with bounded concurrency, checks the duty at the last moment before each order and reads back in the next round. Refusals lower the number of loads at once.

--- a/core/placement/extend.go
+++ b/core/placement/extend.go
@@ -9,6 +9,9 @@
 // maxSearches bounds the paths tried for one model in one decision.
 const maxSearches = 16
 
+// placeholder is the units of a range of a path whose engine is not known yet.
+const placeholder = 1
+
 // step is one load of a path that adds capacity.
 type step struct {
 	engine int
@@ -49,7 +52,10 @@
 		}
 	}()
 	for _, target := range path {
-		i := v.donor(m, target)
+		v.planned.add(target, placeholder)
+	}
+	for _, target := range path {
+		i := v.donor(m, target, before)
 		if i < 0 {
 			return nil, target
 		}
@@ -57,12 +63,10 @@
 		taken = append(taken, i)
 		v.changed[e.ID] = true
 		v.held.add(e.Held, -e.units())
+		v.planned.add(target, -placeholder)
 		v.setTarget(i, target)
 		steps = append(steps, step{engine: i, target: target, inPlace: sameRange(e.Held, target)})
 	}
-	if v.plannedUnits(m) <= before {
-		return nil, path[0]
-	}
 	return steps, Assignment{}
 }
 
@@ -72,8 +76,9 @@
 
 // donor returns the engine to load target, or -1: the old version of the same
 // range first, then engines without a wanted model, then the old version of
-// other ranges, other ranges, and other models.
-func (v *view) donor(m *Model, target Assignment) int {
+// other ranges, other ranges, and other models. before is what was planned for m
+// without the path.
+func (v *view) donor(m *Model, target Assignment, before int) int {
 	groups := v.groups()
 	slices.SortStableFunc(groups, func(a, b group) int {
 		return cmp.Compare(v.class(m, target, a), v.class(m, target, b))
@@ -83,7 +88,8 @@
 		if e.Held == target || v.reach[e.Accelerator] < target.layers() {
 			continue
 		}
-		if v.mayTake(e) {
+		own := e.Held.Model == m.Name && e.Held.Version == m.Version
+		if own && v.mayShift(m, e, before) || !own && v.mayTake(e) {
 			return g.engine
 		}
 	}
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -191,14 +191,27 @@
 		return v.usableWithout(e) >= min(v.usable(m), v.rollFloor(m))
 	}
 	floor := v.moveFloor(m)
-	if v.usableWithout(e) < min(v.usable(m), floor) {
-		return false
-	}
-	before := v.plannedUnits(m)
+	return v.keepsServing(m, e) && v.plannedWithout(e) >= min(v.plannedUnits(m), floor)
+}
+
+// mayShift tells whether an engine of the wanted version of m may go to another
+// range, so that more than before is planned with the rest of the path.
+func (v *view) mayShift(m *Model, e *Engine, before int) bool {
+	return v.keepsServing(m, e) && v.plannedWithout(e) > before
+}
+
+// keepsServing tells whether the model can do without the engine while that
+// loads.
+func (v *view) keepsServing(m *Model, e *Engine) bool {
+	return v.usableWithout(e) >= min(v.usable(m), v.moveFloor(m))
+}
+
+// plannedWithout returns the units that the model of an engine is to serve
+// without it.
+func (v *view) plannedWithout(e *Engine) int {
 	v.planned.add(e.Held, -e.units())
-	after := v.plannedUnits(m)
-	v.planned.add(e.Held, e.units())
-	return after >= min(before, floor)
+	defer v.planned.add(e.Held, e.units())
+	return v.plannedUnits(v.models[e.Held.Model])
 }
 
 // coverage returns the planned units of the layer of the range that has fewest.
--- /dev/null
+++ b/node/loader/loader_test.go
@@ -0,0 +1,179 @@
+package loader
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"masticbank.example/core/config"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	loadTime = 3 * time.Second
+	readTime = 10 * time.Millisecond
+)
+
+// engines is a fake of all engines. The embedded Client is nil: no other call is
+// expected.
+type engines struct {
+	engine.Client
+
+	mu     sync.Mutex
+	states map[string]wire.EngineState
+	orders []wire.Order
+	lost   int // next orders that take effect without an answer
+	gives  int // loads at once that the store gives; 0 means no bound
+	peak   int
+}
+
+func (e *engines) State(_ context.Context, t engine.Target) (*wire.EngineState, error) {
+	time.Sleep(readTime)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s, ok := e.states[t.ID]
+	if !ok {
+		return nil, &engine.CallError{Code: engine.CodeTimeout}
+	}
+	return &s, nil
+}
+
+func (e *engines) Order(_ context.Context, t engine.Target, o *wire.Order) (*wire.OrderResponse, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, *o)
+	if e.gives > 0 && e.loading() >= e.gives {
+		return nil, &engine.CallError{Proof: engine.ProofRefused, Code: wire.CodeOverloaded}
+	}
+	s := e.states[t.ID]
+	s.Model, s.Version, s.FirstLayer, s.LastLayer, s.Loading = o.Model, o.Version, o.FirstLayer, o.LastLayer, true
+	e.states[t.ID] = s
+	e.peak = max(e.peak, e.loading())
+	time.AfterFunc(loadTime, func() { e.loaded(t.ID) })
+	if e.lost > 0 {
+		e.lost--
+		return nil, &engine.CallError{Code: engine.CodeTimeout, Err: errors.New("answer lost")}
+	}
+	return &wire.OrderResponse{Accepted: true, Fence: o.Fence}, nil
+}
+
+func (e *engines) loaded(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.states[id]
+	s.Loading = false
+	e.states[id] = s
+}
+
+func (e *engines) loading() int {
+	n := 0
+	for _, s := range e.states {
+		if s.Loading {
+			n++
+		}
+	}
+	return n
+}
+
+// keeper holds the duty for a number of questions; below 0 for good.
+type keeper struct {
+	mu   sync.Mutex
+	left int
+}
+
+func (k *keeper) Valid(string) (uint64, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.left--
+	return 7, k.left != -1
+}
+
+// start runs a loader for two replicas of two ranges, of which version 2 is
+// wanted.
+func start(ctx context.Context, e *engines, k Keeper, maxLoads int) (l *Loader, done chan error) {
+	e.states = map[string]wire.EngineState{}
+	var targets []Engine
+	for i, id := range []string{"x0", "x1", "y0", "y1"} {
+		first := i / 2 * 4
+		e.states[id] = wire.EngineState{Model: "m", Version: "1", FirstLayer: first, LastLayer: first + 3}
+		targets = append(targets, Engine{Target: engine.Target{ID: id}})
+	}
+	l = New(Options{
+		Engines: e, Keeper: k, MaxLoads: maxLoads, Period: time.Second,
+		Targets: func() []Engine { return targets },
+		Wanted: func() map[string]config.ModelConfig {
+			return map[string]config.ModelConfig{"m": {Layers: 8, Version: "2"}}
+		},
+	})
+	done = make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	return l, done
+}
+
+// All engines get the new version although answers are lost and the store gives
+// fewer loads than is set; every order carries the epoch.
+func TestLoadsInSpiteOfLostAnswersAndRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &engines{lost: 2, gives: 1}
+		l, done := start(ctx, e, &keeper{left: -1}, 3)
+		time.Sleep(3 * loadTime)
+		require.Less(t, l.Status().MaxLoads, 3)
+		time.Sleep(20 * loadTime)
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+		s := l.Status()
+		require.Zero(t, s.Outdated)
+		require.Empty(t, s.Short)
+		require.Equal(t, uint64(7), s.Epoch)
+		require.Equal(t, 1, e.peak)
+		for id, state := range e.states {
+			require.Equal(t, "2", state.Version, id)
+		}
+		for _, o := range e.orders {
+			require.Equal(t, uint64(7), o.Fence)
+		}
+	})
+}
+
+// A duty that ends while the engines are read sends nothing.
+func TestChecksDutyBeforeEachOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &engines{}
+		_, done := start(ctx, e, &keeper{left: 2}, 3)
+		time.Sleep(readTime + time.Millisecond)
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+		require.Len(t, e.orders, 1)
+	})
+}
+
+// An engine that can't be read counts for a while, then no more.
+func TestUnreadEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		e := &engines{}
+		l, done := start(ctx, e, &keeper{left: -1}, 1)
+		time.Sleep(30 * loadTime)
+		e.mu.Lock()
+		delete(e.states, "x0")
+		e.mu.Unlock()
+		time.Sleep(forgetAfter / 2)
+		require.Equal(t, 1, l.Status().Unread)
+		require.Equal(t, 4, l.Status().Engines)
+		time.Sleep(forgetAfter)
+		require.Equal(t, 3, l.Status().Engines)
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+	})
+}
