Loader: a silent engine is replaced only when it stays silent

One failed reading replaced engines before. Now a silent engine counts as planned for three periods, nobody decides before all listed engines have answered or had that time, and a round reads a bounded number of states.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -57,16 +57,22 @@
 	Fence uint64
 	// Fencing is true when the engine refuses orders with an old fence.
 	Fencing bool
-	// Live is false when the state could not be read; Held and Loading are then
-	// the last known ones.
+	// Live is false when the engine is down; Held and Loading are then the last
+	// known ones.
 	Live bool
+	// Silent is true when the last reading failed, which does not prove that the
+	// engine is down. Nobody counts on it, but nobody replaces it either.
+	Silent bool
 	// Leaving is true when the engine takes no new work.
 	Leaving bool
 	// Units is what the engine carries at once, in sequences; 0 means 1.
 	Units int
 }
 
-func (e *Engine) usable() bool { return e.Live && !e.Leaving && !e.Loading }
+// read tells whether the state is a fresh one.
+func (e *Engine) read() bool { return e.Live && !e.Silent }
+
+func (e *Engine) usable() bool { return e.read() && !e.Leaving && !e.Loading }
 
 func (e *Engine) units() int { return max(e.Units, 1) }
 
@@ -196,7 +202,7 @@
 	for i := range in.Engines {
 		e := &in.Engines[i]
 		seen[e.ID] = true
-		if _, known := p.targets[e.ID]; !known && e.Live {
+		if _, known := p.targets[e.ID]; !known && e.read() {
 			p.targets[e.ID] = e.Held
 		}
 	}
@@ -208,7 +214,7 @@
 	var orders []Order
 	for i := range in.Engines {
 		e := &in.Engines[i]
-		behind := e.Live && e.Fencing && e.Fence < in.Epoch
+		behind := e.read() && e.Fencing && e.Fence < in.Epoch
 		if behind && !changed[e.ID] && targets[e.ID] == e.Held {
 			orders = append(orders, Order{Engine: e.ID, Fence: in.Epoch, Target: e.Held, Reason: ReasonFence})
 		}
@@ -221,7 +227,7 @@
 	for i := range v.engines {
 		e := &v.engines[i]
 		target, known := targets[e.ID]
-		if !e.Live || !known || target == e.Held {
+		if !e.read() || !known || target == e.Held {
 			continue
 		}
 		switch {
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -68,8 +68,8 @@
 	if t, known := targets[e.ID]; known {
 		v.target[i] = t
 	}
-	unread := !e.Live && v.target[i] != e.Held
-	if e.Loading || unread {
+	pending := !e.read() && v.target[i] != e.Held
+	if e.Loading || pending {
 		v.loading++
 	}
 	v.reach[e.Accelerator] = max(v.reach[e.Accelerator], e.Held.layers(), v.target[i].layers())
--- a/node/loader/calls.go
+++ b/node/loader/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,27 +14,50 @@
 	"masticbank.example/node/wire"
 )
 
-// reading is the last state of an engine and when it was read.
+// reading is the last state of an engine.
 type reading struct {
 	state wire.EngineState
-	at    time.Time
+	// tried is when the engine was last asked.
+	tried time.Time
+	// silent is when it first did not answer since; zero when it answered.
+	silent time.Time
 }
 
-// read returns the states of all engines. One that can't be read has its last
-// state for forgetAfter; one that was never read is left out.
-func (l *Loader) read(ctx context.Context) []placement.Engine {
-	targets := l.opts.Targets()
-	states := make([]*wire.EngineState, len(targets))
+// read refreshes the readings that are due.
+func (l *Loader) read(ctx context.Context, targets []Engine) {
+	due := l.due(targets)
+	states := make([]*wire.EngineState, len(due))
 	var group errgroup.Group
 	group.SetLimit(callsAtOnce)
-	for i := range targets {
+	for i := range due {
 		group.Go(func() error {
-			states[i] = l.readOne(ctx, targets[i].Target)
+			states[i] = l.readOne(ctx, due[i].Target)
 			return nil
 		})
 	}
 	_ = group.Wait()
-	return l.merge(targets, states)
+	for i, t := range due {
+		l.noteState(t.Target.ID, states[i])
+	}
+}
+
+// due returns the engines whose state may be about to change, and of the others
+// those that were read longest ago.
+func (l *Loader) due(targets []Engine) []Engine {
+	var due, rest []Engine
+	for _, t := range targets {
+		last, seen := l.known[t.Target.ID]
+		target, _ := l.planner.Target(t.Target.ID)
+		if !seen || !last.silent.IsZero() || last.state.Loading || target != held(last.state) {
+			due = append(due, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	slices.SortStableFunc(rest, func(a, b Engine) int {
+		return l.known[a.Target.ID].tried.Compare(l.known[b.Target.ID].tried)
+	})
+	return append(due, rest[:min(len(rest), max(0, l.opts.Reads-len(due)))]...)
 }
 
 // readOne returns nil when the engine does not answer.
@@ -48,61 +72,69 @@
 	return state
 }
 
-func (l *Loader) merge(targets []Engine, states []*wire.EngineState) []placement.Engine {
+// noteState takes the answer of an engine, nil for none. An engine that has never
+// answered is not known.
+func (l *Loader) noteState(id string, state *wire.EngineState) {
+	now := time.Now()
+	last, seen := l.known[id]
+	switch {
+	case state != nil:
+		if last.state.Loading && !state.Loading && held(last.state) == held(*state) {
+			l.limit.Finished()
+		}
+		l.known[id] = reading{state: *state, tried: now}
+	case seen:
+		last.tried = now
+		if last.silent.IsZero() {
+			last.silent = now
+		}
+		l.known[id] = last
+	}
+}
+
+// engines returns the known engines and forgets those that are no longer listed
+// or have been silent for long.
+func (l *Loader) engines(targets []Engine) []placement.Engine {
 	now := time.Now()
 	known := make(map[string]reading, len(targets))
 	engines := make([]placement.Engine, 0, len(targets))
-	for i, t := range targets {
+	for _, t := range targets {
 		last, seen := l.known[t.Target.ID]
-		if states[i] != nil {
-			l.noteLoaded(last.state, *states[i])
-			last, seen = reading{state: *states[i], at: now}, true
-		}
-		if !seen || now.Sub(last.at) > forgetAfter {
+		silent := !last.silent.IsZero()
+		silence := now.Sub(last.silent)
+		if !seen || (silent && silence >= forgetAfter) {
 			continue
 		}
 		known[t.Target.ID] = last
-		engines = append(engines, merged(t, last.state, states[i] != nil))
+		down := t.Down || (silent && silence >= l.downAfter())
+		engines = append(engines, placement.Engine{
+			ID: t.Target.ID, Zone: t.Zone, Accelerator: t.Accelerator,
+			Held: held(last.state), Loading: last.state.Loading,
+			Fence: last.state.Fence, Fencing: last.state.Fencing,
+			Live: !down, Silent: silent, Leaving: t.Leaving, Units: t.Units,
+		})
 	}
 	l.known = known
 	return engines
 }
 
-func (l *Loader) noteLoaded(before, now wire.EngineState) {
-	if before.Loading && !now.Loading && held(before) == held(now) {
-		l.limit.Finished()
-	}
-}
-
 func held(s wire.EngineState) placement.Assignment {
 	return placement.Assignment{Model: s.Model, Version: s.Version, First: s.FirstLayer, Last: s.LastLayer}
 }
 
-func merged(t Engine, s wire.EngineState, live bool) placement.Engine {
-	return placement.Engine{
-		ID: t.Target.ID, Zone: t.Zone, Accelerator: t.Accelerator,
-		Held: held(s), Loading: s.Loading, Fence: s.Fence, Fencing: s.Fencing,
-		Live: live, Leaving: t.Leaving, Units: t.Units,
-	}
-}
-
 // send sends the orders while the duty is valid and returns how many were sent
 // and how many of those failed.
-func (l *Loader) send(ctx context.Context, epoch uint64, plan placement.Plan) (sent, failed int) {
-	targets := map[string]engine.Target{}
-	for _, t := range l.opts.Targets() {
+func (l *Loader) send(ctx context.Context, epoch uint64, engines []Engine, plan placement.Plan) (sent, failed int) {
+	targets := make(map[string]engine.Target, len(engines))
+	for _, t := range engines {
 		targets[t.Target.ID] = t.Target
 	}
 	results := make([]result, len(plan.Orders))
 	var group errgroup.Group
 	group.SetLimit(callsAtOnce)
 	for i, o := range plan.Orders {
-		target, listed := targets[o.Engine]
-		if !listed {
-			continue
-		}
 		group.Go(func() error {
-			results[i] = l.sendOne(ctx, epoch, target, o)
+			results[i] = l.sendOne(ctx, epoch, targets[o.Engine], o)
 			return nil
 		})
 	}
@@ -150,6 +182,13 @@
 	return resultTaken
 }
 
+// noteFence notes that an engine has seen the fence of an order.
+func (l *Loader) noteFence(o placement.Order) {
+	last := l.known[o.Engine]
+	last.state.Fence = max(last.state.Fence, o.Fence)
+	l.known[o.Engine] = last
+}
+
 // count adds the results up and lowers the limit when the store refused a load.
 func (l *Loader) count(plan placement.Plan, results []result) (sent, failed int) {
 	running, busy := plan.Loading, 0
@@ -158,6 +197,7 @@
 		case resultNotSent:
 			continue
 		case resultTaken:
+			l.noteFence(plan.Orders[i])
 			if plan.Orders[i].Reason != placement.ReasonFence {
 				running++
 			}
--- a/node/loader/loader.go
+++ b/node/loader/loader.go
@@ -25,9 +25,12 @@
 	callTimeout = 2 * time.Second
 	// callsAtOnce bounds the calls in progress.
 	callsAtOnce = 64
-	// forgetAfter is how long the last state of an engine that can't be read
-	// counts.
+	// downRounds is the number of periods after which a silent engine is down.
+	downRounds = 3
+	// forgetAfter is how long the loads of a silent engine count.
 	forgetAfter = 30 * time.Second
+	// defaultReads is the usual number of states read in a round.
+	defaultReads = 64
 )
 
 // Keeper tells whether this instance may act for a duty now, and with which
@@ -43,6 +46,8 @@
 	Accelerator string
 	// Leaving is true when the engine takes no new work.
 	Leaving bool
+	// Down is true when the engine is known to be down, from traffic and probes.
+	Down bool
 	// Units is the number of sequences carried at once; 0 means 1.
 	Units int
 }
@@ -66,6 +71,10 @@
 	MaxLoads int
 	// Period is the time between decisions; 0 means 5 s.
 	Period time.Duration
+	// Reads is the number of states read in a round; 0 means 64. All engines are
+	// read when the duty begins; engines that load, that are silent or that were
+	// ordered to change are read in every round.
+	Reads int
 	// Terms are the planner's margins; zero means the usual ones.
 	Terms  placement.Terms
 	Logger *zap.Logger
@@ -76,10 +85,10 @@
 	// Holding is true while this instance holds the duty with Epoch.
 	Holding bool
 	Epoch   uint64
-	// Engines is the number of engines decided on, Unread of those without a
-	// fresh state, Loading of those that load.
+	// Engines is the number of engines decided on, Silent of those that do not
+	// answer, Loading of those that load.
 	Engines int
-	Unread  int
+	Silent  int
 	Loading int
 	// MaxLoads is the number of loads at once as learnt from refusals.
 	MaxLoads int
@@ -99,6 +108,9 @@
 	planner *placement.Planner
 	limit   *placement.Limit
 	known   map[string]reading
+	// epoch is that of the readings, which began at since.
+	epoch uint64
+	since time.Time
 
 	mu     sync.Mutex
 	status Status
@@ -112,6 +124,9 @@
 	if o.Period <= 0 {
 		o.Period = defaultPeriod
 	}
+	if o.Reads <= 0 {
+		o.Reads = defaultReads
+	}
 	if o.MaxLoads <= 0 {
 		o.MaxLoads = defaultMaxLoads
 	}
@@ -156,25 +171,50 @@
 func (l *Loader) round(ctx context.Context) {
 	epoch, ok := l.opts.Keeper.Valid(l.opts.Duty)
 	if !ok {
-		clear(l.known)
 		l.note(func(s *Status) { *s = Status{Sent: s.Sent, Failed: s.Failed} })
 		return
 	}
-	engines := l.read(ctx)
-	if ctx.Err() != nil {
+	if epoch != l.epoch {
+		l.epoch, l.since = epoch, time.Now()
+		clear(l.known)
+	}
+	targets := l.opts.Targets()
+	l.read(ctx, targets)
+	if ctx.Err() != nil || l.incomplete(targets) {
 		return
 	}
+	l.decide(ctx, epoch, targets)
+}
+
+// incomplete tells whether engines have not answered since the duty began, while
+// they may just be slow. A decision without them would replace them.
+func (l *Loader) incomplete(targets []Engine) bool {
+	if time.Since(l.since) >= l.downAfter() {
+		return false
+	}
+	for _, t := range targets {
+		if _, seen := l.known[t.Target.ID]; !seen && !t.Down {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Loader) downAfter() time.Duration { return downRounds * l.opts.Period }
+
+func (l *Loader) decide(ctx context.Context, epoch uint64, targets []Engine) {
+	engines := l.engines(targets)
 	plan := l.planner.Step(placement.Input{
 		Epoch:    epoch,
 		Engines:  engines,
 		Models:   l.models(),
 		MaxLoads: l.limit.Value(),
 	})
-	sent, failed := l.send(ctx, epoch, plan)
+	sent, failed := l.send(ctx, epoch, targets, plan)
 	l.note(func(s *Status) {
 		*s = Status{
 			Holding: true, Epoch: epoch,
-			Engines: len(engines), Unread: unread(engines), Loading: plan.Loading,
+			Engines: len(engines), Silent: silent(engines), Loading: plan.Loading,
 			MaxLoads: l.limit.Value(), Outdated: plan.Outdated, Short: plan.Short,
 			Sent: s.Sent + sent, Failed: s.Failed + failed,
 		}
@@ -199,10 +239,10 @@
 	return models
 }
 
-func unread(engines []placement.Engine) int {
+func silent(engines []placement.Engine) int {
 	n := 0
 	for i := range engines {
-		if !engines[i].Live {
+		if engines[i].Silent || !engines[i].Live {
 			n++
 		}
 	}
