--- a/node/loader/calls.go
+++ b/node/loader/calls.go
@@ -21,6 +21,13 @@
 	tried time.Time
 	// silent is when it first did not answer since; zero when it answered.
 	silent time.Time
+	// answered is false when there is no state, or none that still counts.
+	answered bool
+}
+
+// changing tells whether the state is about to change, or known to be wrong.
+func (r reading) changing(target placement.Assignment) bool {
+	return r.answered && r.silent.IsZero() && (r.state.Loading || target != held(r.state))
 }
 
 // read refreshes the readings that are due.
@@ -41,23 +48,30 @@
 	}
 }
 
-// due returns the engines whose state may be about to change, and of the others
-// those that were read longest ago.
+// due returns the engines that change, the silent ones once a period, and of the
+// others those that were read longest ago.
 func (l *Loader) due(targets []Engine) []Engine {
+	now := time.Now()
+	reads := l.opts.Reads
+	if l.active {
+		reads = (reads + activeRounds - 1) / activeRounds
+	}
 	var due, rest []Engine
 	for _, t := range targets {
-		last, seen := l.known[t.Target.ID]
+		last := l.known[t.Target.ID]
 		target, _ := l.planner.Target(t.Target.ID)
-		if !seen || !last.silent.IsZero() || last.state.Loading || target != held(last.state) {
+		silent := !last.answered || !last.silent.IsZero()
+		switch {
+		case last.changing(target), silent && now.Sub(last.tried) >= l.opts.Period:
 			due = append(due, t)
-		} else {
+		case !silent:
 			rest = append(rest, t)
 		}
 	}
 	slices.SortStableFunc(rest, func(a, b Engine) int {
 		return l.known[a.Target.ID].tried.Compare(l.known[b.Target.ID].tried)
 	})
-	return append(due, rest[:min(len(rest), max(0, l.opts.Reads-len(due)))]...)
+	return append(due, rest[:min(len(rest), max(0, reads-len(due)))]...)
 }
 
 // readOne returns nil when the engine does not answer.
@@ -72,40 +86,39 @@
 	return state
 }
 
-// noteState takes the answer of an engine, nil for none. An engine that has never
-// answered is not known.
+// noteState takes the answer of an engine, nil for none.
 func (l *Loader) noteState(id string, state *wire.EngineState) {
 	now := time.Now()
-	last, seen := l.known[id]
-	switch {
-	case state != nil:
-		if last.state.Loading && !state.Loading && held(last.state) == held(*state) {
-			l.limit.Finished()
-		}
-		l.known[id] = reading{state: *state, tried: now}
-	case seen:
+	last := l.known[id]
+	if state == nil {
 		last.tried = now
 		if last.silent.IsZero() {
 			last.silent = now
 		}
 		l.known[id] = last
+		return
+	}
+	if last.state.Loading && !state.Loading && held(last.state) == held(*state) {
+		l.limit.Finished()
 	}
+	l.known[id] = reading{state: *state, tried: now, answered: true}
 }
 
-// engines returns the known engines and forgets those that are no longer listed
-// or have been silent for long.
+// engines returns the engines that have answered and forgets those that are no
+// longer listed.
 func (l *Loader) engines(targets []Engine) []placement.Engine {
 	now := time.Now()
 	known := make(map[string]reading, len(targets))
 	engines := make([]placement.Engine, 0, len(targets))
 	for _, t := range targets {
-		last, seen := l.known[t.Target.ID]
+		last := l.known[t.Target.ID]
 		silent := !last.silent.IsZero()
 		silence := now.Sub(last.silent)
-		if !seen || (silent && silence >= forgetAfter) {
+		last.answered = last.answered && (!silent || silence < forgetAfter)
+		known[t.Target.ID] = last
+		if !last.answered {
 			continue
 		}
-		known[t.Target.ID] = last
 		down := t.Down || (silent && silence >= l.downAfter())
 		engines = append(engines, placement.Engine{
 			ID: t.Target.ID, Zone: t.Zone, Accelerator: t.Accelerator,
--- a/node/loader/loader.go
+++ b/node/loader/loader.go
@@ -25,11 +25,13 @@
 	callTimeout = 2 * time.Second
 	// callsAtOnce bounds the calls in progress.
 	callsAtOnce = 64
+	// activeRounds is the number of rounds in a period while engines load.
+	activeRounds = 10
 	// downRounds is the number of periods after which a silent engine is down.
 	downRounds = 3
 	// forgetAfter is how long the loads of a silent engine count.
 	forgetAfter = 30 * time.Second
-	// defaultReads is the usual number of states read in a round.
+	// defaultReads is the usual number of states read in a period.
 	defaultReads = 64
 )
 
@@ -71,9 +73,9 @@
 	MaxLoads int
 	// Period is the time between decisions; 0 means 5 s.
 	Period time.Duration
-	// Reads is the number of states read in a round; 0 means 64. All engines are
-	// read when the duty begins; engines that load, that are silent or that were
-	// ordered to change are read in every round.
+	// Reads is the number of states read in a period; 0 means 64. All engines are
+	// read when the duty begins; engines that load or were ordered to change are
+	// read in every round, and silent ones in every period.
 	Reads int
 	// Terms are the planner's margins; zero means the usual ones.
 	Terms  placement.Terms
@@ -111,6 +113,8 @@
 	// epoch is that of the readings, which began at since.
 	epoch uint64
 	since time.Time
+	// active is true while engines load or are ordered to.
+	active bool
 
 	mu     sync.Mutex
 	status Status
@@ -151,26 +155,36 @@
 	return l.status
 }
 
-// Run decides once a period until ctx ends, and returns its error. All calls
-// have ended when it returns.
+// Run decides once a period, and more often while engines load, until ctx ends,
+// and returns its error. All calls have ended when it returns.
 func (l *Loader) Run(ctx context.Context) error {
-	ticker := time.NewTicker(l.opts.Period)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		l.round(ctx)
 		select {
 		case <-ctx.Done():
 			return trace.Wrap(ctx.Err())
-		case <-ticker.C:
+		case <-timer.C:
+			l.round(ctx)
+			timer.Reset(l.wait())
 		}
 	}
 }
 
-// round reads all engines, decides and sends the orders. What an order has done
-// is seen by the next round's reading.
+// wait returns the time to the next round.
+func (l *Loader) wait() time.Duration {
+	if l.active {
+		return l.opts.Period / activeRounds
+	}
+	return l.opts.Period
+}
+
+// round reads engines, decides and sends the orders. What an order has done is
+// seen by the next round's reading.
 func (l *Loader) round(ctx context.Context) {
 	epoch, ok := l.opts.Keeper.Valid(l.opts.Duty)
 	if !ok {
+		l.active = false
 		l.note(func(s *Status) { *s = Status{Sent: s.Sent, Failed: s.Failed} })
 		return
 	}
@@ -193,7 +207,7 @@
 		return false
 	}
 	for _, t := range targets {
-		if _, seen := l.known[t.Target.ID]; !seen && !t.Down {
+		if !l.known[t.Target.ID].answered && !t.Down {
 			return true
 		}
 	}
@@ -210,6 +224,7 @@
 		Models:   l.models(),
 		MaxLoads: l.limit.Value(),
 	})
+	l.active = plan.Loading > 0 || len(plan.Orders) > 0
 	sent, failed := l.send(ctx, epoch, targets, plan)
 	l.note(func(s *Status) {
 		*s = Status{
