Times do not lower the limit of a replica that reports its slots

Cause: the time of a prefill per token depends on the prompt, and a first step waits when several instances dispatch at once; both looked like congestion and took limits from 8 to 5 or 6 under three instances.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -131,6 +131,7 @@
 		return
 	}
 	w.slowdown = l.compare()
+	w.slotsKnown = l.slots > 0
 	if l.paceChanged() {
 		l.rebase()
 		l.set(l.slow.before)
@@ -164,7 +165,7 @@
 // steps faster.
 func (l *Limiter) paceChanged() bool {
 	w := &l.window
-	if w.waiting || w.refused || w.slowdown <= slowdownAllowed {
+	if w.waiting || w.refused || w.slotsKnown || w.slowdown <= slowdownAllowed {
 		l.slow = slowSpell{}
 		return false
 	}
--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -13,6 +13,8 @@
 	reported bool
 	waiting  bool
 	refused  bool
+	// slotsKnown is true when the replica reports its slots.
+	slotsKnown bool
 	// slowdown is the mean step time relative to the fastest window.
 	slowdown float64
 }
@@ -44,9 +46,11 @@
 	return w.sum[kind] / float64(w.count[kind]), true
 }
 
-// congested tells whether the replica held more than it takes.
+// congested tells whether the replica held more than it takes. Times tell only
+// while the slots are unknown: beside them, the time of a prefill shows how long
+// the prompts are, and that of a step how many instances dispatched at once.
 func (w *window) congested() bool {
-	return w.refused || w.waiting || w.slowdown > slowdownAllowed
+	return w.refused || w.waiting || !w.slotsKnown && w.slowdown > slowdownAllowed
 }
 
 // used tells whether the limit was nearly reached.
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -94,7 +94,7 @@
 		return
 	}
 	u.inForce = l
-	p.table.SetLimit(u.instance.ID, l+max(1, l/2))
+	p.table.SetLimit(u.instance.ID, l)
 	p.updateCapacity()
 }
 
