Placement: of equal engines take the one in the zone with fewest replicas

Also tested: an engine that traffic knows to be down is replaced in the next round, one that is just silent after three periods.

--- a/core/placement/extend.go
+++ b/core/placement/extend.go
@@ -76,12 +76,16 @@
 
 // donor returns the engine to load target, or -1: the old version of the same
 // range first, then engines without a wanted model, then the old version of
-// other ranges, other ranges, and other models. before is what was planned for m
-// without the path.
+// other ranges, other ranges, and other models; of these the one in the zone that
+// has fewest units of target. before is what was planned for m without the path.
 func (v *view) donor(m *Model, target Assignment, before int) int {
 	groups := v.groups()
+	there := v.zoneUnits(target)
 	slices.SortStableFunc(groups, func(a, b group) int {
-		return cmp.Compare(v.class(m, target, a), v.class(m, target, b))
+		return cmp.Or(
+			cmp.Compare(v.class(m, target, a), v.class(m, target, b)),
+			cmp.Compare(there[v.engines[a.engine].Zone], there[v.engines[b.engine].Zone]),
+		)
 	})
 	for _, g := range groups {
 		e := &v.engines[g.engine]
@@ -96,6 +100,18 @@
 	return -1
 }
 
+// zoneUnits returns the units that each zone is to have of an assignment.
+func (v *view) zoneUnits(a Assignment) map[string]int {
+	units := map[string]int{}
+	for i := range v.engines {
+		e := &v.engines[i]
+		if e.Live && !e.Leaving && v.target[i] == a {
+			units[e.Zone] += e.units()
+		}
+	}
+	return units
+}
+
 func (v *view) class(m *Model, target Assignment, g group) int {
 	held := v.engines[g.engine].Held
 	other, wanted := v.models[held.Model]
--- a/node/loader/loader_test.go
+++ b/node/loader/loader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,7 @@
 	lost   int // next orders that take effect without an answer
 	gives  int // loads at once that the store gives; 0 means no bound
 	peak   int
+	down   bool // traffic says that hidden engines are down
 }
 
 func (e *engines) State(_ context.Context, t engine.Target) (*wire.EngineState, error) {
@@ -83,6 +85,18 @@
 	return s
 }
 
+// listed returns the targets with what traffic says about them.
+func (e *engines) listed(targets []Engine) []Engine {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := slices.Clone(targets)
+	for i := range out {
+		_, ok := e.states[out[i].Target.ID]
+		out[i].Down = e.down && !ok
+	}
+	return out
+}
+
 func (e *engines) show(id string, s wire.EngineState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -124,7 +138,7 @@
 	}
 	l = New(Options{
 		Engines: e, Keeper: k, MaxLoads: maxLoads, Period: time.Second,
-		Targets: func() []Engine { return targets },
+		Targets: func() []Engine { return e.listed(targets) },
 		Wanted: func() map[string]config.ModelConfig {
 			return map[string]config.ModelConfig{"m": {Layers: 8, Version: "2"}}
 		},
@@ -173,34 +187,45 @@
 	})
 }
 
-// A silent engine is not replaced at once, but when it stays silent; all listed
-// engines are awaited when the duty begins.
+// A silent engine is not replaced at once, but when it stays silent or is known to
+// be down; all listed engines are awaited when the duty begins.
 func TestSilentEngines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		e := &engines{}
-		l, done := start(ctx, e, &keeper{left: -1}, 1)
-		hidden := e.hide("x0")
-		time.Sleep(2 * time.Second)
-		require.Empty(t, e.orders)
-		e.show("x0", hidden)
-		time.Sleep(30 * loadTime)
-		require.Equal(t, 4, l.Status().Engines)
-		x0, x1 := e.hide("x0"), e.hide("x1")
-		sent := l.Status().Sent
-		time.Sleep(2 * time.Second)
-		require.Equal(t, 2, l.Status().Silent)
-		require.Equal(t, sent, l.Status().Sent)
-		time.Sleep(2 * time.Second)
-		y0, y1 := e.hide("y0"), e.hide("y1")
-		require.NotEqual(t, y0.FirstLayer, y1.FirstLayer)
-		e.show("y0", y0)
-		e.show("y1", y1)
-		e.show("x0", x0)
-		e.show("x1", x1)
-		time.Sleep(forgetAfter)
-		require.Empty(t, l.Status().Short)
-		cancel()
-		require.ErrorIs(t, <-done, context.Canceled)
-	})
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { checkSilentEngines(t, down) })
+	}
+}
+
+func checkSilentEngines(t *testing.T, down bool) {
+	ctx, cancel := context.WithCancel(t.Context())
+	e := &engines{}
+	l, done := start(ctx, e, &keeper{left: -1}, 1)
+	hidden := e.hide("x0")
+	time.Sleep(2 * time.Second)
+	require.Empty(t, e.orders)
+	e.show("x0", hidden)
+	time.Sleep(30 * loadTime)
+	require.Equal(t, 4, l.Status().Engines)
+	x0, x1 := e.hide("x0"), e.hide("x1")
+	sent := l.Status().Sent
+	time.Sleep(2 * time.Second)
+	require.Equal(t, 2, l.Status().Silent)
+	require.Equal(t, sent, l.Status().Sent)
+	if down {
+		e.mu.Lock()
+		e.down = true
+		e.mu.Unlock()
+		time.Sleep(l.opts.Period)
+		require.Greater(t, l.Status().Sent, sent)
+	}
+	time.Sleep(2 * time.Second)
+	y0, y1 := e.hide("y0"), e.hide("y1")
+	require.NotEqual(t, y0.FirstLayer, y1.FirstLayer)
+	e.show("y0", y0)
+	e.show("y1", y1)
+	e.show("x0", x0)
+	e.show("x1", x1)
+	time.Sleep(forgetAfter)
+	require.Empty(t, l.Status().Short)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
 }
