Model loading as a duty in the running instance, off by default

Cause: the loader had no caller, and a router that knows only the platform's list sends steps to layers that an ordered engine no longer holds.

With platform.load_models one instance holds the duty and orders engines. An engine that refuses a step because of its layers is asked what it holds, and the pool uses that until the list shows a change.

Not done: while a new version is being loaded, the router serves only replicas of the configured version; the setting is off by default for that reason.

Conclusion: range changes are followed; version changes need more.

--- a/node/app/app.go
+++ b/node/app/app.go
@@ -16,6 +16,7 @@
 	"masticbank.example/node/admin"
 	"masticbank.example/node/api"
 	"masticbank.example/node/duty"
+	"masticbank.example/node/engine"
 	"masticbank.example/node/engine/httpjson"
 	"masticbank.example/node/follower"
 	"masticbank.example/node/httpserver"
@@ -51,6 +52,7 @@
 	state     state
 	metrics   *metrics.Registry
 	router    *router.Router
+	engines   engine.Client
 	services  *service.Client
 	poller    *instancelist.Poller
 	logs      logstream.Log // nil without a log
@@ -70,7 +72,7 @@
 
 // Start assembles and starts an instance. Stop ends it.
 func Start(o Options) (*App, error) {
-	a := &App{opts: o, log: o.Logger, metrics: metrics.New(metrics.Options{}), services: service.New()}
+	a := &App{opts: o, log: o.Logger, metrics: metrics.New(metrics.Options{}), services: service.New(), engines: httpjson.New()}
 	policy, ok := route.ParsePolicy(o.Settings.Policy.Route)
 	if !ok {
 		return nil, trace.BadParameter("unknown route policy %q", o.Settings.Policy.Route)
@@ -79,7 +81,7 @@
 		return nil, trace.Wrap(err)
 	}
 	a.router = router.New(router.Options{
-		Engines:     httpjson.New(),
+		Engines:     a.engines,
 		Services:    a.services,
 		Orders:      a.orderPort(),
 		Metrics:     &observer{registry: a.metrics, log: a.log, leaving: a.announceLeaving},
--- /dev/null
+++ b/node/app/loader.go
@@ -0,0 +1,49 @@
+package app
+
+import (
+	coreconfig "masticbank.example/core/config"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/loader"
+	"masticbank.example/node/wire"
+)
+
+// newLoader returns the loader, which acts while this instance holds its duty.
+func (a *App) newLoader() *loader.Loader {
+	return loader.New(loader.Options{
+		Engines:  a.engines,
+		Keeper:   a.duties,
+		Targets:  a.loaderTargets,
+		Wanted:   a.wantedModels,
+		Demand:   a.router.Demand,
+		MaxLoads: a.opts.Settings.Platform.MaxLoads,
+		Logger:   a.log,
+	})
+}
+
+// loaderTargets returns the engines of the platform's list.
+func (a *App) loaderTargets() []loader.Engine {
+	if a.poller == nil {
+		return nil
+	}
+	var out []loader.Engine
+	for _, in := range a.poller.Latest().Instances {
+		if in.Role != wire.RoleEngine {
+			continue
+		}
+		out = append(out, loader.Engine{
+			Target:      engine.Target{ID: in.ID, Address: in.Address},
+			Zone:        in.Zone,
+			Accelerator: in.Accelerator,
+			Leaving:     in.Leaving,
+		})
+	}
+	return out
+}
+
+func (a *App) wantedModels() map[string]coreconfig.ModelConfig {
+	cfg := a.router.Config()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.Models
+}
--- a/node/app/log.go
+++ b/node/app/log.go
@@ -7,6 +7,7 @@
 
 	"masticbank.example/node/duty"
 	"masticbank.example/node/follower"
+	"masticbank.example/node/loader"
 	"masticbank.example/node/logstream"
 	"masticbank.example/node/orders"
 	"masticbank.example/node/router"
@@ -66,9 +67,14 @@
 	for _, ap := range a.appenders {
 		a.run(ctx, ap.Run)
 	}
-	if a.logs != nil {
-		a.run(ctx, a.orders.Run)
-		a.run(ctx, a.duties.Run)
+	if a.logs == nil {
+		return
+	}
+	a.run(ctx, a.orders.Run)
+	a.run(ctx, a.duties.Run)
+	if a.opts.Settings.Platform.LoadModels {
+		a.duties.Want(loader.Duty, true)
+		a.run(ctx, a.newLoader().Run)
 	}
 }
 
--- a/node/router/demand.go
+++ b/node/router/demand.go
@@ -62,3 +62,16 @@
 		}
 	}
 }
+
+// Demand estimates the sequences that the instances together want to run of a
+// model: what this instance runs and holds in its queue, times their number.
+func (r *Router) Demand(model string) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	p, ok := r.pools[model]
+	if !ok {
+		return 0
+	}
+	s := p.queue.stats(0)
+	return max(1, (s.InFlight+s.Queued)*max(r.entries, 1))
+}
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -69,6 +69,8 @@
 	switch code {
 	case wire.CodeLeaving:
 		p.step(u, health.Leaving{Source: health.FromUpstream})
+	case wire.CodeWrongRange:
+		p.readHolding(c.target)
 	case wire.CodeOverloaded:
 		u.limit.Refused(time.Now())
 		p.updateLimit(u)
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -62,6 +62,8 @@
 	cfg       config.ModelConfig
 	table     *route.Table
 	upstreams map[string]*upstream
+	list      []wire.Instance               // the platform's list
+	held      map[string]holding            // what engines said against the list
 	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
 	calls     uint64 // number of the last call
@@ -79,6 +81,7 @@
 		cfg:         cfg,
 		table:       route.NewTable(cfg.Layers, policy),
 		upstreams:   map[string]*upstream{},
+		held:        map[string]holding{},
 		groups:      map[route.Range]*health.Group{},
 		random:      rand.New(rand.NewPCG(o.seed, uint64(len(model)))),
 		budget:      retry.NewBudget(retryConfig(0, defaultRetryRatio)),
@@ -91,9 +94,20 @@
 func (p *pool) setInstances(list []wire.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.list = list
+	p.applyList()
+}
+
+// applyList takes the engines that hold the model in its configured version.
+// The caller holds p.mu.
+func (p *pool) applyList() {
 	listed := map[string]bool{}
-	for _, in := range list {
-		if in.Role != wire.RoleEngine || in.Model != p.model || in.Version != p.cfg.Version {
+	for _, in := range p.list {
+		if in.Role != wire.RoleEngine {
+			continue
+		}
+		in = p.correct(in)
+		if in.Model != p.model || in.Version != p.cfg.Version {
 			continue
 		}
 		listed[in.ID] = true
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -46,6 +46,8 @@
 	OrderStream    string
 	LeaseStream    string
 	LogRetention   time.Duration
+	LoadModels     bool
+	MaxLoads       int
 }
 
 // Peers holds the settings of the protocol between entry instances.
--- a/node/settings/table.go
+++ b/node/settings/table.go
@@ -59,6 +59,8 @@
 	{"platform", "order_stream", "masticbank.orders", false, "Log stream of non-idempotent calls.", func(s *Settings, v string) error { return text(&s.Platform.OrderStream, v) }},
 	{"platform", "lease_stream", "masticbank.leases", false, "Log stream of leases.", func(s *Settings, v string) error { return text(&s.Platform.LeaseStream, v) }},
 	{"platform", "log_retention", "24h", false, "Time for which the log service keeps a record.", func(s *Settings, v string) error { return duration(&s.Platform.LogRetention, v) }},
+	{"platform", "load_models", "false", false, "Whether the instances order engines to load models, through a duty that one of them holds.", func(s *Settings, v string) error { return boolean(&s.Platform.LoadModels, v) }},
+	{"platform", "max_loads", "2", false, "Loads at once that the weight store gives.", func(s *Settings, v string) error { return positive(&s.Platform.MaxLoads, v) }},
 
 	{"peers", "key", "", false, "Shared key by which entry instances authenticate each other.", func(s *Settings, v string) error { return text(&s.Peers.Key, v) }},
 	{"peers", "digest_period", "200ms", false, "Time between two demand digests.", func(s *Settings, v string) error { return duration(&s.Peers.DigestPeriod, v) }},
@@ -150,6 +152,15 @@
 	return nil
 }
 
+func boolean(dst *bool, v string) error {
+	b, err := strconv.ParseBool(v)
+	if err != nil {
+		return fmt.Errorf("%q is neither true nor false", v)
+	}
+	*dst = b
+	return nil
+}
+
 func oneOf(dst *string, v string, allowed ...string) error {
 	if !slices.Contains(allowed, v) {
 		return fmt.Errorf("%q is not one of %s", v, strings.Join(allowed, ", "))
