--- a/cmd/masticbank/serve.go
+++ b/cmd/masticbank/serve.go
@@ -13,7 +13,7 @@
 
 	"masticbank.example/cmd/internal/command"
 	"masticbank.example/node/app"
-	"masticbank.example/node/config"
+	"masticbank.example/node/inifile"
 	"masticbank.example/node/settings"
 )
 
@@ -60,7 +60,7 @@
 
 // startError tells mistakes of the operator from failures of the machine.
 func startError(err error) error {
-	var ce *config.Error
+	var ce *inifile.Error
 	if errors.As(err, &ce) {
 		return &command.UsageError{Err: ce}
 	}
--- a/node/config/build.go
+++ b/node/config/build.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"masticbank.example/core/config"
+	"masticbank.example/node/inifile"
 )
 
 // Defaults of keys that may be left out.
@@ -33,7 +34,7 @@
 
 func (s *section) fail(key string, v value, reason string) {
 	if s.err == nil {
-		s.err = &Error{File: v.file, Section: s.name, Key: key, Reason: reason}
+		s.err = &inifile.Error{File: v.file, Section: s.name, Key: key, Reason: reason}
 	}
 }
 
@@ -140,7 +141,7 @@
 	case s.name == "limits":
 		b.limits(s)
 	case name == "":
-		return &Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
+		return &inifile.Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
 	case kind == "rank":
 		b.rank(name, s)
 	case kind == "model":
@@ -150,7 +151,7 @@
 	case kind == "workspace":
 		b.workspace(name, s)
 	default:
-		return &Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
+		return &inifile.Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
 	}
 	return s.finish()
 }
--- a/node/config/load.go
+++ b/node/config/load.go
@@ -11,30 +11,13 @@
 	"slices"
 	"strings"
 
-	"gopkg.in/ini.v1"
-
 	"masticbank.example/core/config"
+	"masticbank.example/node/inifile"
 )
 
 // maxFileBytes is the largest configuration file accepted.
 const maxFileBytes = 4 << 20
 
-// Error is an invalid configuration value.
-type Error struct {
-	File    string
-	Section string
-	Key     string
-	Reason  string
-}
-
-// Error returns file, section, key and reason in one line.
-func (e *Error) Error() string {
-	if e.Section == "" {
-		return fmt.Sprintf("%s: %s", e.File, e.Reason)
-	}
-	return fmt.Sprintf("%s: section [%s] key %q: %s", e.File, e.Section, e.Key, e.Reason)
-}
-
 // File is one named source of configuration.
 type File struct {
 	Name string
@@ -42,20 +25,20 @@
 }
 
 // LoadDir reads every *.ini file in dir, merges and validates them. The error
-// is an *Error.
+// is an *inifile.Error.
 func LoadDir(dir string) (*config.Config, error) {
 	names, err := filepath.Glob(filepath.Join(dir, "*.ini"))
 	if err != nil {
-		return nil, &Error{File: dir, Reason: err.Error()}
+		return nil, &inifile.Error{File: dir, Reason: err.Error()}
 	}
 	if len(names) == 0 {
-		return nil, &Error{File: dir, Reason: "holds no *.ini file"}
+		return nil, &inifile.Error{File: dir, Reason: "holds no *.ini file"}
 	}
 	files := make([]File, 0, len(names))
 	for _, name := range names {
 		data, err := os.ReadFile(name)
 		if err != nil {
-			return nil, &Error{File: name, Reason: err.Error()}
+			return nil, &inifile.Error{File: name, Reason: err.Error()}
 		}
 		files = append(files, File{Name: filepath.Base(name), Data: data})
 	}
@@ -63,7 +46,7 @@
 }
 
 // Merge merges files in the order of their names and validates the result.
-// The error is an *Error.
+// The error is an *inifile.Error.
 func Merge(files []File) (*config.Config, error) {
 	files = slices.Clone(files)
 	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
@@ -95,11 +78,11 @@
 
 func (m *merged) add(f File) error {
 	if len(f.Data) > maxFileBytes {
-		return &Error{File: f.Name, Reason: fmt.Sprintf("is larger than %d bytes", maxFileBytes)}
+		return &inifile.Error{File: f.Name, Reason: fmt.Sprintf("is larger than %d bytes", maxFileBytes)}
 	}
-	parsed, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, f.Data)
+	parsed, err := inifile.Parse(f.Name, f.Data)
 	if err != nil {
-		return &Error{File: f.Name, Reason: err.Error()}
+		return err
 	}
 	for _, sec := range parsed.Sections() {
 		for _, key := range sec.Keys() {
@@ -116,7 +99,7 @@
 func (m *merged) locate(err error) error {
 	var fe *config.FieldError
 	if !errors.As(err, &fe) {
-		return &Error{File: "configuration", Reason: err.Error()}
+		return &inifile.Error{File: "configuration", Reason: err.Error()}
 	}
 	file := "configuration"
 	if v, ok := m.sections[fe.Section][fe.Key]; ok {
@@ -126,5 +109,5 @@
 			file = v.file
 		}
 	}
-	return &Error{File: file, Section: fe.Section, Key: fe.Key, Reason: fe.Reason}
+	return &inifile.Error{File: file, Section: fe.Section, Key: fe.Key, Reason: fe.Reason}
 }
--- /dev/null
+++ b/node/router/attempts.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"masticbank.example/core/admission"
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/route"
+)
+
+func (x *run) route(ctx context.Context, e attempt.Route) attempt.Event {
+	if e.Attempt == 1 {
+		return x.firstRoute(ctx)
+	}
+	if e.Retry {
+		x.result.Retries++
+	}
+	return x.nextRoute(ctx, e)
+}
+
+// firstRoute waits for admission and chooses the first chain.
+func (x *run) firstRoute(ctx context.Context) attempt.Event {
+	effect, err := x.pool.queue.enter(ctx, admission.Request{
+		ID:        x.req.ID,
+		Workspace: x.req.Workspace,
+		Rank:      x.req.Rank,
+		Cost:      float64(x.req.PromptTokens() + x.expected),
+		Deadline:  x.req.Deadline,
+	})
+	for {
+		if err != nil {
+			return contextEvent(ctx)
+		}
+		if effect.Kind == admission.Refuse {
+			x.refusal = &effect
+			return attempt.Unroutable{Reason: effect.Reason.String()}
+		}
+		x.dispatched = true
+		d := x.pool.choose(x.routeRequest(nil))
+		if d.Outcome == route.Chosen {
+			x.result.QueueWait = time.Since(x.req.Arrived)
+			x.pool.first()
+			return x.routed(d.Chain)
+		}
+		x.dispatched = false
+		effect, err = x.pool.queue.reenter(ctx, x.req.ID)
+	}
+}
+
+// nextRoute chooses a chain for a later attempt, as soon as there is one and the
+// retry budget pays for it.
+func (x *run) nextRoute(ctx context.Context, e attempt.Route) attempt.Event {
+	if x.poisoned {
+		return attempt.Unroutable{Reason: string(CodePoison)}
+	}
+	paid := !e.Retry
+	for try := e.Attempt - 2; ; try++ {
+		delay, ok := backoff.Delay(try, rand.Uint64(), time.Now(), x.req.Deadline, 0)
+		if !ok || !sleep(ctx, delay) {
+			return contextEvent(ctx)
+		}
+		if !paid {
+			paid = x.pool.mayRetry()
+		}
+		if !paid {
+			continue
+		}
+		d := x.pool.choose(x.routeRequest(x.exclude(e.Exclude)))
+		if d.Outcome == route.Chosen {
+			x.router.poisons.place(x.fingerprint, hopIDs(d.Chain.Hops))
+			return x.routed(d.Chain)
+		}
+	}
+}
+
+// exclude adds the replicas that a suspect of a crash is to keep away from.
+func (x *run) exclude(failed []string) []string {
+	return append(slices.Clone(failed), x.router.poisons.avoid(x.fingerprint)...)
+}
+
+func hopIDs(hops []route.Hop) []string {
+	out := make([]string, 0, len(hops))
+	for _, h := range hops {
+		out = append(out, h.ReplicaID)
+	}
+	return out
+}
+
+func (x *run) routed(c route.Chain) attempt.Event {
+	x.hops = c.Hops
+	x.version = x.pool.version()
+	x.result.Expected = c.Expected
+	x.result.Route = hopIDs(c.Hops)
+	hops := make([]attempt.Hop, 0, len(c.Hops))
+	for _, h := range c.Hops {
+		hops = append(hops, attempt.Hop{ReplicaID: h.ReplicaID, FirstLayer: h.First, LastLayer: h.Last})
+	}
+	return attempt.Routed{Hops: hops}
+}
+
+func (x *run) routeRequest(exclude []string) route.Request {
+	return route.Request{
+		PromptTokens: x.req.PromptTokens() + x.result.Tokens,
+		OutputTokens: max(x.expected-x.result.Tokens, 1),
+		Blocks:       prefixBlocks(x.req.Prompt),
+		Exclude:      exclude,
+	}
+}
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -2,27 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"masticbank.example/node/engine"
 )
 
-// readLoad asks every replica for its load report in turn.
-func (r *Router) readLoad() {
-	ticker := time.NewTicker(loadPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-			r.readLoadOnce()
-		}
-	}
-}
-
+// readLoadOnce asks every replica for its load report.
 func (r *Router) readLoadOnce() {
 	var g errgroup.Group
 	g.SetLimit(loadReaders)
--- /dev/null
+++ b/node/router/outcome.go
@@ -0,0 +1,94 @@
+package router
+
+import (
+	"context"
+	"errors"
+
+	"masticbank.example/core/admission"
+	"masticbank.example/core/attempt"
+	"masticbank.example/node/engine"
+)
+
+// finish records the outcome. Admission is told when the replicas are free.
+func (x *run) finish(o attempt.Outcome) {
+	x.result.Complete = o.Complete
+	x.result.Execution = o.Execution
+	x.result.Attempts = o.Attempts
+	if !o.Complete {
+		x.explain(o)
+	}
+	if !x.dispatched {
+		return
+	}
+	x.dispatched = false
+	if o.Complete {
+		x.pool.observeOutput(x.req, o.Tokens)
+		x.router.poisons.completed(x.fingerprint)
+	}
+	x.router.background(func() { x.leave(o) })
+}
+
+// leave gives the place in the pool back when the replicas are free. A request
+// that failed says nothing about the pace of the pool.
+func (x *run) leave(o attempt.Outcome) {
+	x.releases.Wait()
+	if !o.Complete {
+		x.pool.queue.cancel(x.req.ID)
+		return
+	}
+	x.pool.queue.done(x.req.ID, float64(x.req.PromptTokens()+o.Tokens))
+}
+
+// explain sets code, message and retry hint of an unsuccessful result.
+func (x *run) explain(o attempt.Outcome) {
+	x.result.Message = o.Reason
+	if x.lastFailure != "" {
+		x.result.Message += " (last failure at " + x.lastFailure + ")"
+	}
+	switch o.Reason {
+	case attempt.ReasonAttempts:
+		x.result.Code = CodeAttempts
+		x.result.RetryAfter = retryAfterFailure
+	case attempt.ReasonDeadline:
+		x.result.Code = CodeDeadline
+	case attempt.ReasonCancelled:
+		x.result.Code = CodeCancelled
+	case string(CodePoison):
+		x.result.Code = CodePoison
+	default:
+		x.result.Code = CodeNoRoute
+		x.result.RetryAfter = retryAfterFailure
+	}
+	if x.refusal != nil {
+		x.result.Code = refusalCode(x.refusal.Reason)
+		x.result.RetryAfter = x.refusal.RetryAfter
+	}
+}
+
+func refusalCode(r admission.Reason) Code {
+	switch r {
+	case admission.ReasonHopeless:
+		return CodeHopeless
+	case admission.ReasonDeadline:
+		return CodeDeadline
+	case admission.ReasonWorkspaceFull:
+		return CodeWorkspaceFull
+	case admission.ReasonPoolFull:
+		return CodePoolFull
+	default:
+		return CodeRefused
+	}
+}
+
+// refused tells whether an engine refused a call in its protocol.
+func refused(err error) bool {
+	var ce *engine.CallError
+	return errors.As(err, &ce) && ce.Proof == engine.ProofRefused
+}
+
+func contextEvent(ctx context.Context) attempt.Event {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return attempt.Expired{}
+	}
+	return attempt.Cancelled{}
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -106,8 +106,8 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
-	r.background(r.tick)
-	r.background(r.readLoad)
+	r.background(func() { r.every(tickPeriod, r.tickOnce) })
+	r.background(func() { r.every(loadPeriod, r.readLoadOnce) })
 	return r
 }
 
@@ -305,15 +305,16 @@
 	}
 }
 
-func (r *Router) tick() {
-	ticker := time.NewTicker(tickPeriod)
+// every calls f at each period until Close.
+func (r *Router) every(period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-ticker.C:
-			r.tickOnce()
+			f()
 		}
 	}
 }
--- /dev/null
+++ b/node/router/step.go
@@ -0,0 +1,111 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+// send runs one step and translates its end.
+func (x *run) send(ctx context.Context, s attempt.Send) attempt.Event {
+	req := x.stepRequest(s)
+	prefill := 0
+	if s.Prefill {
+		prefill = req.CoveredTokens
+	}
+	c, ok := x.pool.begin(s.Hop.ReplicaID, x.fingerprint, prefill, x.router.stepTimeout())
+	if !ok {
+		return attempt.Refused{Asked: s.Step, Reason: "not_listed"}
+	}
+	x.call = c
+	stepCtx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	stop := context.AfterFunc(c.live, cancel)
+	defer stop()
+	start := time.Now()
+	resp, err := x.pool.engines.Step(stepCtx, c.target, req)
+	if err != nil {
+		return x.stepFailed(ctx, s, err)
+	}
+	x.pool.progressed(c, prefill, resp.CachedTokens, time.Since(start))
+	return answered(s, resp)
+}
+
+func (x *run) stepRequest(s attempt.Send) *wire.StepRequest {
+	req := &wire.StepRequest{
+		RequestID:     s.Step.RequestID,
+		Attempt:       s.Step.Attempt,
+		Position:      s.Step.Position,
+		Model:         x.req.Model,
+		Version:       x.version,
+		FirstLayer:    s.Hop.FirstLayer,
+		LastLayer:     s.Hop.LastLayer,
+		Priority:      int(x.req.Rank),
+		Prefill:       s.Prefill,
+		Resend:        s.Resend,
+		Tokens:        s.Tokens,
+		Hidden:        s.Hidden,
+		CoveredTokens: 1,
+		MaxTokens:     x.req.MaxTokens,
+	}
+	if s.Prefill {
+		req.CoveredTokens = x.req.PromptTokens() + s.Step.Position
+		if s.Step.Stage == 0 {
+			req.Prompt = x.req.Prompt
+		}
+	}
+	return req
+}
+
+func answered(s attempt.Send, resp *wire.StepResponse) attempt.Event {
+	a := attempt.Answered{
+		Asked: s.Step,
+		Reported: attempt.Identity{
+			RequestID: resp.RequestID, Attempt: resp.Attempt, Stage: s.Step.Stage, Position: resp.Position,
+		},
+		Hidden: resp.Hidden,
+	}
+	if resp.Token != nil {
+		a.Token = &attempt.Token{ID: resp.Token.ID, Text: resp.Token.Text, Finish: resp.Token.Finish}
+	}
+	return a
+}
+
+func (x *run) stepFailed(ctx context.Context, s attempt.Send, err error) attempt.Event {
+	if ctx.Err() != nil {
+		x.pool.ended(x.call)
+		return contextEvent(ctx)
+	}
+	var ce *engine.CallError
+	if !errors.As(err, &ce) {
+		ce = &engine.CallError{Code: engine.CodeProtocol, Err: err}
+	}
+	x.lastFailure = s.Hop.ReplicaID + ": " + ce.Error()
+	switch {
+	case ce.Proof != engine.ProofNone:
+		x.pool.refused(x.call, ce.Code)
+		return attempt.Refused{Asked: s.Step, Reason: ce.Code}
+	case ce.Code == engine.CodeTimeout, ce.Code == engine.CodeConnection:
+		x.broken = ce.Code == engine.CodeConnection
+		return attempt.Silent{Asked: s.Step}
+	default:
+		x.pool.ended(x.call)
+		return attempt.Failed{Asked: s.Step, Reason: ce.Code}
+	}
+}
+
+// probe waits for the verdict on a replica whose step got no answer.
+func (x *run) probe(ctx context.Context, e attempt.Probe) attempt.Event {
+	alive := x.pool.suspect(ctx, x.call, x.broken)
+	if ctx.Err() != nil {
+		return contextEvent(ctx)
+	}
+	if !alive && x.broken {
+		x.poisoned = x.router.poisons.verdict(e.Hop.ReplicaID, x.fingerprint)
+	}
+	return attempt.Probed{Asked: e.Step, Alive: alive}
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"masticbank.example/node/inifile"
 )
 
 // Settings holds the settings of one entry instance.
@@ -83,37 +85,22 @@
 	Admission string
 }
 
-// Error is an invalid setting.
-type Error struct {
-	File    string
-	Section string
-	Key     string
-	Reason  string
-}
-
-// Error returns file, section, key and reason in one line.
-func (e *Error) Error() string {
-	if e.Section == "" {
-		return fmt.Sprintf("%s: %s", e.File, e.Reason)
-	}
-	return fmt.Sprintf("%s: section [%s] key %q: %s", e.File, e.Section, e.Key, e.Reason)
-}
-
-// Load reads and checks the settings file at path. The error is an *Error.
+// Load reads and checks the settings file at path. The error is an
+// *inifile.Error.
 func Load(path string) (*Settings, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, path)
+	f, err := inifile.Parse(path, path)
 	if err != nil {
-		return nil, &Error{File: path, Reason: err.Error()}
+		return nil, err
 	}
 	return parse(path, f)
 }
 
-// Parse reads and checks settings from memory. The error is an *Error that
-// names the source as name.
+// Parse reads and checks settings from memory. The error is an *inifile.Error
+// that names the source as name.
 func Parse(name string, data []byte) (*Settings, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
+	f, err := inifile.Parse(name, data)
 	if err != nil {
-		return nil, &Error{File: name, Reason: err.Error()}
+		return nil, err
 	}
 	return parse(name, f)
 }
@@ -144,10 +131,10 @@
 	for _, sec := range f.Sections() {
 		for _, key := range sec.Keys() {
 			if !sections[sec.Name()] {
-				return &Error{File: name, Section: sec.Name(), Key: key.Name(), Reason: "unknown section"}
+				return &inifile.Error{File: name, Section: sec.Name(), Key: key.Name(), Reason: "unknown section"}
 			}
 			if !known[sec.Name()+"\x00"+key.Name()] {
-				return &Error{File: name, Section: sec.Name(), Key: key.Name(), Reason: "unknown key"}
+				return &inifile.Error{File: name, Section: sec.Name(), Key: key.Name(), Reason: "unknown key"}
 			}
 		}
 	}
@@ -166,12 +153,12 @@
 			continue
 		}
 		if other, ok := seen[l.address]; ok {
-			return &Error{File: name, Section: "listen", Key: l.key, Reason: fmt.Sprintf("address %s is already used by key %q", l.address, other)}
+			return &inifile.Error{File: name, Section: "listen", Key: l.key, Reason: fmt.Sprintf("address %s is already used by key %q", l.address, other)}
 		}
 		seen[l.address] = l.key
 	}
 	if s.Listen.Peers != "" && len(s.Peers.Key) < minKeyBytes {
-		return &Error{File: name, Section: "peers", Key: "key", Reason: fmt.Sprintf("must have at least %d characters when listen.peers is set", minKeyBytes)}
+		return &inifile.Error{File: name, Section: "peers", Key: "key", Reason: fmt.Sprintf("must have at least %d characters when listen.peers is set", minKeyBytes)}
 	}
 	return nil
 }
--- a/node/settings/table.go
+++ b/node/settings/table.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gopkg.in/ini.v1"
+
+	"masticbank.example/node/inifile"
 )
 
 // minKeyBytes is the shortest shared key accepted.
@@ -33,12 +35,12 @@
 	}
 	if value == "" {
 		if d.required {
-			return &Error{File: name, Section: d.section, Key: d.key, Reason: "is required"}
+			return &inifile.Error{File: name, Section: d.section, Key: d.key, Reason: "is required"}
 		}
 		return nil
 	}
 	if err := d.set(s, value); err != nil {
-		return &Error{File: name, Section: d.section, Key: d.key, Reason: err.Error()}
+		return &inifile.Error{File: name, Section: d.section, Key: d.key, Reason: err.Error()}
 	}
 	return nil
 }
