--- a/cmd/masticctl/main.go
+++ b/cmd/masticctl/main.go
@@ -21,6 +21,7 @@
 	Standin  standinCmd  `cmd:"" help:"Serve stand-ins of the upstreams and the platform on loopback ports."`
 	Load     loadCmd     `cmd:"" help:"Send load from a scenario and report what came back."`
 	Dev      devCmd      `cmd:"" help:"Run stand-ins and one entry instance in this process."`
+	Trial    trialCmd    `cmd:"" help:"Measure how instances agree."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
