--- a/cmd/internal/trial/cluster.go
+++ b/cmd/internal/trial/cluster.go
@@ -21,7 +21,7 @@
 
 const (
 	// statusPeriod is the time between two looks at one instance.
-	statusPeriod = 20 * time.Millisecond
+	statusPeriod = 5 * time.Millisecond
 	callTimeout  = 5 * time.Second
 )
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,7 +6,10 @@
 #
 # The command sees these variables: TARGETS (callers' addresses, one --target
 # each), ADMINS (administration URLs), CONTROL (address of the stand-ins),
-# MASTICBANK_ADMIN, MASTICBANK_ADMIN_KEY, PIDS (of the instances), RUN_DIR.
+# MASTICBANK_ADMIN, MASTICBANK_ADMIN_KEY, PIDS (of the instances), RUN_DIR, LOG
+# (URL of the log). A command in bash can start more with start_instance NUMBER,
+# which sets pids[NUMBER], and has to end them; LISTED lists so many instances
+# beyond INSTANCES from the start.
 # EXTRA holds further settings for every instance, such as
 # $'[policy]\nadmission = fifo'.
 set -euo pipefail
@@ -37,7 +40,7 @@
 trap stop EXIT
 
 entries=()
-for ((i = 0; i < count; i++)); do
+for ((i = 0; i < count + ${LISTED:-0}; i++)); do
   entries+=(--entry "entry-$i,zone-$((i % 3)),127.0.0.1:$((base + 3000 + 10 * i + 2))")
 done
 bin/masticctl standin --fleet "$fleet" --base-port "$base" ${STANDIN_FLAGS:-} "${entries[@]}" >"$run/standin.log" 2>&1 &
@@ -93,5 +96,7 @@
 bin/masticctl publish "scenarios/config/$fleet" --base 0 --wait >"$run/publish.log"
 for ((i = 0; i < count; i++)); do wait_ready "$i" readyz; done
 sleep 2
+export -f settings start_instance wait_ready
+export base run LOG=http://127.0.0.1:$((base + 3))
 export TARGETS ADMINS CONTROL=127.0.0.1:$((base + 2)) PIDS="${pids[*]}"
 "$@"
