Each instance has a part of each replica's slots

Cause: three instances that see the same reports, a quarter to half a second old, filled the same free slots; a request then waited behind whole answers for a slot. At 54 % of the bound the urgent p95 to the first token was 870 ms, with a p50 of 35 ms.

A choice looks first for a chain within this instance's equal part of each replica, whatever the reports say, and only then for slots that they show as free. Parts are rounded by rendezvous position, so that they add up to the limit.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -27,7 +27,12 @@
 func (t *Table) Choose(now time.Time, req Request, random uint64) Decision {
 	at := now.UnixNano()
 	t.begin(at, &req)
+	t.withinParts = t.live != nil
 	t.search(at, &req)
+	if t.withinParts && math.IsInf(t.best[0], 1) {
+		t.withinParts = false
+		t.search(at, &req)
+	}
 	if math.IsInf(t.best[0], 1) {
 		return t.explainFailure(at)
 	}
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -72,7 +72,7 @@
 		e.Lowest = seconds(t.best[0])
 	}
 	at := now.UnixNano()
-	t.reach(func(r *replica) bool { return t.usable(r) && !r.full(at) })
+	t.reach(func(r *replica) bool { return t.usable(r) && !t.full(at, r) })
 	for _, r := range t.replicas {
 		e.Replicas = append(e.Replicas, t.view(at, &req, r))
 	}
@@ -113,7 +113,7 @@
 		return OutOfUse
 	case r.excludedAt == t.stamp:
 		return IsExcluded
-	case r.full(now):
+	case t.full(now, r):
 		return NoRoom
 	case !t.forward[r.First] || !t.backward[r.Last+1]:
 		return NoChain
--- a/core/route/replica.go
+++ b/core/route/replica.go
@@ -22,6 +22,8 @@
 
 	// inFlight counts this instance's own requests.
 	inFlight int
+	// position is that of this instance among the live ones.
+	position int
 	// delta is the change of inFlight since the last report.
 	delta int
 	// newTokens counts the prompt tokens dispatched since the last report.
@@ -186,8 +188,13 @@
 	if r.limit == 0 {
 		return false
 	}
-	allowed := max(int(float64(r.limit)*r.weight), 1)
-	return r.occupancy(now) >= allowed
+	return r.occupancy(now) >= r.allowed()
+}
+
+// allowed returns how many requests of all instances the replica takes at its
+// weight.
+func (r *replica) allowed() int {
+	return max(int(float64(r.limit)*r.weight), 1)
 }
 
 // slowdown returns by which factor a step takes longer than on an idle replica:
--- a/core/route/search.go
+++ b/core/route/search.go
@@ -26,7 +26,7 @@
 	lowest := math.Inf(1)
 	for _, r := range g.members {
 		r.cost = math.Inf(1)
-		if !t.usable(r) || r.full(now) {
+		if !t.usable(r) || t.full(now, r) {
 			continue
 		}
 		r.cost = t.terms(now, req, r, t.cachedPart(r)).Total()
@@ -53,7 +53,7 @@
 func (t *Table) explainFailure(now int64) Decision {
 	missing, lacking := t.gap(t.usable)
 	if !lacking {
-		missing, _ = t.gap(func(r *replica) bool { return t.usable(r) && !r.full(now) })
+		missing, _ = t.gap(func(r *replica) bool { return t.usable(r) && !t.full(now, r) })
 		return Decision{Outcome: Full, Missing: missing}
 	}
 	inUse := func(r *replica) bool { return r.weight > 0 }
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -12,7 +12,13 @@
 	layers int
 	// instances is the number of instances that dispatch to the replicas.
 	instances int
-	replicas  map[string]*replica
+	// self and live name this instance and all live ones; live is nil until
+	// SetMembers.
+	self string
+	live []string
+	// withinParts limits the choice under way to the own parts of the replicas.
+	withinParts bool
+	replicas    map[string]*replica
 	// from lists the groups that begin at a layer.
 	from  [][]*group
 	kinds map[string]*pace
@@ -190,6 +196,7 @@
 
 func (t *Table) insert(r *replica) {
 	t.replicas[r.ID] = r
+	t.place(r)
 	next := r.Last + 1
 	for _, g := range t.from[r.First] {
 		if g.next == next {
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -81,6 +81,7 @@
 		return nil, trace.Wrap(err)
 	}
 	a.router = router.New(router.Options{
+		ID:          o.Settings.Instance.ID,
 		Engines:     a.engines,
 		Services:    a.services,
 		Orders:      a.orderPort(),
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -46,23 +46,23 @@
 	a.neighbors = neighbor.NewChooser(neighbor.DefaultLimits())
 	a.sharer = sharing.New(sharing.Options{
 		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
-		OnMember: func(membership.Changed) { a.countEntries() },
+		OnMember: func(membership.Changed) { a.setEntries() },
 	})
 	a.run(ctx, a.sharer.Run)
 	a.run(ctx, a.sharePoison)
 	return n.Start()
 }
 
-// countEntries tells the router how many instances dispatch to the upstreams.
-func (a *App) countEntries() {
-	n := 0
+// setEntries tells the router which instances dispatch to the upstreams.
+func (a *App) setEntries() {
+	var live []string
 	for _, m := range a.sharer.Members() {
 		if m.State == membership.Ready || m.ID == a.opts.Settings.Instance.ID {
-			n++
+			live = append(live, m.ID)
 		}
 	}
-	a.router.SetEntries(n)
-	a.metrics.Set(metrics.Peers, int64(n-1))
+	a.router.SetEntries(live)
+	a.metrics.Set(metrics.Peers, int64(len(live)-1))
 }
 
 // sharePoison tells the peers of requests that crash upstreams, each when it is
--- a/node/router/demand.go
+++ b/node/router/demand.go
@@ -73,5 +73,5 @@
 		return 0
 	}
 	s := p.queue.stats(0)
-	return max(1, (s.InFlight+s.Queued)*max(r.entries, 1))
+	return max(1, (s.InFlight+s.Queued)*max(len(r.entries), 1))
 }
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -310,11 +310,11 @@
 	return p.budget.Take(time.Now())
 }
 
-// setInstanceCount sets the number of entry instances that dispatch to the pool.
-func (p *pool) setInstanceCount(n int) {
+// setMembers names the entry instances that dispatch to the pool.
+func (p *pool) setMembers(self string, live []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetInstances(n)
+	p.table.SetMembers(self, live)
 }
 
 // expectedOutput estimates the number of tokens that a request generates.
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -54,6 +54,8 @@
 
 // Options configures a Router.
 type Options struct {
+	// ID is the ID of this instance.
+	ID       string
 	Engines  engine.Client
 	Services *service.Client
 	// Orders makes calls with an idempotency key at most once on all instances
@@ -84,8 +86,8 @@
 	pools     map[string]*pool
 	services  map[string]*servicePool
 	instances []wire.Instance
-	// entries is the number of live entry instances, this one included.
-	entries int
+	// entries are the live entry instances, this one included.
+	entries []string
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -101,6 +103,7 @@
 		metrics:  o.Metrics,
 		history:  newHistory(),
 		poisons:  newPoisons(poisonRetention),
+		entries:  []string{o.ID},
 		pools:    map[string]*pool{},
 		services: map[string]*servicePool{},
 		ctx:      ctx,
@@ -143,7 +146,7 @@
 			wake:       r.wake,
 			seed:       r.opts.Seed,
 		})
-		p.setInstanceCount(max(r.entries, 1))
+		p.setMembers(r.opts.ID, r.entries)
 		p.setInstances(r.instances)
 		r.pools[name] = p
 	}
@@ -191,13 +194,13 @@
 	}
 }
 
-// SetEntries sets the number of live entry instances, this one included.
-func (r *Router) SetEntries(n int) {
+// SetEntries names the live entry instances, this one included.
+func (r *Router) SetEntries(ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.entries = n
+	r.entries = ids
 	for _, p := range r.pools {
-		p.setInstanceCount(max(n, 1))
+		p.setMembers(r.opts.ID, ids)
 	}
 }
 
