--- a/core/placement/benchmark_test.go
+++ b/core/placement/benchmark_test.go
@@ -42,6 +42,11 @@
 		{"quiet", func(*Input) {}},
 		{"lost_range", lose},
 		{"new_version", func(in *Input) { in.Models[0].Version = "2" }},
+		{"overload", func(in *Input) {
+			for i := range in.Models {
+				in.Models[i].Demand *= 100
+			}
+		}},
 	}
 	for _, size := range []struct{ models, engines int }{{1, 40}, {5, 12000}} {
 		for _, c := range cases {
--- a/core/placement/extend.go
+++ b/core/placement/extend.go
@@ -89,7 +89,7 @@
 	})
 	for _, g := range groups {
 		e := &v.engines[g.engine]
-		if e.Held == target || v.reach[e.Accelerator] < target.layers() {
+		if e.Held == target || v.maxLayers(e) < target.layers() {
 			continue
 		}
 		own := e.Held.Model == m.Name && e.Held.Version == m.Version
@@ -164,7 +164,7 @@
 	for i := range v.engines {
 		e := &v.engines[i]
 		if e.usable() && !v.changed[e.ID] {
-			longest = max(longest, v.reach[e.Accelerator])
+			longest = max(longest, v.maxLayers(e))
 		}
 	}
 	return longest
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -50,7 +50,10 @@
 	ID          string
 	Zone        string
 	Accelerator string
-	Held        Assignment
+	// MaxLayers is the number of layers that the engine can hold; 0 means as many
+	// as any engine with the same accelerator holds.
+	MaxLayers int
+	Held      Assignment
 	// Loading is true while the engine fetches what it holds.
 	Loading bool
 	// Fence is the highest fencing number seen.
--- a/core/placement/view.go
+++ b/core/placement/view.go
@@ -21,8 +21,8 @@
 	// held holds the units that can serve now, planned those that are to.
 	held    tally
 	planned tally
-	// reach is the longest range that each kind of accelerator holds.
-	reach map[string]int
+	// longestHeld is the longest range that each kind of accelerator holds.
+	longestHeld map[string]int
 
 	loading int
 	budget  int
@@ -44,7 +44,7 @@
 	v := &view{
 		terms: terms, epoch: in.Epoch, engines: in.Engines,
 		models: map[string]*Model{}, target: make([]Assignment, len(in.Engines)),
-		held: tally{}, planned: tally{}, reach: map[string]int{}, changed: map[string]bool{},
+		held: tally{}, planned: tally{}, longestHeld: map[string]int{}, changed: map[string]bool{},
 	}
 	for i := range in.Engines {
 		v.addEngine(i, targets)
@@ -72,7 +72,7 @@
 	if e.Loading || pending {
 		v.loading++
 	}
-	v.reach[e.Accelerator] = max(v.reach[e.Accelerator], e.Held.layers(), v.target[i].layers())
+	v.longestHeld[e.Accelerator] = max(v.longestHeld[e.Accelerator], e.Held.layers(), v.target[i].layers())
 	if e.usable() {
 		v.held.add(e.Held, e.units())
 	}
@@ -81,6 +81,14 @@
 	}
 }
 
+// maxLayers returns the number of layers that the engine can hold.
+func (v *view) maxLayers(e *Engine) int {
+	if e.MaxLayers > 0 {
+		return e.MaxLayers
+	}
+	return v.longestHeld[e.Accelerator]
+}
+
 // commonVersion returns the version of the model with the most units planned,
 // the highest of equal ones.
 func (v *view) commonVersion(model string) string {
@@ -229,22 +237,22 @@
 	return least
 }
 
-// group is the first engine, by zone and ID, of those that hold the same and
-// have the same size.
+// group is a set of engines that hold the same in one zone and are of one size.
 type group struct {
+	// engine is the one with the lowest ID.
 	engine int
-	zones  int
+	size   int
 }
 
 type groupKey struct {
-	held        Assignment
-	units       int
-	accelerator string
-	zone        string
+	held      Assignment
+	units     int
+	maxLayers int
+	zone      string
 }
 
-// groups returns one engine of every kind that could load something else, in a
-// steady order. Of the zones those come first that hold most of the assignment.
+// groups returns the engines that could load something else, the largest groups
+// first.
 func (v *view) groups() []group {
 	byKey := map[groupKey]*group{}
 	for i := range v.engines {
@@ -252,13 +260,13 @@
 		if !e.usable() || v.changed[e.ID] || v.target[i] != e.Held {
 			continue
 		}
-		key := groupKey{held: e.Held, units: e.units(), accelerator: e.Accelerator, zone: e.Zone}
+		key := groupKey{held: e.Held, units: e.units(), maxLayers: v.maxLayers(e), zone: e.Zone}
 		g := byKey[key]
 		if g == nil {
-			byKey[key] = &group{engine: i, zones: 1}
+			byKey[key] = &group{engine: i, size: 1}
 			continue
 		}
-		g.zones++
+		g.size++
 		if e.ID < v.engines[g.engine].ID {
 			g.engine = i
 		}
@@ -268,7 +276,7 @@
 		out = append(out, *g)
 	}
 	slices.SortFunc(out, func(a, b group) int {
-		return cmp.Or(cmp.Compare(b.zones, a.zones), cmp.Compare(v.engines[a.engine].ID, v.engines[b.engine].ID))
+		return cmp.Or(cmp.Compare(b.size, a.size), cmp.Compare(v.engines[a.engine].ID, v.engines[b.engine].ID))
 	})
 	return out
 }
--- a/node/loader/calls.go
+++ b/node/loader/calls.go
@@ -30,8 +30,8 @@
 	return r.answered && r.silent.IsZero() && (r.state.Loading || target != held(r.state))
 }
 
-// read refreshes the readings that are due.
-func (l *Loader) read(ctx context.Context, targets []Engine) {
+// read refreshes the readings that are due and tells whether a state changed.
+func (l *Loader) read(ctx context.Context, targets []Engine) (changed bool) {
 	due := l.due(targets)
 	states := make([]*wire.EngineState, len(due))
 	var group errgroup.Group
@@ -44,8 +44,11 @@
 	}
 	_ = group.Wait()
 	for i, t := range due {
+		before := l.known[t.Target.ID]
 		l.noteState(t.Target.ID, states[i])
+		changed = changed || l.known[t.Target.ID].state != before.state
 	}
+	return changed
 }
 
 // due returns the engines that change, the silent ones once a period, and of the
@@ -121,7 +124,7 @@
 		}
 		down := t.Down || (silent && silence >= l.downAfter())
 		engines = append(engines, placement.Engine{
-			ID: t.Target.ID, Zone: t.Zone, Accelerator: t.Accelerator,
+			ID: t.Target.ID, Zone: t.Zone, Accelerator: t.Accelerator, MaxLayers: t.MaxLayers,
 			Held: held(last.state), Loading: last.state.Loading,
 			Fence: last.state.Fence, Fencing: last.state.Fencing,
 			Live: !down, Silent: silent, Leaving: t.Leaving, Units: t.Units,
--- a/node/loader/loader.go
+++ b/node/loader/loader.go
@@ -46,6 +46,9 @@
 	Target      engine.Target
 	Zone        string
 	Accelerator string
+	// MaxLayers is the number of layers that it can hold; 0 means as many as any
+	// engine with the same accelerator holds.
+	MaxLayers int
 	// Leaving is true when the engine takes no new work.
 	Leaving bool
 	// Down is true when the engine is known to be down, from traffic and probes.
@@ -115,6 +118,8 @@
 	since time.Time
 	// active is true while engines load or are ordered to.
 	active bool
+	// decided is the time of the last decision.
+	decided time.Time
 
 	mu     sync.Mutex
 	status Status
@@ -155,8 +160,8 @@
 	return l.status
 }
 
-// Run decides once a period, and more often while engines load, until ctx ends,
-// and returns its error. All calls have ended when it returns.
+// Run decides once a period, and when a state has changed while engines load,
+// until ctx ends, and returns its error. All calls have ended when it returns.
 func (l *Loader) Run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -193,11 +198,13 @@
 		clear(l.known)
 	}
 	targets := l.opts.Targets()
-	l.read(ctx, targets)
+	changed := l.read(ctx, targets)
 	if ctx.Err() != nil || l.incomplete(targets) {
 		return
 	}
-	l.decide(ctx, epoch, targets)
+	if changed || time.Since(l.decided) >= l.opts.Period {
+		l.decide(ctx, epoch, targets)
+	}
 }
 
 // incomplete tells whether engines have not answered since the duty began, while
@@ -217,6 +224,7 @@
 func (l *Loader) downAfter() time.Duration { return downRounds * l.opts.Period }
 
 func (l *Loader) decide(ctx context.Context, epoch uint64, targets []Engine) {
+	l.decided = time.Now()
 	engines := l.engines(targets)
 	plan := l.planner.Step(placement.Input{
 		Epoch:    epoch,
