--- a/node/router/health.go
+++ b/node/router/health.go
@@ -69,6 +69,8 @@
 	switch code {
 	case wire.CodeLeaving:
 		p.step(u, health.Leaving{Source: health.FromUpstream})
+	case wire.CodeWrongRange:
+		p.readHolding(c.target)
 	case wire.CodeOverloaded:
 		u.limit.Refused(time.Now())
 		p.updateLimit(u)
@@ -94,7 +96,7 @@
 		return
 	}
 	u.inForce = l
-	p.table.SetLimit(u.instance.ID, l+max(1, l/2))
+	p.table.SetLimit(u.instance.ID, l)
 	p.updateCapacity()
 }
 
