Benchmarks of the request path, and failure tests of the router

Processor time of one request and one token through the router, the caller API and the engine client, of reading load reports, of a changed configuration and of the instance list.

The failure tests run a whole router against fake engines in virtual time. When the sink refuses the last token, the pending Release and Finish are thrown away with the other effects, so the slot of the queue and the places on the replicas are never given back and the result says not_run.

--- /dev/null
+++ b/node/router/bench_test.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// cpuTime returns the processor time that the process has used.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// await waits until the router has capacity.
+func await(b *testing.B, r *Router) {
+	deadline := time.Now().Add(5 * time.Second)
+	for r.pool(testModel).queue.stats(0).Slots == 0 {
+		if time.Now().After(deadline) {
+			b.Fatal("no capacity")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// BenchmarkRequest is the processor time of one request in a router in front of
+// engines that answer at once. The difference between two numbers of tokens is
+// the cost of a token.
+func BenchmarkRequest(b *testing.B) {
+	for _, stages := range []int{2, 3, 4} {
+		for _, replicas := range []int{40, 256} {
+			for _, tokens := range []int{1, 101} {
+				b.Run(fmt.Sprintf("stages=%d/replicas=%d/tokens=%d", stages, replicas, tokens), func(b *testing.B) {
+					r := newTestRouter(&fakeEngines{quiet: true}, &noMetrics{}, fleet(stages, replicas), 10)
+					defer r.Close()
+					await(b, r)
+					benchRequests(b, r, tokens)
+				})
+			}
+		}
+	}
+}
+
+func benchRequests(b *testing.B, r *Router, tokens int) {
+	n := 0
+	b.ReportAllocs()
+	began := cpuTime(b)
+	for b.Loop() {
+		n++
+		res := r.Generate(context.Background(), testRequest(strconv.Itoa(n), tokens, time.Minute), &textSink{})
+		if !res.Complete {
+			b.Fatal(res.Message)
+		}
+	}
+	b.ReportMetric(float64(cpuTime(b)-began)/float64(n), "cpu-ns/op")
+}
+
+// BenchmarkControl is the cost of what a router does without requests: one check
+// of all queues and replicas, one change of a replica's weight, and one reading of
+// all load reports, without the network.
+func BenchmarkControl(b *testing.B) {
+	for _, replicas := range []int{40, 256, 1024} {
+		r := newTestRouter(&fakeEngines{quiet: true}, &noMetrics{}, fleet(4, replicas), 2000)
+		await(b, r)
+		b.Run(fmt.Sprintf("tick/replicas=%d", replicas), func(b *testing.B) {
+			for b.Loop() {
+				r.tickOnce()
+			}
+		})
+		b.Run(fmt.Sprintf("weight/replicas=%d", replicas), func(b *testing.B) {
+			p := r.pool(testModel)
+			for b.Loop() {
+				p.mu.Lock()
+				p.updateCapacity()
+				p.mu.Unlock()
+			}
+		})
+		b.Run(fmt.Sprintf("load/replicas=%d", replicas), func(b *testing.B) {
+			for b.Loop() {
+				r.readLoadOnce()
+			}
+		})
+		r.Close()
+	}
+}
+
+// BenchmarkConfigure is the cost of putting a new configuration in force.
+func BenchmarkConfigure(b *testing.B) {
+	for _, workspaces := range []int{10, 200, 2000} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			r := newTestRouter(&fakeEngines{quiet: true}, &noMetrics{}, fleet(4, 256), workspaces)
+			defer r.Close()
+			c := testConfig(workspaces)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Configure(c)
+			}
+		})
+	}
+}
+
+// BenchmarkSetInstances is the cost of putting a list in force that has not
+// changed.
+func BenchmarkSetInstances(b *testing.B) {
+	for _, replicas := range []int{40, 256, 1024} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			list := fleet(4, replicas)
+			r := newTestRouter(&fakeEngines{quiet: true}, &noMetrics{}, list, 10)
+			defer r.Close()
+			await(b, r)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.SetInstances(list)
+			}
+		})
+	}
+}
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory is the memory of an idle router by replicas and workspaces,
+// without its connections, and of one that has served every workspace once.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []struct{ replicas, workspaces int }{
+		{40, 10},
+		{256, 10},
+		{1024, 10},
+		{256, 2000},
+	} {
+		b.Run(fmt.Sprintf("replicas=%d/workspaces=%d", size.replicas, size.workspaces), func(b *testing.B) {
+			var idle, used uint64
+			for b.Loop() {
+				before := heapBytes()
+				r := newTestRouter(&fakeEngines{quiet: true}, &noMetrics{}, fleet(4, size.replicas), size.workspaces)
+				await(b, r)
+				idle = heapBytes() - before
+				for i := range size.workspaces {
+					req := testRequest(strconv.Itoa(i), 1, time.Minute)
+					req.Workspace = workspaceName(i)
+					r.Generate(context.Background(), req, &textSink{})
+				}
+				used = heapBytes() - before
+				r.Close()
+			}
+			b.ReportMetric(float64(idle)/1024, "idle-KiB")
+			b.ReportMetric(float64(used)/1024, "used-KiB")
+		})
+	}
+}
--- /dev/null
+++ b/node/router/fake_test.go
@@ -0,0 +1,269 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/config"
+	"masticbank.example/core/route"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+const (
+	testModel  = "m"
+	testLayers = 12
+	// testSlots is what each fake engine reports.
+	testSlots = 8
+)
+
+// sent is one step that reached the fake engines.
+type sent struct {
+	replica  string
+	request  string
+	attempt  int
+	position int
+	resend   bool
+	// executed is true when the engine ran its layers.
+	executed bool
+}
+
+// cancelled is one attempt that the router told a replica to forget.
+type cancelled struct {
+	replica string
+	request string
+	attempt int
+}
+
+// fakeEngines implements engine.Client for a whole fleet. It is safe for
+// concurrent use.
+type fakeEngines struct {
+	// behave answers a step in place of honest, when it is set. It tells whether
+	// the step was executed.
+	behave func(ctx context.Context, t engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error)
+	// probe answers probes; nil lets every engine answer.
+	probe func(t engine.Target) error
+	// slots is reported by every engine; 0 means testSlots.
+	slots int
+	// quiet leaves out the record of steps and cancellations.
+	quiet bool
+
+	mu        sync.Mutex
+	steps     []sent
+	cancelled []cancelled
+	replaced  []string
+}
+
+// honest answers a step as an engine does that holds the range asked for.
+func honest(r *wire.StepRequest) *wire.StepResponse {
+	resp := &wire.StepResponse{RequestID: r.RequestID, Attempt: r.Attempt, Position: r.Position}
+	if r.LastLayer < testLayers-1 {
+		resp.Hidden = []byte{1}
+		return resp
+	}
+	resp.Token = &wire.Token{ID: r.Position, Text: tokenText(r.RequestID, r.Position)}
+	return resp
+}
+
+// tokenText is the text that the fake model generates.
+func tokenText(request string, position int) string {
+	return fmt.Sprintf("%s/%d ", request, position)
+}
+
+// Step implements engine.Client.
+func (f *fakeEngines) Step(ctx context.Context, t engine.Target, r *wire.StepRequest) (*wire.StepResponse, error) {
+	if f.quiet {
+		return honest(r), nil
+	}
+	resp, executed, err := honest(r), true, error(nil)
+	if f.behave != nil {
+		resp, executed, err = f.behave(ctx, t, r)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.steps = append(f.steps, sent{
+		replica: t.ID, request: r.RequestID, attempt: r.Attempt, position: r.Position, resend: r.Resend, executed: executed,
+	})
+	return resp, err
+}
+
+// Cancel implements engine.Client.
+func (f *fakeEngines) Cancel(_ context.Context, t engine.Target, r *wire.CancelRequest) error {
+	if f.quiet {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, cancelled{replica: t.ID, request: r.RequestID, attempt: r.Attempt})
+	return nil
+}
+
+// Load implements engine.Client.
+func (f *fakeEngines) Load(context.Context, engine.Target) (*wire.LoadReport, error) {
+	slots := f.slots
+	if slots == 0 {
+		slots = testSlots
+	}
+	return &wire.LoadReport{Slots: slots, StepMillis: 1, PrefillTokensPerSecond: 8000}, nil
+}
+
+// Probe implements engine.Client.
+func (f *fakeEngines) Probe(_ context.Context, t engine.Target) error {
+	if f.probe == nil {
+		return nil
+	}
+	return f.probe(t)
+}
+
+// CacheEvents implements engine.Client.
+func (f *fakeEngines) CacheEvents(context.Context, engine.Target, uint64) (*wire.CacheEvents, error) {
+	return &wire.CacheEvents{}, nil
+}
+
+// Order implements engine.Client.
+func (f *fakeEngines) Order(context.Context, engine.Target, *wire.Order) (*wire.OrderResponse, error) {
+	return &wire.OrderResponse{}, nil
+}
+
+// State implements engine.Client.
+func (f *fakeEngines) State(context.Context, engine.Target) (*wire.EngineState, error) {
+	return &wire.EngineState{}, nil
+}
+
+// ReplaceConnections implements engine.Client.
+func (f *fakeEngines) ReplaceConnections(t engine.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replaced = append(f.replaced, t.ID)
+}
+
+// Forget implements engine.Client.
+func (f *fakeEngines) Forget(engine.Target) {}
+
+// stepsOf returns the steps that reached engines for one request.
+func (f *fakeEngines) stepsOf(request string) []sent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []sent
+	for _, s := range f.steps {
+		if s.request == request {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// refuse is the error of an engine that states that nothing ran.
+func refuse(code string) error {
+	return &engine.CallError{Proof: engine.ProofRefused, Code: code, Err: errors.New("refused")}
+}
+
+// lost is the error of a connection that ended after it was written to.
+func lost() error {
+	return &engine.CallError{Code: engine.CodeConnection, Err: errors.New("reset")}
+}
+
+// silence blocks until the step is given up.
+func silence(ctx context.Context) error {
+	<-ctx.Done()
+	code := engine.CodeCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = engine.CodeTimeout
+	}
+	return &engine.CallError{Code: code, Err: ctx.Err()}
+}
+
+// noMetrics implements Metrics and counts the answers that were not used.
+type noMetrics struct {
+	mu      sync.Mutex
+	dropped map[attempt.DropKind]int
+}
+
+func (m *noMetrics) Dropped(k attempt.DropKind) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dropped == nil {
+		m.dropped = map[attempt.DropKind]int{}
+	}
+	m.dropped[k]++
+}
+
+func (*noMetrics) TokenGap(string, config.Rank, time.Duration) {}
+func (*noMetrics) Finished(*Result)                            {}
+func (*noMetrics) ConnectionReplaced(string)                   {}
+func (*noMetrics) Ejected(string)                              {}
+func (*noMetrics) Leaving(string)                              {}
+
+// testConfig returns a configuration with the given number of workspaces.
+func testConfig(workspaces int) *config.Config {
+	c := &config.Config{
+		Ranks: []config.RankConfig{
+			{Name: "urgent", FirstToken: time.Second, Deadline: time.Minute, MinShare: 0.5},
+			{Name: "middle", FirstToken: time.Second, Deadline: time.Minute, MinShare: 0.2},
+			{Name: "least", FirstToken: time.Second, Deadline: time.Minute, MinShare: 0.1},
+		},
+		Models:     map[string]config.ModelConfig{testModel: {Layers: testLayers, Version: "1", MaxOutput: 4096}},
+		Services:   map[string]config.ServiceConfig{},
+		Workspaces: map[string]config.WorkspaceConfig{},
+		Limits:     config.Limits{MaxQueued: 4096, RetryRatio: 0.1, StepTimeout: 2 * time.Second, PoisonTTL: time.Minute},
+	}
+	for i := range workspaces {
+		c.Workspaces[workspaceName(i)] = config.WorkspaceConfig{Weight: 1, DefaultRank: "urgent", MaxQueued: 256}
+	}
+	return c
+}
+
+func workspaceName(i int) string { return fmt.Sprintf("workspace-%d", i) }
+
+// fleet lists replicas of the model cut into stages of equal length.
+func fleet(stages, replicas int) []wire.Instance {
+	per := testLayers / stages
+	out := make([]wire.Instance, 0, replicas)
+	for i := range replicas {
+		first := i % stages * per
+		out = append(out, wire.Instance{
+			ID:          fmt.Sprintf("replica-%d", i),
+			Role:        wire.RoleEngine,
+			Address:     fmt.Sprintf("127.0.0.1:%d", 1024+i),
+			Zone:        fmt.Sprintf("zone-%d", i%3),
+			Model:       testModel,
+			Version:     "1",
+			FirstLayer:  first,
+			LastLayer:   first + per - 1,
+			Accelerator: fmt.Sprintf("kind-%d", i%6),
+		})
+	}
+	return out
+}
+
+// newTestRouter returns a router in front of the fake engines.
+func newTestRouter(f *fakeEngines, m Metrics, list []wire.Instance, workspaces int) *Router {
+	r := New(Options{Engines: f, Metrics: m, Logger: zap.NewNop(), RoutePolicy: route.PolicyCost, Seed: 1})
+	r.Configure(testConfig(workspaces))
+	r.SetInstances(list)
+	return r
+}
+
+// textSink keeps the tokens in the order in which they came.
+type textSink struct {
+	texts []string
+	// fail, when it is set, is asked before each token.
+	fail func(position int) error
+}
+
+// Token implements Sink.
+func (s *textSink) Token(t attempt.Token) error {
+	if s.fail != nil {
+		if err := s.fail(len(s.texts)); err != nil {
+			return err
+		}
+	}
+	s.texts = append(s.texts, t.Text)
+	return nil
+}
--- /dev/null
+++ b/node/router/router_test.go
@@ -0,0 +1,437 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/execution"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve runs f against a router whose replicas have answered their first probe.
+// Time in f is that of the bubble. When f returns, all capacity must be back.
+func serve(t *testing.T, engines *fakeEngines, list []wire.Instance, f func(t *testing.T, r *Router, m *noMetrics)) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &noMetrics{}
+		r := newTestRouter(engines, m, list, 4)
+		synctest.Wait()
+		defer r.Close()
+		f(t, r, m)
+		synctest.Wait()
+		require.Empty(t, held(r))
+	})
+}
+
+// held describes what the router still counts as in use, or returns "".
+func held(r *Router) string {
+	p := r.pool(testModel)
+	if s := p.queue.stats(0); s.InFlight != 0 || s.Queued != 0 {
+		return fmt.Sprintf("queue: %d in flight, %d queued", s.InFlight, s.Queued)
+	}
+	if n := len(p.queue.waiting); n != 0 {
+		return fmt.Sprintf("queue: %d goroutines expected", n)
+	}
+	for _, u := range p.status().Upstreams {
+		if u.InFlight != 0 {
+			return fmt.Sprintf("route table: %d in flight on %s", u.InFlight, u.ID)
+		}
+	}
+	for id, u := range p.upstreams {
+		if len(u.verdicts) != 0 {
+			return "open verdicts on " + id
+		}
+	}
+	return ""
+}
+
+func testRequest(id string, tokens int, deadline time.Duration) *Request {
+	now := time.Now()
+	return &Request{
+		ID: id, Workspace: workspaceName(0), Model: testModel, Prompt: "prompt",
+		MaxTokens: tokens, Arrived: now, Deadline: now.Add(deadline),
+	}
+}
+
+func wholeAnswer(id string, tokens int) []string {
+	out := make([]string, 0, tokens)
+	for i := range tokens {
+		out = append(out, tokenText(id, i))
+	}
+	return out
+}
+
+// Answers to another request, attempt or position, and answers without the output
+// of their stage, are dropped; the caller gets its own answer whole and in order.
+func TestCrossedAnswersAreDropped(t *testing.T) {
+	cases := map[string]struct {
+		kind  attempt.DropKind
+		alter func(*wire.StepResponse)
+	}{
+		"other request":      {attempt.DropForeign, func(r *wire.StepResponse) { r.RequestID = "other" }},
+		"late attempt":       {attempt.DropForeign, func(r *wire.StepResponse) { r.Attempt-- }},
+		"duplicate position": {attempt.DropForeign, func(r *wire.StepResponse) { r.Position-- }},
+		"position ahead":     {attempt.DropForeign, func(r *wire.StepResponse) { r.Position++ }},
+		"no output":          {attempt.DropMalformed, func(r *wire.StepResponse) { r.Hidden, r.Token = nil, nil }},
+		"output of the last stage and of an inner one": {attempt.DropMalformed, func(r *wire.StepResponse) {
+			r.Hidden, r.Token = []byte{1}, &wire.Token{Text: "wrong"}
+		}},
+	}
+	for name, c := range cases {
+		for stage := range 3 {
+			t.Run(fmt.Sprintf("%s at stage %d", name, stage), func(t *testing.T) {
+				engines := &fakeEngines{}
+				engines.behave = func(_ context.Context, _ engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+					resp := honest(r)
+					if r.Attempt == 1 && r.Position == 2 && r.FirstLayer == stage*testLayers/3 {
+						c.alter(resp)
+					}
+					return resp, true, nil
+				}
+				serve(t, engines, fleet(3, 9), func(t *testing.T, r *Router, m *noMetrics) {
+					sink := &textSink{}
+					res := r.Generate(context.Background(), testRequest("a", 5, time.Minute), sink)
+					require.True(t, res.Complete)
+					require.Equal(t, wholeAnswer("a", 5), sink.texts)
+					require.Equal(t, 2, res.Attempts)
+					require.Equal(t, map[attempt.DropKind]int{c.kind: 1}, m.dropped)
+				})
+			})
+		}
+	}
+}
+
+// A connection that lost track of its engine is replaced: the step is sent again
+// on the same attempt. An engine that does not answer the probe loses the attempt.
+func TestSilenceIsJudgedByProbe(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		t.Run(fmt.Sprint("alive=", alive), func(t *testing.T) {
+			engines := &fakeEngines{}
+			silent := ""
+			engines.behave = func(ctx context.Context, e engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+				if r.Position == 1 && r.FirstLayer > 0 && r.Attempt == 1 && !r.Resend {
+					silent = e.ID
+					return nil, true, silence(ctx)
+				}
+				return honest(r), true, nil
+			}
+			engines.probe = func(e engine.Target) error {
+				if e.ID == silent && !alive {
+					return lost()
+				}
+				return nil
+			}
+			serve(t, engines, fleet(2, 6), func(t *testing.T, r *Router, _ *noMetrics) {
+				sink := &textSink{}
+				res := r.Generate(context.Background(), testRequest("a", 3, time.Minute), sink)
+				require.True(t, res.Complete)
+				require.Equal(t, wholeAnswer("a", 3), sink.texts)
+				if alive {
+					require.Equal(t, 1, res.Attempts)
+					require.Equal(t, []string{silent}, engines.replaced)
+					return
+				}
+				require.Equal(t, 2, res.Attempts)
+				require.NotContains(t, res.Route, silent)
+			})
+		})
+	}
+}
+
+// The caller is told not_run only where every engine that was written to has
+// refused.
+func TestExecutionIsProven(t *testing.T) {
+	steps := func(outcomes ...string) func(context.Context, engine.Target, *wire.StepRequest) (*wire.StepResponse, bool, error) {
+		n := 0
+		return func(_ context.Context, _ engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+			outcome := outcomes[min(n, len(outcomes)-1)]
+			n++
+			switch outcome {
+			case "refused":
+				return nil, false, refuse(wire.CodeOverloaded)
+			case "unsent":
+				return nil, false, &engine.CallError{Proof: engine.ProofNotSent, Code: engine.CodeConnection, Err: errors.New("refused")}
+			case "lost":
+				return nil, false, lost()
+			case "garbled":
+				return nil, true, &engine.CallError{Code: engine.CodeProtocol, Err: errors.New("no JSON")}
+			default:
+				return honest(r), true, nil
+			}
+		}
+	}
+	cases := []struct {
+		outcomes []string
+		want     execution.Status
+	}{
+		{[]string{"refused"}, execution.NotRun},
+		{[]string{"unsent"}, execution.NotRun},
+		{[]string{"unsent", "refused"}, execution.NotRun},
+		{[]string{"lost", "refused"}, execution.Unknown},
+		{[]string{"refused", "lost", "refused"}, execution.Unknown},
+		{[]string{"garbled", "refused"}, execution.Unknown},
+		{[]string{"answered", "refused"}, execution.Ran},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.outcomes), func(t *testing.T) {
+			engines := &fakeEngines{behave: steps(c.outcomes...)}
+			serve(t, engines, fleet(2, 16), func(t *testing.T, r *Router, _ *noMetrics) {
+				res := r.Generate(context.Background(), testRequest("a", 3, time.Minute), &textSink{})
+				require.False(t, res.Complete)
+				require.Equal(t, CodeAttempts, res.Code)
+				require.Equal(t, c.want, res.Execution)
+			})
+		})
+	}
+}
+
+// A request whose deadline passes in the queue is told that it was not run, and
+// no engine has seen it.
+func TestDeadlineInQueue(t *testing.T) {
+	engines := &fakeEngines{slots: defaultSlots}
+	var release chan struct{}
+	engines.behave = func(ctx context.Context, _ engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+		select {
+		case <-release:
+			return honest(r), true, nil
+		case <-ctx.Done():
+			return nil, true, silence(ctx)
+		}
+	}
+	serve(t, engines, fleet(1, 1), func(t *testing.T, r *Router, _ *noMetrics) {
+		release = make(chan struct{})
+		var running sync.WaitGroup
+		slots := r.pool(testModel).queue.stats(0).Slots
+		require.Positive(t, slots)
+		for i := range slots {
+			running.Go(func() {
+				res := r.Generate(context.Background(), testRequest(fmt.Sprint("holder-", i), 1, time.Minute), &textSink{})
+				require.True(t, res.Complete)
+			})
+		}
+		synctest.Wait()
+		res := r.Generate(context.Background(), testRequest("late", 1, time.Second), &textSink{})
+		require.Equal(t, CodeDeadline, res.Code)
+		require.Equal(t, execution.NotRun, res.Execution)
+		require.Empty(t, engines.stepsOf("late"))
+		close(release)
+		running.Wait()
+	})
+}
+
+// When the caller leaves, every replica of the route is told to forget the
+// attempt, also those that have already answered.
+func TestCallerLeaving(t *testing.T) {
+	for stage := range 3 {
+		t.Run(fmt.Sprint("stage ", stage), func(t *testing.T) {
+			engines := &fakeEngines{}
+			ctx, leave := context.WithCancel(context.Background())
+			engines.behave = func(ctx context.Context, _ engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+				if r.Position == 1 && r.FirstLayer == stage*testLayers/3 {
+					leave()
+					return nil, true, silence(ctx)
+				}
+				return honest(r), true, nil
+			}
+			serve(t, engines, fleet(3, 9), func(t *testing.T, r *Router, _ *noMetrics) {
+				sink := &textSink{}
+				res := r.Generate(ctx, testRequest("a", 5, time.Minute), sink)
+				require.Equal(t, CodeCancelled, res.Code)
+				require.Equal(t, execution.Ran, res.Execution)
+				require.Equal(t, wholeAnswer("a", 1), sink.texts)
+				synctest.Wait()
+				var want []cancelled
+				for _, id := range res.Route {
+					want = append(want, cancelled{replica: id, request: "a", attempt: 1})
+				}
+				require.Len(t, want, 3)
+				require.ElementsMatch(t, want, engines.cancelled)
+			})
+		})
+	}
+}
+
+// A caller that leaves while the last token is handed out frees everything, and
+// the result does not deny that the request ran.
+func TestCallerLeavingAtLastToken(t *testing.T) {
+	const tokens = 3
+	engines := &fakeEngines{}
+	serve(t, engines, fleet(2, 6), func(t *testing.T, r *Router, _ *noMetrics) {
+		sink := &textSink{fail: func(position int) error {
+			if position == tokens-1 {
+				return errors.New("caller left")
+			}
+			return nil
+		}}
+		res := r.Generate(context.Background(), testRequest("a", tokens, time.Minute), sink)
+		require.Equal(t, execution.Ran, res.Execution)
+		require.Equal(t, 1, res.Attempts)
+		synctest.Wait()
+		require.Len(t, engines.cancelled, 2)
+	})
+}
+
+// script decides the end of each step from a seed and the step's identity, so
+// that it does not depend on the order in which goroutines run.
+type script struct {
+	seed uint64
+	// faults is the number of steps in 100 that do not end well.
+	faults int
+}
+
+func (s script) draw(parts ...any) int {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, s.seed, parts)
+	return int(h.Sum64() >> 32)
+}
+
+func (s script) behave(ctx context.Context, _ engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
+	n := s.draw(r.RequestID, r.Attempt, r.Position, r.FirstLayer, r.Resend)
+	resp := honest(r)
+	if n%100 >= s.faults {
+		return resp, true, nil
+	}
+	executed := n/100%2 == 0
+	switch n / 200 % 7 {
+	case 0:
+		return nil, false, refuse(wire.CodeOverloaded)
+	case 1:
+		return nil, false, &engine.CallError{Proof: engine.ProofNotSent, Code: engine.CodeConnection, Err: errors.New("refused")}
+	case 2:
+		return nil, executed, lost()
+	case 3:
+		return nil, executed, silence(ctx)
+	case 4:
+		resp.RequestID = "other"
+		return resp, true, nil
+	case 5:
+		resp.Hidden, resp.Token = nil, nil
+		return resp, true, nil
+	default:
+		return nil, false, refuse(wire.CodeLeaving)
+	}
+}
+
+// probe answers three probes in four.
+func (s script) probe(e engine.Target) error {
+	if s.draw("probe", e.ID, time.Now().UnixNano())%4 == 0 {
+		return lost()
+	}
+	return nil
+}
+
+// drawn is one request of a random mix.
+type drawn struct {
+	id       string
+	tokens   int
+	deadline time.Duration
+	// leaveAt is the token at which the sink fails, or -1.
+	leaveAt int
+	// patience is the time after which the caller leaves, or 0.
+	patience time.Duration
+
+	res  Result
+	sink textSink
+}
+
+func drawRequests(rt *rapid.T) []*drawn {
+	out := make([]*drawn, rapid.IntRange(1, 24).Draw(rt, "requests"))
+	for i := range out {
+		out[i] = &drawn{
+			id:       fmt.Sprint("r", i),
+			tokens:   rapid.IntRange(1, 6).Draw(rt, "tokens"),
+			deadline: rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 10 * time.Second, time.Minute}).Draw(rt, "deadline"),
+			leaveAt:  rapid.SampledFrom([]int{-1, -1, -1, 0, 2}).Draw(rt, "leaveAt"),
+			patience: rapid.SampledFrom([]time.Duration{0, 0, 0, 500 * time.Millisecond, 5 * time.Second}).Draw(rt, "patience"),
+		}
+	}
+	return out
+}
+
+func (d *drawn) run(r *Router) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.patience > 0 {
+		stop := time.AfterFunc(d.patience, cancel)
+		defer stop.Stop()
+	}
+	d.sink.fail = func(position int) error {
+		if position == d.leaveAt {
+			return errors.New("caller left")
+		}
+		return nil
+	}
+	d.res = r.Generate(ctx, testRequest(d.id, d.tokens, d.deadline), &d.sink)
+}
+
+// check returns what is wrong with the outcome, or "".
+func (d *drawn) check(f *fakeEngines) string {
+	whole := wholeAnswer(d.id, d.tokens)
+	if len(d.sink.texts) > len(whole) || fmt.Sprint(d.sink.texts) != fmt.Sprint(whole[:len(d.sink.texts)]) {
+		return fmt.Sprintf("%s got %q", d.id, d.sink.texts)
+	}
+	// Whether an answer is complete whose last token the caller did not take is
+	// left open.
+	leftAtLast := d.leaveAt == d.tokens-1
+	if !leftAtLast && d.res.Complete != (len(d.sink.texts) == len(whole)) {
+		return fmt.Sprintf("%s: complete is %v after %d of %d tokens", d.id, d.res.Complete, len(d.sink.texts), len(whole))
+	}
+	for _, s := range f.stepsOf(d.id) {
+		if s.executed && d.res.Execution == execution.NotRun {
+			return fmt.Sprintf("%s was told not_run after %s ran position %d", d.id, s.replica, s.position)
+		}
+	}
+	return ""
+}
+
+// Whatever becomes of requests, each ends once, no caller gets a part of another's
+// answer or is told not_run wrongly, and all capacity comes back.
+func TestCapacityReturnsAfterEveryOutcome(t *testing.T) {
+	seen := map[Code]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		s := script{
+			seed:   rapid.Uint64().Draw(rt, "seed"),
+			faults: rapid.SampledFrom([]int{0, 5, 20, 60}).Draw(rt, "faults"),
+		}
+		stages := rapid.IntRange(1, 4).Draw(rt, "stages")
+		list := fleet(stages, stages*rapid.IntRange(1, 4).Draw(rt, "replicas"))
+		requests := drawRequests(rt)
+		engines := &fakeEngines{behave: s.behave, probe: s.probe, slots: rapid.IntRange(1, 4).Draw(rt, "slots")}
+		wrong := ""
+		serve(t, engines, list, func(_ *testing.T, r *Router, _ *noMetrics) {
+			var wg sync.WaitGroup
+			for _, d := range requests {
+				wg.Go(func() { d.run(r) })
+			}
+			wg.Wait()
+			for _, d := range requests {
+				seen[d.res.Code]++
+				if problem := d.check(engines); problem != "" {
+					wrong = problem
+				}
+			}
+		})
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+	for _, code := range []Code{"", CodeDeadline, CodeCancelled, CodeAttempts} {
+		require.Positive(t, seen[code], "no request ended with code %q", code)
+	}
+}
