--- a/cmd/masticbank/serve.go
+++ b/cmd/masticbank/serve.go
@@ -13,7 +13,7 @@
 
 	"masticbank.example/cmd/internal/command"
 	"masticbank.example/node/app"
-	"masticbank.example/node/config"
+	"masticbank.example/node/inifile"
 	"masticbank.example/node/settings"
 )
 
@@ -43,6 +43,9 @@
 	if err != nil {
 		return startError(err)
 	}
+	if err := a.PublishMetrics(); err != nil {
+		return trace.Wrap(err)
+	}
 	return c.waitAndStop(a, set, logger)
 }
 
@@ -57,7 +60,7 @@
 
 // startError tells mistakes of the operator from failures of the machine.
 func startError(err error) error {
-	var ce *config.Error
+	var ce *inifile.Error
 	if errors.As(err, &ce) {
 		return &command.UsageError{Err: ce}
 	}
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -95,7 +95,8 @@
 	Kind Kind
 	ID   string
 	// Reason and RetryAfter belong to Refuse. RetryAfter is the time after
-	// which the work that is ahead of the request now will have been served.
+	// which the work that would be ahead of the request now will have been
+	// served, as far as it must be for the deadline.
 	Reason     Reason
 	RetryAfter time.Duration
 }
@@ -125,6 +126,8 @@
 	Tick(now time.Time) []Effect
 	// Stats summarises the pool with at most top workspaces.
 	Stats(top int) Stats
+	// Loads returns the work of each workspace and rank that has some.
+	Loads() []Load
 	// Position tells where a waiting request stands.
 	Position(now time.Time, id string) (Position, bool)
 }
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -10,9 +10,13 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"masticbank.example/core/membership"
+	"masticbank.example/core/neighbor"
 	"masticbank.example/core/route"
 	"masticbank.example/node/admin"
 	"masticbank.example/node/api"
+	"masticbank.example/node/duty"
+	"masticbank.example/node/engine"
 	"masticbank.example/node/engine/httpjson"
 	"masticbank.example/node/follower"
 	"masticbank.example/node/httpserver"
@@ -22,6 +26,7 @@
 	"masticbank.example/node/orders"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
+	"masticbank.example/node/peer/sharing"
 	"masticbank.example/node/router"
 	"masticbank.example/node/service"
 	"masticbank.example/node/settings"
@@ -47,13 +52,17 @@
 	state     state
 	metrics   *metrics.Registry
 	router    *router.Router
+	engines   engine.Client
 	services  *service.Client
 	poller    *instancelist.Poller
 	logs      logstream.Log // nil without a log
 	appenders []*logstream.Appender
 	follower  *follower.Follower  // nil without a log
 	orders    *orders.Coordinator // nil without a log
-	peers     *peer.Node          // nil when the instance runs alone
+	duties    *duty.Keeper        // nil without a log
+	sharer    *sharing.Sharer     // nil when the instance runs alone
+	neighbors *neighbor.Chooser
+	peers     *peer.Node // nil when the instance runs alone
 	callers   *httpserver.Server
 	admin     *httpserver.Server
 
@@ -63,7 +72,7 @@
 
 // Start assembles and starts an instance. Stop ends it.
 func Start(o Options) (*App, error) {
-	a := &App{opts: o, log: o.Logger, metrics: metrics.New(metrics.Options{}), services: service.New()}
+	a := &App{opts: o, log: o.Logger, metrics: metrics.New(metrics.Options{}), services: service.New(), engines: httpjson.New()}
 	policy, ok := route.ParsePolicy(o.Settings.Policy.Route)
 	if !ok {
 		return nil, trace.BadParameter("unknown route policy %q", o.Settings.Policy.Route)
@@ -72,13 +81,14 @@
 		return nil, trace.Wrap(err)
 	}
 	a.router = router.New(router.Options{
-		Engines:     httpjson.New(),
+		Engines:     a.engines,
 		Services:    a.services,
 		Orders:      a.orderPort(),
 		Metrics:     &observer{registry: a.metrics, log: a.log, leaving: a.announceLeaving},
 		Logger:      a.log,
 		RoutePolicy: policy,
 		FIFO:        o.Settings.Policy.Admission == "fifo",
+		Wake:        a.wakeSharer,
 		Seed:        seedOf(o.Settings.Instance.ID),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,7 +107,7 @@
 	if err := a.startConfig(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	if err := a.startPeers(); err != nil {
+	if err := a.startPeers(ctx); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := a.startInstances(ctx); err != nil {
@@ -165,6 +175,20 @@
 // maxConfigBytes bounds a configuration sent to the administration API.
 const maxConfigBytes = 8 << 20
 
+// PublishMetrics shows the metrics in expvar, where one instance of a process
+// can have the name.
+func (a *App) PublishMetrics() error {
+	return trace.Wrap(a.metrics.Publish("masticbank"))
+}
+
+// PeerAddr returns the address for other entry instances, or "".
+func (a *App) PeerAddr() string {
+	if a.peers == nil {
+		return ""
+	}
+	return a.peers.Addr().String()
+}
+
 // CallerAddr returns the address for callers.
 func (a *App) CallerAddr() string { return a.callers.Addr() }
 
@@ -176,14 +200,10 @@
 func (a *App) Stop(ctx context.Context) error {
 	a.log.Info("leaving", zap.Int("in_flight", a.callers.InFlight()))
 	a.state.leaving.Store(true)
-	if a.peers != nil {
-		a.peers.SetState(peerpb.InstanceState_INSTANCE_STATE_LEAVING)
-	}
+	a.setPeerState(membership.Leaving, peerpb.InstanceState_INSTANCE_STATE_LEAVING)
 	wait(ctx, a.opts.Settings.Limits.UnreadyDelay)
 	err := a.callers.Shutdown(ctx)
-	if a.orders != nil {
-		err = trace.NewAggregate(err, a.orders.Flush(ctx))
-	}
+	err = trace.NewAggregate(err, a.closeLog(ctx))
 	a.cancel()
 	a.router.Close()
 	a.services.Close()
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -12,13 +12,31 @@
 	"masticbank.example/core/capacity"
 	"masticbank.example/core/config"
 	"masticbank.example/core/health"
+	"masticbank.example/core/retry"
 	"masticbank.example/core/route"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
 
-// defaultSlots is assumed of a replica that has not reported its slots.
-const defaultSlots = 4
+const (
+	defaultRetryRatio = 0.1
+	// banksPerSlot and minBank bound the retries saved up: the loss of several
+	// replicas ends many attempts at once, and each is to be resumed.
+	banksPerSlot = 4
+	minBank      = 64
+	// retriesPerSlot is the rate of retries, per slot and second, that needs no
+	// first attempts.
+	retriesPerSlot = 0.1
+)
+
+// retryConfig returns the retry budget of a pool with the given slots.
+func retryConfig(slots int, ratio float64) retry.BudgetConfig {
+	return retry.BudgetConfig{
+		Ratio:        ratio,
+		MinPerSecond: max(1, retriesPerSlot*float64(slots)),
+		Bank:         float64(max(minBank, banksPerSlot*slots)),
+	}
+}
 
 // poolOptions is what a pool shares with its router.
 type poolOptions struct {
@@ -27,7 +45,10 @@
 	events  Metrics
 	// background runs a function that the router's Close waits for.
 	background func(func())
-	seed       uint64
+	poisons    *poisons
+	// wake is called when a request has to wait.
+	wake func()
+	seed uint64
 }
 
 // pool holds the replicas and the queue of one model. It is safe for
@@ -41,21 +62,31 @@
 	cfg       config.ModelConfig
 	table     *route.Table
 	upstreams map[string]*upstream
+	list      []wire.Instance               // the platform's list
+	held      map[string]holding            // what engines said against the list
 	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
 	calls     uint64 // number of the last call
+	budget    *retry.Budget
+	outputs   outputs
+	slots     int // what the replicas in use carry at once
+	ratio     float64
 }
 
 func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, o poolOptions) *pool {
 	return &pool{
 		poolOptions: o,
 		model:       model,
-		queue:       newQueue(adm),
+		queue:       newQueue(adm, o.wake),
 		cfg:         cfg,
 		table:       route.NewTable(cfg.Layers, policy),
 		upstreams:   map[string]*upstream{},
+		held:        map[string]holding{},
 		groups:      map[route.Range]*health.Group{},
 		random:      rand.New(rand.NewPCG(o.seed, uint64(len(model)))),
+		budget:      retry.NewBudget(retryConfig(0, defaultRetryRatio)),
+		ratio:       defaultRetryRatio,
+		outputs:     outputs{means: map[outputKey]float64{}},
 	}
 }
 
@@ -63,9 +94,20 @@
 func (p *pool) setInstances(list []wire.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.list = list
+	p.applyList()
+}
+
+// applyList takes the engines that hold the model in its configured version.
+// The caller holds p.mu.
+func (p *pool) applyList() {
 	listed := map[string]bool{}
-	for _, in := range list {
-		if in.Role != wire.RoleEngine || in.Model != p.model || in.Version != p.cfg.Version {
+	for _, in := range p.list {
+		if in.Role != wire.RoleEngine {
+			continue
+		}
+		in = p.correct(in)
+		if in.Model != p.model || in.Version != p.cfg.Version {
 			continue
 		}
 		listed[in.ID] = true
@@ -96,8 +138,8 @@
 	if !ok {
 		u = newUpstream(in, health.NewUpstream(health.DefaultConfig(), p.group(r), p.random.Uint64()))
 		p.upstreams[in.ID] = u
-		p.table.SetLimit(in.ID, u.slots)
 		p.table.SetWeight(in.ID, 0)
+		p.updateLimit(u)
 	}
 	u.instance = in
 	p.step(u, health.Listed{Leaving: in.Leaving})
@@ -124,10 +166,15 @@
 	edges := make([]capacity.Edge, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		if u.usable() {
-			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.slots})
+			edges = append(edges, capacity.Edge{First: u.instance.FirstLayer, Last: u.instance.LastLayer, Units: u.limit.Limit()})
 		}
 	}
 	slots := capacity.Max(p.cfg.Layers, edges)
+	if slots == p.slots {
+		return
+	}
+	p.slots = slots
+	p.budget.Configure(time.Now(), retryConfig(slots, p.ratio))
 	p.queue.setCapacity(slots)
 }
 
@@ -149,11 +196,8 @@
 	if r.Leaving {
 		p.step(u, health.Leaving{Source: health.FromUpstream})
 	}
-	if r.Slots > 0 && r.Slots != u.slots {
-		u.slots = r.Slots
-		p.table.SetLimit(id, r.Slots)
-		p.updateCapacity()
-	}
+	u.limit.Report(time.Now(), r.Running, r.Waiting, r.Slots)
+	p.updateLimit(u)
 }
 
 // targets returns the replicas to ask for load reports.
@@ -193,6 +237,9 @@
 	}
 	for _, h := range d.Chain.Hops {
 		p.table.Begin(h.ReplicaID, req.PromptTokens)
+		if u, ok := p.upstreams[h.ReplicaID]; ok {
+			u.inFlight++
+		}
 	}
 	return d
 }
@@ -202,6 +249,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.End(id, tokens)
+	if u, ok := p.upstreams[id]; ok && u.inFlight > 0 {
+		u.inFlight--
+	}
 }
 
 // release ends an attempt on its replicas and then frees their places.
@@ -229,9 +279,11 @@
 
 // configure puts a changed configuration in force; the layers stay the same.
 // Replicas of another version than the configured one leave the pool.
-func (p *pool) configure(cfg config.ModelConfig, policy admission.Config, list []wire.Instance) {
+func (p *pool) configure(cfg config.ModelConfig, ratio float64, policy admission.Config, list []wire.Instance) {
 	p.mu.Lock()
 	p.cfg = cfg
+	p.ratio = ratio
+	p.budget.Configure(time.Now(), retryConfig(p.slots, ratio))
 	p.mu.Unlock()
 	p.queue.configure(policy)
 	p.setInstances(list)
@@ -243,3 +295,38 @@
 	defer p.mu.Unlock()
 	return p.cfg.Version
 }
+
+// first pays a first attempt into the retry budget.
+func (p *pool) first() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.First(time.Now())
+}
+
+// mayRetry spends one retry, or returns false when the budget is used up.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Take(time.Now())
+}
+
+// setInstanceCount sets the number of entry instances that dispatch to the pool.
+func (p *pool) setInstanceCount(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetInstances(n)
+}
+
+// expectedOutput estimates the number of tokens that a request generates.
+func (p *pool) expectedOutput(r *Request) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outputs.expect(outputKey{workspace: r.Workspace, rank: r.Rank}, r.MaxTokens)
+}
+
+// observeOutput learns from a complete answer.
+func (p *pool) observeOutput(r *Request, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outputs.observe(outputKey{workspace: r.Workspace, rank: r.Rank}, tokens)
+}
