Mend three faults of the request runner that its failure tests found

Cause: a sink that refused the last token threw the release and the outcome away with the effects still pending, so its slot was never given back; a step silent on three connections stayed among the suspects of a later crash; a wait that could not end before the deadline reported caller_left.

Pending effects that end a request are always carried out; the release of an attempt forgets its open step; an impossible wait is an expired deadline.

Conclusion: slots and places return after every outcome.

--- a/node/router/attempts.go
+++ b/node/router/attempts.go
@@ -59,7 +59,10 @@
 	paid := !e.Retry
 	for try := e.Attempt - 2; ; try++ {
 		delay, ok := backoff.Delay(try, rand.Uint64(), time.Now(), x.req.Deadline, 0)
-		if !ok || !sleep(ctx, delay) {
+		if !ok {
+			return attempt.Expired{}
+		}
+		if !sleep(ctx, delay) {
 			return contextEvent(ctx)
 		}
 		if !paid {
--- a/node/router/run.go
+++ b/node/router/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 			continue
 		}
 		if ends(event) {
-			effects = nil
+			effects = slices.DeleteFunc(effects, starts)
 		}
 		effects = append(effects, x.machine.Step(event)...)
 	}
@@ -84,6 +85,17 @@
 	}
 }
 
+// starts tells whether an effect begins work, which is void once the request
+// ends. Effects that end it are always carried out.
+func starts(e attempt.Effect) bool {
+	switch e.(type) {
+	case attempt.Route, attempt.Send, attempt.Probe, attempt.Emit:
+		return true
+	default:
+		return false
+	}
+}
+
 // perform carries out one effect and returns the event that answers it, or nil.
 func (x *run) perform(ctx context.Context, e attempt.Effect) attempt.Event {
 	switch e := e.(type) {
@@ -126,6 +138,7 @@
 func (x *run) release(e attempt.Release) {
 	hops := x.hops
 	x.hops = nil
+	x.pool.ended(x.call)
 	tokens := x.req.PromptTokens()
 	x.releases.Add(1)
 	x.router.background(func() {
