A new model version comes into use when its replicas hold every layer

The pool stays on the version in use while only that has replicas of every layer, then switches; replicas of the old version finish what they have. Engines count with their slots and their health for the loader.

--- a/cmd/internal/local/loader_test.go
+++ b/cmd/internal/local/loader_test.go
@@ -216,3 +216,33 @@
 	}
 	return time.Since(begin)
 }
+
+// TestNewVersionWithoutRefusals publishes a new version of the model to instances
+// that order the engines to load it, and sends requests all the while.
+func TestNewVersionWithoutRefusals(t *testing.T) {
+	t.Parallel()
+	spec := fleet.Dev()
+	spec.Fencing = true
+	spec.Weights = weights.Options{MaxConcurrent: maxLoads, BytesPerLayer: bytesPerLayer, BytesPerSecond: bytesPerSecond}
+	d, err := Start(Options{Spec: spec, Configuration: DevConfiguration, Extra: "[platform]\nload_models = true\n"})
+	require.NoError(t, err)
+	defer d.Close(context.Background())
+	cfg, revision := d.Apps[0].Config()
+	next := *cfg
+	next.Models = map[string]config.ModelConfig{"dev": {Layers: 12, Version: "2", MaxOutput: 256}}
+	_, err = d.Apps[0].Publish(context.Background(), "test", &next, revision)
+	require.NoError(t, err)
+	loaded := func() bool {
+		for _, e := range d.Fleet.Engines() {
+			if e.State().Version != "2" {
+				return false
+			}
+		}
+		return true
+	}
+	for i := 0; !loaded(); i++ {
+		require.Less(t, i, 1000)
+		d.post(t, fmt.Sprint("during ", i))
+	}
+	d.post(t, "after")
+}
--- a/node/app/loader.go
+++ b/node/app/loader.go
@@ -4,6 +4,7 @@
 	coreconfig "masticbank.example/core/config"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/loader"
+	"masticbank.example/node/router"
 	"masticbank.example/node/wire"
 )
 
@@ -25,6 +26,12 @@
 	if a.poller == nil {
 		return nil
 	}
+	known := map[string]router.UpstreamStatus{}
+	for _, p := range a.router.Status() {
+		for _, u := range p.Upstreams {
+			known[u.ID] = u
+		}
+	}
 	var out []loader.Engine
 	for _, in := range a.poller.Latest().Instances {
 		if in.Role != wire.RoleEngine {
@@ -35,6 +42,8 @@
 			Zone:        in.Zone,
 			Accelerator: in.Accelerator,
 			Leaving:     in.Leaving,
+			Down:        known[in.ID].Ejected,
+			Units:       known[in.ID].Slots,
 		})
 	}
 	return out
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -175,7 +175,9 @@
 			delete(u.lost, effect.Connection)
 			u.decide(effect.Connection, true)
 		case health.SetWeight:
-			p.table.SetWeight(u.instance.ID, effect.Weight)
+			if !u.retired {
+				p.table.SetWeight(u.instance.ID, effect.Weight)
+			}
 			changed = true
 		case health.FailAttempts:
 			p.failAttempts(u)
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -63,6 +63,7 @@
 	table     *route.Table
 	upstreams map[string]*upstream
 	list      []wire.Instance               // the platform's list
+	inUse     string                        // model version that requests run on
 	held      map[string]holding            // what engines said against the list
 	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
@@ -98,27 +99,72 @@
 	p.applyList()
 }
 
-// applyList takes the engines that hold the model in its configured version.
-// The caller holds p.mu.
+// applyList takes the engines that hold the model in the version in use. The
+// caller holds p.mu.
 func (p *pool) applyList() {
+	engines := p.engineList()
+	p.inUse = p.chooseVersion(engines)
 	listed := map[string]bool{}
+	for _, in := range engines {
+		if in.Version == p.inUse {
+			listed[in.ID] = true
+			p.upsert(in)
+		}
+	}
+	for id, u := range p.upstreams {
+		switch {
+		case listed[id]:
+		case u.instance.Version != p.inUse:
+			p.retire(u)
+		default:
+			p.step(u, health.Unlisted{})
+		}
+	}
+	p.updateCapacity()
+}
+
+// engineList returns the engines of the list that hold the model in any version.
+func (p *pool) engineList() []wire.Instance {
+	var out []wire.Instance
 	for _, in := range p.list {
 		if in.Role != wire.RoleEngine {
 			continue
 		}
-		in = p.correct(in)
-		if in.Model != p.model || in.Version != p.cfg.Version {
-			continue
+		if in = p.correct(in); in.Model == p.model {
+			out = append(out, in)
 		}
-		listed[in.ID] = true
-		p.upsert(in)
 	}
-	for id, u := range p.upstreams {
-		if !listed[id] {
-			p.step(u, health.Unlisted{})
+	return out
+}
+
+// chooseVersion returns the configured version, or the one in use while only that
+// has replicas of every layer.
+func (p *pool) chooseVersion(engines []wire.Instance) string {
+	if p.inUse == "" || p.tiles(engines, p.cfg.Version) || !p.tiles(engines, p.inUse) {
+		return p.cfg.Version
+	}
+	return p.inUse
+}
+
+// tiles tells whether the engines of a version hold every layer of the model.
+func (p *pool) tiles(engines []wire.Instance, version string) bool {
+	var edges []capacity.Edge
+	for _, in := range engines {
+		if in.Version == version && !in.Leaving {
+			edges = append(edges, capacity.Edge{First: in.FirstLayer, Last: in.LastLayer, Units: 1})
 		}
 	}
-	p.updateCapacity()
+	return capacity.Max(p.cfg.Layers, edges) > 0
+}
+
+// retire stops new work to a replica of a version that is out of use, and
+// forgets it when its attempts have ended.
+func (p *pool) retire(u *upstream) {
+	u.retired = true
+	p.table.SetWeight(u.instance.ID, 0)
+	if u.inFlight == 0 {
+		p.remove(u)
+	}
 }
 
 // upsert takes one entry of the list. A replica that moved to another address
@@ -146,7 +192,7 @@
 }
 
 func moved(old, now wire.Instance) bool {
-	return old.Address != now.Address || old.FirstLayer != now.FirstLayer || old.LastLayer != now.LastLayer
+	return old.Address != now.Address || old.Version != now.Version || old.FirstLayer != now.FirstLayer || old.LastLayer != now.LastLayer
 }
 
 // group returns the replicas that stand in for r.
@@ -249,8 +295,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.End(id, tokens)
-	if u, ok := p.upstreams[id]; ok && u.inFlight > 0 {
-		u.inFlight--
+	u, ok := p.upstreams[id]
+	if !ok || u.inFlight == 0 {
+		return
+	}
+	u.inFlight--
+	if u.retired && u.inFlight == 0 {
+		p.remove(u)
 	}
 }
 
@@ -278,7 +329,7 @@
 }
 
 // configure puts a changed configuration in force; the layers stay the same.
-// Replicas of another version than the configured one leave the pool.
+// A new version comes into use when its replicas hold every layer.
 func (p *pool) configure(cfg config.ModelConfig, ratio float64, policy admission.Config, list []wire.Instance) {
 	p.mu.Lock()
 	p.cfg = cfg
@@ -289,11 +340,11 @@
 	p.setInstances(list)
 }
 
-// version returns the model version that the replicas hold.
+// version returns the model version that the replicas in use hold.
 func (p *pool) version() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cfg.Version
+	return p.inUse
 }
 
 // first pays a first attempt into the retry budget.
--- a/node/router/status.go
+++ b/node/router/status.go
@@ -33,8 +33,11 @@
 	Address string
 	Zone    string
 	// Layers is empty for services.
-	Layers   string
-	Leaving  bool
+	Layers  string
+	Leaving bool
+	// Ejected is true while the upstream gets no work because it does not
+	// answer.
+	Ejected  bool
 	Slots    int
 	InFlight int
 	// Weight is the share of work the upstream gets, 0 to 1.
@@ -73,6 +76,7 @@
 			Zone:     u.instance.Zone,
 			Layers:   fmt.Sprintf("%d-%d", u.instance.FirstLayer, u.instance.LastLayer),
 			Leaving:  u.health.Leaving(),
+			Ejected:  u.health.Weight() == 0 && !u.health.Leaving(),
 			Slots:    u.limit.Limit(),
 			InFlight: views[id].InFlight,
 			Weight:   views[id].Weight,
--- a/node/router/upstream.go
+++ b/node/router/upstream.go
@@ -21,6 +21,8 @@
 	limit *limit.Limiter
 	// inForce is the limit that the route table and the queue know.
 	inForce int
+	// retired is true while only open attempts keep the replica known.
+	retired bool
 	// inFlight counts the attempts of this instance on the replica.
 	inFlight int
 	// open holds the requests whose steps run now, by call number, and lost
@@ -72,7 +74,7 @@
 
 // usable tells whether the replica gets new work.
 func (u *upstream) usable() bool {
-	return u.health.Weight() > 0
+	return !u.retired && u.health.Weight() > 0
 }
 
 // decide tells the step of one call whether the replica answers.
