Refusals do not use up a request's attempts; engines are asked when no version is whole

A request met six engines in a row that had just loaded and was given up (attempts_exhausted), although each had refused without running anything; and when the router knew no whole set of either version it asked no engine what it held, and waited for good.

Failures and refusals are counted apart, 6 and 32. While the version in use lacks replicas of a layer, the engines that seem to hold another one are asked.

--- a/node/router/held.go
+++ b/node/router/held.go
@@ -52,6 +52,8 @@
 	})
 }
 
+// applyHolding takes what an engine holds and applies the list again if that is
+// news.
 func (p *pool) applyHolding(id string, s *wire.EngineState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -59,9 +61,31 @@
 		if in.ID != id {
 			continue
 		}
-		p.held[id] = holding{listed: in, model: s.Model, ver: s.Version, first: s.FirstLayer, last: s.LastLayer}
-		p.log.Info("engine holds other layers than listed", zap.String("upstream", id),
+		h := holding{listed: in, model: s.Model, ver: s.Version, first: s.FirstLayer, last: s.LastLayer}
+		if p.held[id] == h || sameAsListed(h) {
+			continue
+		}
+		p.held[id] = h
+		p.log.Info("engine holds other layers than listed", zap.String("upstream", id), zap.String("version", s.Version),
 			zap.Int("first", s.FirstLayer), zap.Int("last", s.LastLayer))
+		p.applyList()
+	}
+}
+
+func sameAsListed(h holding) bool {
+	in := h.listed
+	return h.model == in.Model && h.ver == in.Version && h.first == in.FirstLayer && h.last == in.LastLayer
+}
+
+// readOthers asks the engines that seem to hold another version than the one in
+// use, while that lacks replicas of some layer. The caller holds p.mu.
+func (p *pool) readOthers(engines []wire.Instance) {
+	if p.tiles(engines, p.inUse) {
+		return
+	}
+	for _, in := range engines {
+		if in.Version != p.inUse {
+			p.readHolding(engine.Target{ID: in.ID, Address: in.Address})
+		}
 	}
-	p.applyList()
 }
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -104,6 +104,7 @@
 func (p *pool) applyList() {
 	engines := p.engineList()
 	p.inUse = p.chooseVersion(engines)
+	p.readOthers(engines)
 	listed := map[string]bool{}
 	for _, in := range engines {
 		if in.Version == p.inUse {
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -232,7 +232,8 @@
 		sink:        sink,
 		machine: attempt.New(attempt.Config{
 			RequestID:   req.ID,
-			MaxAttempts: maxAttempts,
+			MaxFailures: maxFailures,
+			MaxRefusals: maxRefusals,
 			MaxTokens:   req.MaxTokens,
 		}),
 	}
--- a/node/router/run.go
+++ b/node/router/run.go
@@ -15,8 +15,10 @@
 
 const (
 	cancelTimeout = time.Second
-	// maxAttempts bounds the routes tried for one request.
-	maxAttempts = 6
+	// maxFailures bounds the attempts of one request that fail, maxRefusals those
+	// that an upstream refuses.
+	maxFailures = 6
+	maxRefusals = 32
 )
 
 // backoff spreads the waits before a new route.
