--- a/Makefile
+++ b/Makefile
@@ -88,3 +88,20 @@
 	@for m in $(MODULES); do (cd $$m && go mod tidy) || exit 1; done
 
 check: fmt-check lint build test fuzz-corpus reference-check
+
+SLOPE_TIME := 200ms
+SLOPE := go test -run '^$$' -benchtime=$(SLOPE_TIME)
+
+# Measures the slopes that docs/CAPACITY.md uses.
+slopes:
+	$(SLOPE) -bench 'Request|Control|Configure|SetInstances|DecodeList|Memory' ./node/router
+	$(SLOPE) -bench . ./node/api ./node/engine/httpjson ./node/config
+	$(SLOPE) -bench 'Observe|Rotate|Snapshot' ./node/metrics
+	$(SLOPE) -bench 'Digests|EncodeDigest' ./node/peer
+	$(SLOPE) -bench 'Choose$$' ./core/route
+	$(SLOPE) -bench 'Queue' ./core/admission
+	$(SLOPE) -bench 'Shares' ./core/demand
+	$(SLOPE) -bench . ./core/neighbor
+	go test -run '^$$' -benchtime=30000x -bench Table ./core/order
+	go test -count=1 -v -run 'Fleet|Covered' ./core/neighbor
+	go test -count=1 -v -run OneAppend ./node/duty
--- a/node/router/bench_test.go
+++ b/node/router/bench_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"strconv"
 	"syscall"
 	"testing"
 	"time"
+
+	"masticbank.example/node/wire"
 )
 
 // cpuTime returns the processor time that the process has used.
@@ -123,6 +126,25 @@
 	}
 }
 
+// BenchmarkDecodeList is the cost of reading the platform's list.
+func BenchmarkDecodeList(b *testing.B) {
+	for _, replicas := range []int{40, 1024, 12000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			data, err := json.Marshal(wire.InstanceList{Instances: fleet(4, replicas)})
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				var list wire.InstanceList
+				if err := json.Unmarshal(data, &list); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data))/float64(replicas), "B/replica")
+		})
+	}
+}
+
 // heapBytes returns the bytes of live objects.
 func heapBytes() uint64 {
 	var m runtime.MemStats
