--- a/cmd/internal/trial/slots.go
+++ b/cmd/internal/trial/slots.go
@@ -37,7 +37,15 @@
 	// that at which those in use, reached 95 % of those of all before it; 0 if
 	// they did not.
 	Taken, Used time.Duration
-	Load        *LoadResult
+	// Series holds looks at the survivors after the kill.
+	Series []SlotSample
+	Load   *LoadResult
+}
+
+// SlotSample is one look at the survivors.
+type SlotSample struct {
+	After       time.Duration
+	Slots, Used int
 }
 
 // sum is a count of slots.
@@ -105,6 +113,7 @@
 		_, n := c.slotSum(ctx, last)
 		now := time.Since(killed)
 		out.After, out.UsedAfter = n.slots, n.used
+		out.Series = append(out.Series, SlotSample{now, n.slots, n.used})
 		if out.Taken == 0 && float64(n.slots) >= usedShare*float64(out.Before) {
 			out.Taken = now
 		}
--- a/scripts/agreement.sh
+++ b/scripts/agreement.sh
@@ -24,7 +24,7 @@
 pids=()
 load=
 finish() {
-  if [ -n "$load" ]; then kill -INT "$load" 2>/dev/null || true; fi
+  if [ -n "$load" ]; then kill -TERM "$load" 2>/dev/null || true; fi
   for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
   wait || true
 }
@@ -45,6 +45,21 @@
   bin/masticctl trial "$command" $(addresses "$instances") "$@"
 }
 
+# start_load INSTANCES loads them until end_load. A signal reaches the program
+# only if no shell is between.
+start_load() {
+  # shellcheck disable=SC2046
+  bin/masticctl trial load $(addresses "$1") &
+  load=$!
+}
+
+end_load() {
+  local process=$load
+  kill -TERM "$process"
+  load=
+  wait "$process"
+}
+
 log_faults() { curl -sf -o /dev/null -d "$1" "$LOG/faults"; }
 
 milliseconds() { echo $(($(date +%s%N) / 1000000)); }
@@ -117,8 +132,7 @@
 
 # Replaces each instance by one with a new ID, under load.
 measure_roll() {
-  trial load $((2 * COUNT)) &
-  load=$!
+  start_load $((2 * COUNT))
   sleep 3
   for ((n = 0; n < COUNT; n++)); do
     begin=$(milliseconds)
@@ -128,22 +142,17 @@
     start_timed $((n + COUNT))
   done
   sleep 2
-  kill -INT "$load"
-  wait "$load"
-  load=
+  end_load
 }
 
 measure_use() {
   local processes=()
   for p in "${first[@]}"; do processes+=("--pid=$p"); done
   echo "idle: $(trial use "$COUNT" "${processes[@]}")"
-  trial load "$COUNT" &
-  load=$!
+  start_load "$COUNT"
   sleep 4
   echo "with 90 streams: $(trial use "$COUNT" "${processes[@]}")"
-  kill -INT "$load"
-  wait "$load"
-  load=
+  end_load
 }
 
 "measure_$2"
