--- a/cmd/internal/trial/load.go
+++ b/cmd/internal/trial/load.go
@@ -33,6 +33,9 @@
 	Tokens int
 	// Callers is the number of callers; each has one request in progress.
 	Callers int
+	// KeepAlive lets requests share connections. Without it each has its own, as
+	// behind a balancer that keeps none.
+	KeepAlive bool
 }
 
 // LoadResult counts the requests of Load by how they ended.
@@ -144,8 +147,9 @@
 	r := &loadRun{
 		cluster: c, options: o, out: &LoadResult{Codes: make(map[string]int)},
 		balancer: startBalancer(balancing, &checks, c.Instances),
-		// The platform's balancer opens a connection a request.
-		client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{
+			DisableKeepAlives: !o.KeepAlive, MaxIdleConnsPerHost: o.Callers,
+		}},
 	}
 	for n := range o.Callers {
 		callers.Go(func() {
--- a/cmd/internal/trial/publish.go
+++ b/cmd/internal/trial/publish.go
@@ -100,7 +100,8 @@
 	Won, Lost, Undecided  int
 	Refused               int
 	BasesWithoutOneWinner int
-	// ToldWrongWinner counts the losers told another than the winner's name.
+	// ToldWrongWinner counts the losers told another than the winner's name, or,
+	// when the winner does not know its fate, another than the first of them.
 	ToldWrongWinner int
 	Reversions      int
 	Polls           int
@@ -232,7 +233,10 @@
 		r.BasesWithoutOneWinner++
 	}
 	for _, p := range proposals {
-		if p.lost && winners == 1 && p.winner != winner {
+		if p.lost && winner == "" {
+			winner = p.winner
+		}
+		if p.lost && p.winner != winner {
 			r.ToldWrongWinner++
 		}
 	}
--- a/cmd/internal/trial/slots.go
+++ b/cmd/internal/trial/slots.go
@@ -21,7 +21,7 @@
 	// usedShare is the share of the slots before the kill that counts as all.
 	usedShare = 0.95
 	// warmUp is the load before the kill.
-	warmUp = 6 * time.Second
+	warmUp = 12 * time.Second
 	// slotTimeout bounds the wait after the kill.
 	slotTimeout = 10 * time.Second
 )
@@ -34,15 +34,16 @@
 	// UsedBefore, UsedSurvivors and UsedAfter count the slots in use.
 	UsedBefore, UsedSurvivors, UsedAfter int
 	// Taken is the time after the kill at which the survivors' slots, and Used
-	// that at which those in use, reached 95 % of those of all before it; 0 if
-	// they did not.
+	// that at which those that they use, reached 95 % of all slots before it; 0
+	// if they did not.
 	Taken, Used time.Duration
-	// Series holds looks at the survivors after the kill.
-	Series []SlotSample
-	Load   *LoadResult
+	// WarmUp holds looks at all instances from the begin of the load to the
+	// kill, Series looks at the survivors after it.
+	WarmUp, Series []SlotSample
+	Load           *LoadResult
 }
 
-// SlotSample is one look at the survivors.
+// SlotSample is one look at the slots of several instances.
 type SlotSample struct {
 	After       time.Duration
 	Slots, Used int
@@ -91,12 +92,12 @@
 	loaded, stop := context.WithCancel(ctx)
 	result := make(chan *LoadResult, 1)
 	go func() { result <- c.Load(loaded, o) }()
-	pause(ctx, warmUp)
+	warm := c.watchWarmUp(ctx)
 	last := len(c.Instances) - 1
 	all, survivors := c.slotSum(ctx, last)
 	out := &Slots{
 		Before: all.slots, Survivors: survivors.slots,
-		UsedBefore: all.used, UsedSurvivors: survivors.used,
+		UsedBefore: all.used, UsedSurvivors: survivors.used, WarmUp: warm,
 	}
 	if err := syscall.Kill(pid, syscall.SIGKILL); err != nil {
 		stop()
@@ -108,6 +109,15 @@
 	return out, nil
 }
 
+func (c *Cluster) watchWarmUp(ctx context.Context) (samples []SlotSample) {
+	for start := time.Now(); time.Since(start) < warmUp; {
+		all, _ := c.slotSum(ctx, -1)
+		samples = append(samples, SlotSample{time.Since(start), all.slots, all.used})
+		pause(ctx, slotPeriod)
+	}
+	return samples
+}
+
 func (c *Cluster) watchSlots(ctx context.Context, out *Slots, killed time.Time, last int) {
 	for time.Since(killed) < slotTimeout && (out.Taken == 0 || out.Used == 0) {
 		_, n := c.slotSum(ctx, last)
@@ -117,7 +127,7 @@
 		if out.Taken == 0 && float64(n.slots) >= usedShare*float64(out.Before) {
 			out.Taken = now
 		}
-		if out.Used == 0 && float64(n.used) >= usedShare*float64(out.UsedBefore) {
+		if out.Used == 0 && out.Taken > 0 && float64(n.used) >= usedShare*float64(out.Before) {
 			out.Used = now
 		}
 		pause(ctx, slotPeriod)
--- a/cmd/masticctl/trial.go
+++ b/cmd/masticctl/trial.go
@@ -120,14 +120,15 @@
 
 // trialStreams configures streams.
 type trialStreams struct {
-	Model   string `default:"asistente" help:"Model."`
-	Layers  int    `default:"32" help:"Layers of the model."`
-	Tokens  int    `default:"24" help:"Tokens of an answer."`
-	Callers int    `default:"90" help:"Number of concurrent callers."`
+	Model     string `default:"asistente" help:"Model."`
+	Layers    int    `default:"32" help:"Layers of the model."`
+	Tokens    int    `default:"24" help:"Tokens of an answer."`
+	Callers   int    `default:"90" help:"Number of concurrent callers."`
+	KeepAlive bool   `help:"Let requests share connections."`
 }
 
 func (t *trialStreams) options() trial.LoadOptions {
-	return trial.LoadOptions{Model: t.Model, Layers: t.Layers, Tokens: t.Tokens, Callers: t.Callers}
+	return trial.LoadOptions{Model: t.Model, Layers: t.Layers, Tokens: t.Tokens, Callers: t.Callers, KeepAlive: t.KeepAlive}
 }
 
 type trialLoadCmd struct {
--- a/scripts/agreement.sh
+++ b/scripts/agreement.sh
@@ -49,7 +49,7 @@
 # only if no shell is between.
 start_load() {
   # shellcheck disable=SC2046
-  bin/masticctl trial load $(addresses "$1") &
+  bin/masticctl trial load $(addresses "$1") ${LOAD_FLAGS:-} &
   load=$!
 }
 
