--- a/cmd/masticctl/trial.go
+++ b/cmd/masticctl/trial.go
@@ -28,7 +28,7 @@
 	Target  []string `required:"" help:"Address for callers of an instance, host:port."`
 	Admin   []string `required:"" help:"Base URL of the administration API of the same instance."`
 	Key     string   `env:"MASTICBANK_ADMIN_KEY" required:"" help:"Key of the administration API."`
-	APIKey  string   `name:"api-key" default:"federacion-key" help:"API key of a workspace."`
+	APIKey  string   `name:"api-key" default:"granja-norte-key" help:"API key of a workspace."`
 	Control string   `env:"CONTROL" help:"Control address of the stand-ins, host:port."`
 }
 
