--- a/cmd/masticctl/trial.go
+++ b/cmd/masticctl/trial.go
@@ -28,7 +28,7 @@
 	Target  []string `required:"" help:"Address for callers of an instance, host:port."`
 	Admin   []string `required:"" help:"Base URL of the administration API of the same instance."`
 	Key     string   `env:"MASTICBANK_ADMIN_KEY" required:"" help:"Key of the administration API."`
-	APIKey  string   `name:"api-key" default:"taller-sur-key" help:"API key of a workspace."`
+	APIKey  string   `name:"api-key" default:"granja-norte-key" help:"API key of a workspace."`
 	Control string   `env:"CONTROL" help:"Control address of the stand-ins, host:port."`
 }
 
@@ -120,14 +120,15 @@
 
 // trialStreams configures streams.
 type trialStreams struct {
-	Model   string `default:"asistente" help:"Model."`
-	Layers  int    `default:"32" help:"Layers of the model."`
-	Tokens  int    `default:"24" help:"Tokens of an answer."`
-	Callers int    `default:"90" help:"Number of concurrent callers."`
+	Model     string `default:"asistente" help:"Model."`
+	Layers    int    `default:"32" help:"Layers of the model."`
+	Tokens    int    `default:"24" help:"Tokens of an answer."`
+	Callers   int    `default:"90" help:"Number of concurrent callers."`
+	KeepAlive bool   `help:"Let requests share connections."`
 }
 
 func (t *trialStreams) options() trial.LoadOptions {
-	return trial.LoadOptions{Model: t.Model, Layers: t.Layers, Tokens: t.Tokens, Callers: t.Callers}
+	return trial.LoadOptions{Model: t.Model, Layers: t.Layers, Tokens: t.Tokens, Callers: t.Callers, KeepAlive: t.KeepAlive}
 }
 
 type trialLoadCmd struct {
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -159,6 +159,7 @@
 			p.step(u, health.Tick{})
 		}
 	}
+	p.applyCapacity()
 }
 
 // step feeds one event to a replica's state machine and carries out its effects.
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -71,7 +71,9 @@
 	budget    *retry.Budget
 	outputs   outputs
 	slots     int // what the replicas in use carry at once
-	ratio     float64
+	// changed is true when slots is to be computed again.
+	changed bool
+	ratio   float64
 }
 
 func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, o poolOptions) *pool {
@@ -207,9 +209,19 @@
 	return g
 }
 
-// updateCapacity tells the queue how many requests the replicas in use carry
-// at once. The caller holds p.mu.
+// updateCapacity asks for a new computation of the capacity at the next tick, so
+// that many changes at once cost one. The caller holds p.mu.
 func (p *pool) updateCapacity() {
+	p.changed = true
+}
+
+// applyCapacity tells the queue how many requests the replicas in use carry at
+// once. The caller holds p.mu.
+func (p *pool) applyCapacity() {
+	if !p.changed {
+		return
+	}
+	p.changed = false
 	edges := make([]capacity.Edge, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		if u.usable() {
