--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"masticbank.example/core/demand"
 	"masticbank.example/core/membership"
 	"masticbank.example/core/neighbor"
 	"masticbank.example/core/poison"
@@ -19,6 +20,9 @@
 )
 
 const (
+	// digestBytesPerSecond bounds what digests cost an instance, over all peers
+	// together.
+	digestBytesPerSecond = 5000
 	// poisonPeriod is the time between two looks for fingerprints to tell.
 	poisonPeriod = 250 * time.Millisecond
 	// poisonRepeat is the time after which a fingerprint is told again.
@@ -47,6 +51,7 @@
 	a.sharer = sharing.New(sharing.Options{
 		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
 		OnMember: func(membership.Changed) { a.setEntries() },
+		Teller:   demand.TellerConfig{MinPeriod: s.Peers.DigestPeriod, BytesPerSecond: digestBytesPerSecond},
 	})
 	a.run(ctx, a.sharer.Run)
 	a.run(ctx, a.sharePoison)
--- a/node/router/router_test.go
+++ b/node/router/router_test.go
@@ -26,13 +26,16 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// serve runs f against a router whose replicas have answered their first probe.
+// serve runs f against a router whose replicas have answered their first probe
+// and whose queue has heard of their capacity, which the next tick computes.
 // Time in f is that of the bubble. When f returns, all capacity must be back.
 func serve(t *testing.T, engines *fakeEngines, list []wire.Instance, f func(t *testing.T, r *Router, m *noMetrics)) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &noMetrics{}
 		r := newTestRouter(engines, m, list, 4)
 		synctest.Wait()
+		time.Sleep(tickPeriod)
+		synctest.Wait()
 		defer r.Close()
 		f(t, r, m)
 		synctest.Wait()
