Large answers no longer mix; shutdown sends the end of every answer

Cause: nbhttp's chunked writer, for 64 KiB and more at once, goes on using a buffer that it has returned to the pool shared by all connections, and returns it twice: parts of one caller's answer could reach another. A handler also counted as ended before nbhttp had written the end of its answer, and a request that came during shutdown could be cut.

Whole answers carry their length, streams are handed over in pieces of 16 KiB, shutdown waits for the connections' jobs and refuses later requests as not_run.

Conclusion: an answer reaches its own caller only, whatever its size.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
@@ -124,6 +125,7 @@
 		body = []byte(`{"error":"the answer cannot be encoded"}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/node/api/api.go
+++ b/node/api/api.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -176,11 +177,15 @@
 	}})
 }
 
-// Malformed returns the body of the answer to a message that cannot be parsed.
+// Malformed returns the body of an answer that the server gives by itself: to a
+// message that cannot be parsed, and to a request that comes during shutdown.
 func Malformed(status int) []byte {
 	code := "malformed_request"
-	if status == http.StatusRequestEntityTooLarge {
+	switch status {
+	case http.StatusRequestEntityTooLarge:
 		code = "body_too_large"
+	case http.StatusServiceUnavailable:
+		code = string(router.CodeNotReady)
 	}
 	body, err := json.Marshal(openai.ErrorBody{Error: openai.ErrorDetail{
 		Message:   http.StatusText(status),
@@ -207,7 +212,16 @@
 		status = http.StatusInternalServerError
 		body = []byte("{}")
 	}
-	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, status, "application/json", body)
+}
+
+// writeBody writes a whole answer with its length.
+func writeBody(w http.ResponseWriter, status int, contentType string, body []byte) {
+	h := w.Header()
+	if contentType != "" {
+		h.Set("Content-Type", contentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/node/api/completion.go
+++ b/node/api/completion.go
@@ -114,9 +114,7 @@
 		return
 	}
 	w.Header().Set(HeaderExecution, execution.Ran.String())
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusOK)
-	_, _ = w.Write(body)
+	writeBody(w, http.StatusOK, "application/json", body)
 }
 
 // streamSink writes each token as an event. The status line is sent with the
--- a/node/api/service.go
+++ b/node/api/service.go
@@ -102,6 +102,5 @@
 	if res.Replayed {
 		w.Header().Set(HeaderReplayed, "true")
 	}
-	w.WriteHeader(res.Answer.Status)
-	_, _ = w.Write(res.Answer.Body)
+	writeBody(w, res.Answer.Status, "", res.Answer.Body)
 }
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -55,10 +55,13 @@
 	opts     Options
 	active   sync.WaitGroup
 	inFlight atomic.Int64
-	closing  atomic.Bool
 	mu       sync.Mutex
+	closing  bool
 	requests map[*nbio.Conn]context.CancelFunc
-	rejected sync.Map // *nbio.Conn -> struct{}
+	// answering holds the connections whose handler has returned while nbhttp
+	// may still be writing the end of the answer.
+	answering map[*nbio.Conn]struct{}
+	rejected  sync.Map // *nbio.Conn -> struct{}
 	// opened counts connections. The accepting goroutine adds to it before the
 	// polling goroutine sees the connection, and that one loads it: the kernel
 	// orders the two already, the counter tells the race detector so.
@@ -70,7 +73,7 @@
 // Start listens and serves until Shutdown.
 func Start(o Options) (*Server, error) {
 	logging.SetLevel(logging.LevelNone)
-	s := &Server{opts: o, requests: map[*nbio.Conn]context.CancelFunc{}, watchDone: make(chan struct{})}
+	s := &Server{opts: o, requests: map[*nbio.Conn]context.CancelFunc{}, answering: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:                 "tcp",
 		Addrs:                   []string{o.Address},
@@ -107,10 +110,13 @@
 // Shutdown refuses new requests, waits until the requests in progress are
 // answered or ctx ends, and closes all connections.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.closing.Store(true)
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		s.active.Wait()
+		s.waitAnswered(ctx)
 		close(done)
 	}()
 	var err error
@@ -126,10 +132,10 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if s.closing.Load() {
-		w.Header().Set("Connection", "close")
+	if !s.enter() {
+		s.refuse(w)
+		return
 	}
-	s.active.Add(1)
 	defer s.active.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
@@ -141,7 +147,29 @@
 		s.track(conn, cancel)
 		defer s.untrack(conn)
 	}
-	s.opts.Handler.ServeHTTP(w, r.WithContext(ctx))
+	s.opts.Handler.ServeHTTP(newWriter(w), r.WithContext(ctx))
+}
+
+// enter counts a request, or returns false when the server shuts down.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.active.Add(1)
+	return true
+}
+
+// refuse answers a request that came after Shutdown.
+func (s *Server) refuse(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Type", "application/json")
+	h.Set("Retry-After", "1")
+	h.Set("X-Masticbank-Execution", "not_run")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write(s.opts.Malformed(http.StatusServiceUnavailable))
 }
 
 func connOf(w http.ResponseWriter) *nbio.Conn {
@@ -173,6 +201,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.requests, c)
+	s.answering[c] = struct{}{}
+}
+
+// waitAnswered waits until the answers of all returned handlers are written.
+func (s *Server) waitAnswered(ctx context.Context) {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for s.dropAnswered() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// dropAnswered forgets the connections whose answers are written and returns the
+// number of the others. nbhttp writes the end of an answer in the job that ran
+// the handler.
+func (s *Server) dropAnswered() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.answering {
+		if closed, _ := c.IsClosed(); closed || c.ExecuteLen() == 0 {
+			delete(s.answering, c)
+		}
+	}
+	return len(s.answering)
 }
 
 // watch cancels requests whose connection was closed. nbio runs its own close
@@ -188,6 +244,7 @@
 			return
 		case <-ticker.C:
 			s.cancelClosed()
+			s.dropAnswered()
 		}
 	}
 }
--- a/node/httpserver/server_test.go
+++ b/node/httpserver/server_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,10 +63,11 @@
 func TestShutdownWaitsForRequests(t *testing.T) {
 	entered := make(chan struct{})
 	release := make(chan struct{})
+	var once sync.Once
 	s := start(t, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "first\n")
 		w.(http.Flusher).Flush()
-		close(entered)
+		once.Do(func() { close(entered) })
 		<-release
 		_, _ = io.WriteString(w, "last\n")
 	})
@@ -75,10 +77,75 @@
 	<-entered
 	done := make(chan error, 1)
 	go func() { done <- s.Shutdown(context.Background()) }()
-	require.Eventually(t, s.closing.Load, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool {
+		late, err := http.Get("http://" + s.Addr())
+		if err != nil {
+			return false
+		}
+		defer late.Body.Close()
+		return late.StatusCode == http.StatusServiceUnavailable && late.Header.Get("X-Masticbank-Execution") == "not_run"
+	}, time.Minute, time.Millisecond)
 	close(release)
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
 	require.Equal(t, "first\nlast\n", string(body))
 	require.NoError(t, <-done)
 }
+
+// TestShutdownSendsTheEndOfAnswers shuts down the moment a handler returns; nbhttp
+// writes a buffered answer only after that.
+func TestShutdownSendsTheEndOfAnswers(t *testing.T) {
+	body := strings.Repeat("x", 1<<16)
+	for range 30 {
+		entered := make(chan struct{})
+		s := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			close(entered)
+			_, _ = io.WriteString(w, body)
+		})
+		done := make(chan error, 1)
+		go func() {
+			<-entered
+			done <- s.Shutdown(context.Background())
+		}()
+		resp, err := http.Get("http://" + s.Addr())
+		require.NoError(t, err)
+		got, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, len(body), len(got))
+		require.NoError(t, <-done)
+	}
+}
+
+// TestLargeAnswersDoNotMix sends large answers of unknown length, of one write and
+// of several, to many callers at once; each must get only its own bytes.
+func TestLargeAnswersDoNotMix(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		mark := r.URL.Query().Get("mark")
+		_, _ = io.WriteString(w, strings.Repeat(mark, 70_000))
+		for range 50 {
+			_, _ = io.WriteString(w, strings.Repeat(mark, 1500))
+		}
+	})
+	var wg sync.WaitGroup
+	for i := range 16 {
+		mark := string(rune('a' + i))
+		wg.Go(func() {
+			for range 10 {
+				resp, err := http.Get("http://" + s.Addr() + "/?mark=" + mark)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err != nil || string(body) != strings.Repeat(mark, 145_000) {
+					t.Errorf("%s: %v, %d bytes", mark, err, len(body))
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.NoError(t, s.Shutdown(context.Background()))
+}
--- /dev/null
+++ b/node/httpserver/writer.go
@@ -0,0 +1,46 @@
+package httpserver
+
+import (
+	"net/http"
+)
+
+// pieceBytes is the largest part of an answer of unknown length that is handed to
+// nbhttp at once. From 64 KiB on, its chunked writer goes on using a buffer that
+// it has given back to the pool that all connections share, so that answers mix.
+const pieceBytes = 16 << 10
+
+// writer keeps chunked answers within pieceBytes between two flushes.
+type writer struct {
+	http.ResponseWriter
+	flusher http.Flusher
+}
+
+func newWriter(w http.ResponseWriter) *writer {
+	f, _ := w.(http.Flusher)
+	return &writer{ResponseWriter: w, flusher: f}
+}
+
+// Write implements http.ResponseWriter.
+func (w *writer) Write(data []byte) (int, error) {
+	if w.Header().Get("Content-Length") != "" {
+		return w.ResponseWriter.Write(data)
+	}
+	written := 0
+	for written < len(data) {
+		piece := data[written:min(len(data), written+pieceBytes)]
+		n, err := w.ResponseWriter.Write(piece)
+		if err != nil {
+			return written + max(n, 0), err
+		}
+		written += len(piece)
+		w.Flush()
+	}
+	return written, nil
+}
+
+// Flush implements http.Flusher.
+func (w *writer) Flush() {
+	if w.flusher != nil {
+		w.flusher.Flush()
+	}
+}
