--- a/cmd/internal/trial/orders.go
+++ b/cmd/internal/trial/orders.go
@@ -53,9 +53,10 @@
 	NotRun int
 	// LostDone counts the keys answered as done and not recorded.
 	LostDone int
-	// Different counts the keys that were answered as done in two ways.
-	Different int
-	Examples  []string
+	// Different counts the keys that were answered as done in two ways, Foreign
+	// those answered with what does not name the key.
+	Different, Foreign int
+	Examples           []string
 }
 
 // Defects names what must never happen and did.
@@ -66,6 +67,7 @@
 		"orders recorded and told not run":      o.FalselyNotRun,
 		"orders answered as done, not recorded": o.LostDone,
 		"orders answered in two ways":           o.Different,
+		"orders answered as other orders":       o.Foreign,
 	} {
 		if n > 0 {
 			out = append(out, fmt.Sprintf("%d %s", n, what))
@@ -80,7 +82,8 @@
 	key string
 	// last holds the last answer to each caller.
 	last []string
-	done map[string]bool // bodies
+	// done holds each body answered as done, and how and when it came last.
+	done map[string]string
 }
 
 type orderRun struct {
@@ -130,7 +133,7 @@
 		}
 		key := &orderKey{
 			key:  fmt.Sprintf("%d-%d-%d-%d", r.options.Seed, time.Now().UnixNano(), n, k),
-			last: make([]string, callers), done: make(map[string]bool),
+			last: make([]string, callers), done: make(map[string]string),
 		}
 		var group sync.WaitGroup
 		for i := range callers {
@@ -155,7 +158,7 @@
 		r.out.Answers[told]++
 		key.last[i] = told
 		if told == toldDone || told == toldReplayed {
-			key.done[body] = true
+			key.done[body] = told + " " + time.Now().Format(time.StampMilli)
 		}
 		r.mu.Unlock()
 		if told == toldDone || told == toldReplayed || strings.HasPrefix(told, toldNotRun) {
@@ -251,7 +254,13 @@
 		o.Different++
 		example = "two answers"
 	}
+	for body := range k.done {
+		if !strings.Contains(body, k.key) {
+			o.Foreign++
+			example = "foreign answer"
+		}
+	}
 	if example != "" && len(o.Examples) < 10 {
-		o.Examples = append(o.Examples, fmt.Sprintf("%s: %s: recorded %d, told %v", example, k.key, recorded, k.last))
+		o.Examples = append(o.Examples, fmt.Sprintf("%s: %s: recorded %d, told %q, bodies %q", example, k.key, recorded, k.last, k.done))
 	}
 }
--- a/scripts/agreement.sh
+++ b/scripts/agreement.sh
@@ -128,7 +128,7 @@
   wait "$load"
 }
 
-measure_kill() { trial kill "$COUNT" --callers "${CALLERS:-300}" --tokens 40 --pid "${first[8]}"; }
+measure_kill() { trial kill "$COUNT" --callers "${CALLERS:-300}" --tokens 40 --pid "${first[8]}" ${LOAD_FLAGS:-}; }
 
 # Replaces each instance by one with a new ID, under load.
 measure_roll() {
