Service replicas have a health state and can be drained

MarkLeaving touched model pools only, so that drain had no effect on a plain service, and it reported success for any ID. Load reports and refusals of services were not looked at, and a dead replica stayed in use.

Service replicas now run core/health as engines do: a probe before first use, ejection of at most half, slow start, and a new start at a new address. The effects that both kinds share are carried out in reporter.step. A call that may be repeated ends when its replica answers no probe. Drain of an ID that no pool uses answers 404 and tells nobody.

Engine probes are matched by replica, so that the answer of an old address is not taken for the new one.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -29,8 +29,9 @@
 	// the new revision.
 	Publish(ctx context.Context, author string, c *config.Config, base uint64) (uint64, error)
 	// Drain stops new work to an upstream on all instances that can be reached
-	// and returns their number.
-	Drain(upstream string) int
+	// and returns their number. It returns false, and tells nobody, when this
+	// instance does not use the upstream.
+	Drain(upstream string) (instances int, known bool)
 	// ExplainRequest tells what is known of a request.
 	ExplainRequest(id string) (*RequestExplanation, bool)
 	// ExplainRoute gives the grounds of a route choice made now.
--- a/node/admin/config.go
+++ b/node/admin/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
@@ -59,5 +60,10 @@
 		writeError(w, http.StatusBadRequest, "malformed JSON, or no upstream")
 		return
 	}
-	writeJSON(w, http.StatusOK, Drained{Instances: s.opts.Instance.Drain(body.Upstream)})
+	instances, known := s.opts.Instance.Drain(body.Upstream)
+	if !known {
+		writeError(w, http.StatusNotFound, "no model or service in force has an upstream "+strconv.Quote(body.Upstream))
+		return
+	}
+	writeJSON(w, http.StatusOK, Drained{Instances: instances})
 }
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -209,9 +209,11 @@
 }
 
 // Drain implements admin.Instance.
-func (a *App) Drain(upstream string) int {
-	a.router.MarkLeaving(upstream)
-	return a.broadcast(&peerpb.Leaving{Upstream: upstream}) + 1
+func (a *App) Drain(upstream string) (instances int, known bool) {
+	if !a.router.MarkLeaving(upstream) {
+		return 0, false
+	}
+	return a.broadcast(&peerpb.Leaving{Upstream: upstream}) + 1, true
 }
 
 // announceLeaving tells the peers that an upstream leaves.
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"masticbank.example/core/health"
 	"masticbank.example/core/limit"
 	"masticbank.example/core/poison"
@@ -98,13 +96,16 @@
 	p.updateCapacity()
 }
 
-// leaving records a sign that a replica leaves.
-func (p *pool) leaving(id string, source health.Source) {
+// leaving records a sign that a replica leaves, and tells whether the pool
+// knows it.
+func (p *pool) leaving(id string, source health.Source) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u, ok := p.upstreams[id]; ok {
+	u, ok := p.upstreams[id]
+	if ok {
 		p.step(u, health.Leaving{Source: source})
 	}
+	return ok
 }
 
 // suspect reports that a call got no answer, because it made no progress or, if
@@ -162,37 +163,33 @@
 // step feeds one event to a replica's state machine and carries out its effects.
 // The caller holds p.mu.
 func (p *pool) step(u *upstream, e health.Event) {
-	changed := false
-	for _, effect := range u.health.Step(time.Now(), e) {
-		switch effect := effect.(type) {
-		case health.Probe:
-			p.probe(u.target(), effect)
-		case health.ReplaceConnection:
-			p.events.ConnectionReplaced(u.instance.ID)
-			p.engines.ReplaceConnections(u.target())
-			delete(u.lost, effect.Connection)
-			u.decide(effect.Connection, true)
-		case health.SetWeight:
-			p.table.SetWeight(u.instance.ID, effect.Weight)
-			changed = true
-		case health.FailAttempts:
-			p.failAttempts(u)
-		case health.Eject:
-			p.log.Warn("upstream ejected", zap.String("upstream", u.instance.ID), zap.Time("until", effect.Until))
-			p.events.Ejected(u.instance.ID)
-		case health.AnnounceLeaving:
-			p.log.Info("upstream leaves", zap.String("upstream", u.instance.ID))
-			p.events.Leaving(u.instance.ID)
-		case health.Remove:
-			p.remove(u)
-			changed = true
-		}
-	}
-	if changed {
+	if p.reporter.step(u.instance.ID, u.health, e, &engineActions{pool: p, upstream: u}) {
 		p.updateCapacity()
 	}
 }
 
+// engineActions implements actions for an engine replica.
+type engineActions struct {
+	pool     *pool
+	upstream *upstream
+}
+
+func (a *engineActions) probe(e health.Probe) { a.pool.probe(a.upstream, e) }
+
+func (a *engineActions) replaceConnection(number uint64) {
+	a.pool.engines.ReplaceConnections(a.upstream.target())
+	delete(a.upstream.lost, number)
+	a.upstream.decide(number, true)
+}
+
+func (a *engineActions) setWeight(weight float64) {
+	a.pool.table.SetWeight(a.upstream.instance.ID, weight)
+}
+
+func (a *engineActions) failAttempts() { a.pool.failAttempts(a.upstream) }
+
+func (a *engineActions) remove() { a.pool.remove(a.upstream) }
+
 // failAttempts ends the open attempts on a replica that does not answer. When
 // connections broke before, it crashed, and what it was running is suspect.
 func (p *pool) failAttempts(u *upstream) {
@@ -203,15 +200,15 @@
 }
 
 // probe asks a replica on a new connection in the background whether it answers.
-func (p *pool) probe(t engine.Target, e health.Probe) {
+func (p *pool) probe(u *upstream, e health.Probe) {
+	t := u.target()
 	p.background(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 		defer cancel()
 		err := p.engines.Probe(ctx, t)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		u, ok := p.upstreams[t.ID]
-		if !ok {
+		if p.upstreams[t.ID] != u {
 			return
 		}
 		if err == nil || refused(err) {
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -34,6 +34,16 @@
 			})
 		}
 	}
+	for _, s := range r.allServices() {
+		for _, rep := range s.listed() {
+			g.Go(func() error {
+				ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
+				defer cancel()
+				s.readLoad(ctx, rep)
+				return nil
+			})
+		}
+	}
 	_ = g.Wait()
 }
 
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -40,9 +40,8 @@
 
 // poolOptions is what a pool shares with its router.
 type poolOptions struct {
+	reporter
 	engines engine.Client
-	log     *zap.Logger
-	events  Metrics
 	// background runs a function that the router's Close waits for.
 	background func(func())
 	poisons    *poisons
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -95,8 +95,16 @@
 // New returns a router without configuration; Configure and SetInstances make
 // it serve. Close ends it.
 func New(o Options) *Router {
+	r := newRouter(o)
+	r.background(r.tick)
+	r.background(r.readLoad)
+	return r
+}
+
+// newRouter returns a router without its periodic work.
+func newRouter(o Options) *Router {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Router{
+	return &Router{
 		opts:     o,
 		metrics:  o.Metrics,
 		history:  newHistory(),
@@ -106,9 +114,6 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
-	r.background(r.tick)
-	r.background(r.readLoad)
-	return r
 }
 
 // Config returns the configuration in force, or nil.
@@ -135,9 +140,8 @@
 			continue
 		}
 		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), poolOptions{
+			reporter:   r.reporter(),
 			engines:    r.opts.Engines,
-			log:        r.opts.Logger,
-			events:     r.metrics,
 			background: r.background,
 			poisons:    r.poisons,
 			wake:       r.wake,
@@ -158,7 +162,13 @@
 	for name, s := range c.Services {
 		sp, ok := r.services[name]
 		if !ok {
-			sp = newServicePool(name, s, r.admitter(policy), r.wake)
+			sp = newServicePool(name, s, r.admitter(policy), serviceOptions{
+				reporter:   r.reporter(),
+				client:     r.opts.Services,
+				background: r.background,
+				wake:       r.wake,
+				seed:       r.opts.Seed,
+			})
 			sp.setInstances(r.instances)
 			r.services[name] = sp
 		}
@@ -201,11 +211,17 @@
 	}
 }
 
-// MarkLeaving stops new work to an upstream on the word of a peer or operator.
-func (r *Router) MarkLeaving(upstream string) {
+// MarkLeaving stops new work to an upstream on the word of a peer or operator,
+// and tells whether a pool knows it.
+func (r *Router) MarkLeaving(upstream string) bool {
+	known := false
 	for _, p := range r.allPools() {
-		p.leaving(upstream, health.FromPeer)
+		known = p.leaving(upstream, health.FromPeer) || known
 	}
+	for _, s := range r.allServices() {
+		known = s.leaving(upstream, health.FromPeer) || known
+	}
+	return known
 }
 
 // Generate serves one completion request. Tokens go to sink as they come. The
@@ -266,6 +282,20 @@
 	return out
 }
 
+func (r *Router) allServices() []*servicePool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*servicePool, 0, len(r.services))
+	for _, s := range r.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+func (r *Router) reporter() reporter {
+	return reporter{log: r.opts.Logger, events: r.metrics}
+}
+
 func (r *Router) queues() []*queue {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -303,6 +333,9 @@
 	for _, p := range r.allPools() {
 		p.tick(now)
 	}
+	for _, s := range r.allServices() {
+		s.tick(now)
+	}
 }
 
 func (r *Router) tick() {
--- a/node/router/service.go
+++ b/node/router/service.go
@@ -10,6 +10,7 @@
 	"masticbank.example/core/admission"
 	"masticbank.example/core/config"
 	"masticbank.example/core/execution"
+	"masticbank.example/core/health"
 	"masticbank.example/node/service"
 )
 
@@ -132,24 +133,50 @@
 // callReplica sends the call to the best replica and returns its ID, which is
 // empty when there is none.
 func (r *Router) callReplica(ctx context.Context, pool *servicePool, req *ServiceRequest, exclude map[string]bool, idempotent bool) (ServiceResult, string) {
-	rep := pool.begin(exclude)
-	if rep == nil {
+	c, ok := pool.begin(exclude)
+	if !ok {
 		res := failedCall(CodeNoUpstream, execution.NotRun, "no replica is available")
 		res.RetryAfter = retryAfterFailure
 		return res, ""
 	}
-	defer pool.end(rep)
-	answer, err := r.opts.Services.Do(ctx, rep.instance.Address, service.Call{
+	defer pool.end(c)
+	answer, err := r.do(ctx, pool, c, service.Call{
 		Method: req.Method, Path: req.Path, Header: req.Header, Body: req.Body, Idempotent: idempotent,
 	})
 	if err != nil {
-		return callFailed(ctx, err), rep.instance.ID
+		return callFailed(ctx, err), c.id
 	}
+	if refusesWork(answer) {
+		pool.observe(c.replica, health.Leaving{Source: health.FromUpstream})
+		return failedCall(CodeUpstreamFailed, execution.NotRun, "the replica leaves"), c.id
+	}
+	pool.observe(c.replica, health.Progress{Connection: c.number})
 	res := ServiceResult{Answer: answer}
 	res.Complete = true
 	res.Execution = execution.Ran
 	res.Attempts = len(exclude) + 1
-	return res, rep.instance.ID
+	return res, c.id
+}
+
+// do sends a call and tells the pool of silence and of a failed connection. A
+// call that may be repeated ends when the replica is found not to answer; one
+// that may not waits for its answer as long as it can.
+func (r *Router) do(ctx context.Context, pool *servicePool, c serviceCall, call service.Call) (*service.Answer, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if call.Idempotent {
+		stop := context.AfterFunc(c.live, cancel)
+		defer stop()
+	}
+	silence := time.AfterFunc(c.patience, func() {
+		pool.observe(c.replica, health.Silent{Connection: c.number})
+	})
+	defer silence.Stop()
+	answer, err := r.opts.Services.Do(callCtx, c.address, call)
+	if err != nil && callCtx.Err() == nil && connectionFailed(err) {
+		pool.observe(c.replica, health.Lost{Connection: c.number})
+	}
+	return answer, err
 }
 
 func callFailed(ctx context.Context, err error) ServiceResult {
--- a/node/router/servicepool.go
+++ b/node/router/servicepool.go
@@ -1,35 +1,57 @@
 package router
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"masticbank.example/core/admission"
 	"masticbank.example/core/config"
+	"masticbank.example/core/health"
+	"masticbank.example/node/service"
 	"masticbank.example/node/wire"
 )
 
 // serviceSlots is the number of calls that one service replica takes at once.
 const serviceSlots = 32
 
+// serviceOptions is what a service pool shares with its router.
+type serviceOptions struct {
+	reporter
+	client *service.Client
+	// background runs a function that the router's Close waits for.
+	background func(func())
+	// wake is called when a request has to wait.
+	wake func()
+	seed uint64
+}
+
 // servicePool holds the replicas and the queue of one plain service. It is
 // safe for concurrent use.
 type servicePool struct {
+	serviceOptions
 	name  string
 	queue *queue
 
 	mu       sync.Mutex
 	cfg      config.ServiceConfig
 	replicas map[string]*serviceReplica
+	group    *health.Group
+	random   *rand.Rand
+	calls    uint64 // number of the last call
 }
 
-type serviceReplica struct {
-	instance wire.Instance
-	inFlight int
-	leaving  bool
-}
-
-func newServicePool(name string, cfg config.ServiceConfig, adm admission.Admitter, wake func()) *servicePool {
-	return &servicePool{name: name, queue: newQueue(adm, wake), cfg: cfg, replicas: map[string]*serviceReplica{}}
+func newServicePool(name string, cfg config.ServiceConfig, adm admission.Admitter, o serviceOptions) *servicePool {
+	return &servicePool{
+		serviceOptions: o,
+		name:           name,
+		queue:          newQueue(adm, o.wake),
+		cfg:            cfg,
+		replicas:       map[string]*serviceReplica{},
+		group:          health.NewGroup(maxEjectedShare),
+		random:         rand.New(rand.NewPCG(o.seed, uint64(len(name)))),
+	}
 }
 
 func (s *servicePool) configure(cfg config.ServiceConfig, policy admission.Config) {
@@ -45,57 +67,144 @@
 	return s.cfg
 }
 
+// setInstances puts the platform's list in force.
 func (s *servicePool) setInstances(list []wire.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listed := map[string]bool{}
-	usable := 0
 	for _, in := range list {
 		if in.Role != wire.RoleService || in.Service != s.name {
 			continue
 		}
 		listed[in.ID] = true
-		rep, ok := s.replicas[in.ID]
-		if !ok {
-			rep = &serviceReplica{}
-			s.replicas[in.ID] = rep
+		s.upsert(in)
+	}
+	for id, rep := range s.replicas {
+		if !listed[id] {
+			s.step(rep, health.Unlisted{})
 		}
-		rep.instance = in
-		rep.leaving = in.Leaving
-		if !in.Leaving {
-			usable++
+	}
+}
+
+// upsert takes one entry of the list. A replica that moved to another address
+// begins anew.
+func (s *servicePool) upsert(in wire.Instance) {
+	rep, ok := s.replicas[in.ID]
+	if ok && rep.instance.Address != in.Address {
+		rep.failAttempts()
+		s.step(rep, health.Leaving{Source: health.FromList})
+		s.step(rep, health.Unlisted{})
+		ok = false
+	}
+	if !ok {
+		rep = newServiceReplica(in, health.NewUpstream(health.DefaultConfig(), s.group, s.random.Uint64()))
+		s.replicas[in.ID] = rep
+	}
+	rep.instance = in
+	s.step(rep, health.Listed{Leaving: in.Leaving})
+}
+
+// listed returns the replicas to ask for load reports.
+func (s *servicePool) listed() []*serviceReplica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*serviceReplica, 0, len(s.replicas))
+	for _, rep := range s.replicas {
+		if !rep.health.Leaving() {
+			out = append(out, rep)
 		}
 	}
-	for id := range s.replicas {
-		if !listed[id] {
-			delete(s.replicas, id)
+	return out
+}
+
+// leaving records a sign that a replica leaves, and tells whether the pool
+// knows it.
+func (s *servicePool) leaving(id string, source health.Source) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rep, ok := s.replicas[id]
+	if ok {
+		s.step(rep, health.Leaving{Source: source})
+	}
+	return ok
+}
+
+// tick gives every replica whose time has come its event.
+func (s *servicePool) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, rep := range s.replicas {
+		if at, ok := rep.health.Deadline(); ok && !now.Before(at) {
+			s.step(rep, health.Tick{})
+		}
+	}
+}
+
+// observe feeds one event to a replica's state machine.
+func (s *servicePool) observe(rep *serviceReplica, e health.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(rep, e)
+}
+
+// step feeds one event to a replica's state machine and carries out its effects.
+// The caller holds s.mu.
+func (s *servicePool) step(rep *serviceReplica, e health.Event) {
+	if !s.reporter.step(rep.instance.ID, rep.health, e, &serviceActions{pool: s, replica: rep}) {
+		return
+	}
+	usable := 0
+	for _, rep := range s.replicas {
+		if rep.health.Weight() > 0 {
+			usable++
 		}
 	}
 	s.queue.setCapacity(usable * serviceSlots)
 }
 
-// begin picks the usable replica with the fewest calls in flight, except those
-// in exclude, and counts the call. It returns nil when there is none.
-func (s *servicePool) begin(exclude map[string]bool) *serviceReplica {
+// serviceCall is one call on a replica.
+type serviceCall struct {
+	number  uint64
+	replica *serviceReplica
+	id      string
+	address string
+	// live ends when the replica's open attempts are to end.
+	live context.Context
+	// patience is the time without an answer after which the call is silent.
+	patience time.Duration
+}
+
+// begin counts a call on the replica with the fewest calls in flight for its
+// weight, except those in exclude. It returns false when there is none.
+func (s *servicePool) begin(exclude map[string]bool) (serviceCall, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *serviceReplica
 	for id, rep := range s.replicas {
-		if rep.leaving || exclude[id] {
+		if rep.health.Weight() == 0 || exclude[id] {
 			continue
 		}
-		if best == nil || rep.inFlight < best.inFlight || (rep.inFlight == best.inFlight && id < best.instance.ID) {
+		if best == nil || rep.before(best) {
 			best = rep
 		}
 	}
-	if best != nil {
-		best.inFlight++
+	if best == nil {
+		return serviceCall{}, false
 	}
-	return best
+	best.inFlight++
+	s.calls++
+	return serviceCall{
+		number:   s.calls,
+		replica:  best,
+		id:       best.instance.ID,
+		address:  best.instance.Address,
+		live:     best.live,
+		patience: s.cfg.Timeout / 2,
+	}, true
 }
 
-func (s *servicePool) end(rep *serviceReplica) {
+func (s *servicePool) end(c serviceCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rep.inFlight--
+	c.replica.inFlight--
 }
--- /dev/null
+++ b/node/router/servicepool_test.go
@@ -0,0 +1,154 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/core/health"
+	"masticbank.example/node/wire"
+)
+
+const leavingReport = `{"leaving":true}`
+
+// TestServiceReplicaLeaves lets replica a leave, one way at a time: it gets no
+// call from then on, and the peers are told when a said so itself.
+func TestServiceReplicaLeaves(t *testing.T) {
+	ways := []struct {
+		name  string
+		told  bool
+		leave func(t *testing.T, r *Router, a *replica)
+	}{
+		{"by the word of a peer", false, func(t *testing.T, r *Router, _ *replica) {
+			require.True(t, r.MarkLeaving("a"))
+		}},
+		{"by its load report", true, func(_ *testing.T, r *Router, a *replica) {
+			a.set("", leavingReport)
+			r.readLoadOnce()
+		}},
+		{"by refusing a call that may be repeated", true, func(t *testing.T, r *Router, a *replica) {
+			a.set(wire.CodeLeaving, "")
+			require.True(t, callOf(t, r, http.MethodGet).Complete)
+			a.set("", "")
+		}},
+		{"by refusing a call that may not be repeated", true, func(t *testing.T, r *Router, a *replica) {
+			a.set(wire.CodeLeaving, "")
+			require.True(t, callOf(t, r, http.MethodPost).Complete)
+			a.set("", "")
+		}},
+	}
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			r, e := newTestRouter(t)
+			a, b := newReplica(t, "a"), newReplica(t, "b")
+			r.list(a.Instance, b.Instance)
+			callOf(t, r, http.MethodGet)
+			require.Equal(t, 1, a.served())
+			way.leave(t, r, a)
+			// The list lags and does not show it.
+			r.list(a.Instance, b.Instance)
+			for range 4 {
+				require.True(t, callOf(t, r, http.MethodGet).Complete)
+			}
+			require.Equal(t, 1, a.served())
+			require.Equal(t, way.told, len(e.leaving) == 1)
+			require.Equal(t, serviceSlots, r.services["s"].queue.total())
+		})
+	}
+}
+
+func TestMarkLeavingOfUnknownUpstream(t *testing.T) {
+	r, _ := newTestRouter(t)
+	require.False(t, r.MarkLeaving("nobody"))
+}
+
+// TestServiceReplicaIsEjected ends the server of replica a. The first call that
+// meets it goes on to b, and a gets no call until a probe is answered; then its
+// share rises in steps.
+func TestServiceReplicaIsEjected(t *testing.T) {
+	r, e := newTestRouter(t)
+	a, b := newReplica(t, "a"), newReplica(t, "b")
+	r.list(a.Instance, b.Instance)
+	a.server.Close()
+	require.True(t, callOf(t, r, http.MethodPost).Complete)
+	require.Equal(t, []string{"a"}, e.ejected)
+	s := r.services["s"]
+	require.Equal(t, serviceSlots, s.queue.total())
+	for range 3 {
+		c, ok := s.begin(nil)
+		require.True(t, ok)
+		require.Equal(t, "b", c.id)
+	}
+	rep := s.replicas["a"]
+	at, ok := rep.health.Deadline()
+	require.True(t, ok)
+	rep.health.Step(at, health.Tick{})
+	rep.health.Step(at, health.ProbeAnswered{Probe: 3})
+	require.Equal(t, health.DefaultConfig().SlowStart[0], rep.health.Weight())
+	c, ok := s.begin(nil)
+	require.True(t, ok)
+	require.Equal(t, "b", c.id, "3 calls at b weigh less than one at a")
+}
+
+// TestServiceEjectionIsBounded ends both servers: one stays in use at a low
+// weight, so that calls fail rather than wait.
+func TestServiceEjectionIsBounded(t *testing.T) {
+	r, e := newTestRouter(t)
+	a, b := newReplica(t, "a"), newReplica(t, "b")
+	r.list(a.Instance, b.Instance)
+	a.server.Close()
+	b.server.Close()
+	res := callOf(t, r, http.MethodGet)
+	require.False(t, res.Complete)
+	require.Equal(t, execution.NotRun, res.Execution)
+	require.Len(t, e.ejected, 1)
+	require.Equal(t, serviceSlots, r.services["s"].queue.total())
+}
+
+// TestServiceReplicaReturnsAtNewAddress lists a leaving replica again at a new
+// address: it begins anew, and what is still heard of the old one is void.
+func TestServiceReplicaReturnsAtNewAddress(t *testing.T) {
+	r, _ := newTestRouter(t)
+	before, after := newReplica(t, "a"), newReplica(t, "a")
+	r.list(before.Instance)
+	s := r.services["s"]
+	c, ok := s.begin(nil)
+	require.True(t, ok)
+	require.True(t, r.MarkLeaving("a"))
+	r.list(after.Instance)
+	s.observe(c.replica, health.Leaving{Source: health.FromUpstream})
+	s.end(c)
+	require.True(t, callOf(t, r, http.MethodPost).Complete)
+	require.Equal(t, 1, after.served())
+	require.Equal(t, 1, s.group.Members())
+}
+
+// TestSilentServiceReplica ends a call that may be repeated once its replica
+// was found to answer no probe, well before the call's own timeout.
+func TestSilentServiceReplica(t *testing.T) {
+	r, e := newTestRouter(t)
+	a, b := newReplica(t, "a"), newReplica(t, "b")
+	r.list(a.Instance, b.Instance)
+	a.mu.Lock() // holds back every answer
+	defer a.mu.Unlock()
+	s := r.services["s"]
+	c, ok := s.begin(nil)
+	require.True(t, ok)
+	require.Equal(t, "a", c.id)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.do(ctx, s, c, readCall("/x", true))
+		ended <- err
+	}()
+	s.observe(c.replica, health.Silent{Connection: c.number})
+	require.Error(t, <-ended)
+	r.work.Wait()
+	require.NoError(t, ctx.Err())
+	require.Equal(t, []string{"a"}, e.ejected)
+}
--- /dev/null
+++ b/node/router/setup_test.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/config"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/service"
+	"masticbank.example/node/wire"
+)
+
+// events records what the router tells of upstreams.
+type events struct {
+	mu      sync.Mutex
+	leaving []string
+	ejected []string
+}
+
+func (*events) Dropped(attempt.DropKind)                    {}
+func (*events) TokenGap(string, config.Rank, time.Duration) {}
+func (*events) Finished(*Result)                            {}
+func (*events) ConnectionReplaced(string)                   {}
+func (e *events) Ejected(id string)                         { e.add(&e.ejected, id) }
+func (e *events) Leaving(id string)                         { e.add(&e.leaving, id) }
+func (e *events) add(list *[]string, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*list = append(*list, id)
+}
+
+// engines answers probes and holds no engine.
+type engines struct{ engine.Client }
+
+func (engines) Probe(context.Context, engine.Target) error { return nil }
+func (engines) ReplaceConnections(engine.Target)           {}
+func (engines) Forget(engine.Target)                       {}
+
+func testConfig() *config.Config {
+	return &config.Config{
+		Ranks:      []config.RankConfig{{Name: "urgent", Deadline: time.Minute}},
+		Models:     map[string]config.ModelConfig{"m": {Layers: 8, Version: "1", MaxOutput: 16}},
+		Services:   map[string]config.ServiceConfig{"s": {Timeout: 10 * time.Second, IdempotentMethods: []string{"GET"}}},
+		Workspaces: map[string]config.WorkspaceConfig{"w": {Weight: 1, DefaultRank: "urgent", MaxQueued: 8}},
+		Limits:     config.Limits{MaxQueued: 64, RetryRatio: 0.1, StepTimeout: time.Second, PoisonTTL: time.Minute},
+	}
+}
+
+// newTestRouter returns a router without periodic work, with testConfig in
+// force.
+func newTestRouter(t *testing.T) (*Router, *events) {
+	t.Helper()
+	e := &events{}
+	r := newRouter(Options{Engines: engines{}, Services: service.New(), Metrics: e, Logger: zap.NewNop()})
+	t.Cleanup(r.Close)
+	r.Configure(testConfig())
+	return r, e
+}
+
+// list puts instances in force and waits until they were probed.
+func (r *Router) list(instances ...wire.Instance) {
+	r.SetInstances(instances)
+	r.work.Wait()
+}
+
+// replica is a service replica in this process.
+type replica struct {
+	wire.Instance
+	server *httptest.Server
+
+	mu    sync.Mutex
+	calls int
+	// refusal, if set, is the code with which calls are refused, and report the
+	// load report.
+	refusal string
+	report  string
+}
+
+func newReplica(t *testing.T, id string) *replica {
+	t.Helper()
+	rep := &replica{report: "{}"}
+	rep.server = httptest.NewServer(rep)
+	t.Cleanup(rep.server.Close)
+	rep.Instance = wire.Instance{ID: id, Role: wire.RoleService, Service: "s", Address: strings.TrimPrefix(rep.server.URL, "http://")}
+	return rep
+}
+
+func (rep *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	switch {
+	case req.URL.Path == wire.PathLoad:
+		_, _ = w.Write([]byte(rep.report))
+	case req.URL.Path == wire.PathProbe:
+		w.WriteHeader(http.StatusNoContent)
+	case rep.refusal != "":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"code":"` + rep.refusal + `"}`))
+	default:
+		rep.calls++
+	}
+}
+
+func (rep *replica) set(refusal, report string) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.refusal, rep.report = refusal, report
+}
+
+func (rep *replica) served() int {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.calls
+}
+
+// callOf makes one call to the service and waits for the probes it gave rise to.
+func callOf(t *testing.T, r *Router, method string) ServiceResult {
+	t.Helper()
+	now := time.Now()
+	res := r.CallService(t.Context(), &ServiceRequest{
+		ID: t.Name(), Workspace: "w", Service: "s", Method: method, Path: "/x",
+		Header: http.Header{}, Arrived: now, Deadline: now.Add(20 * time.Second),
+	})
+	r.work.Wait()
+	return res
+}
--- a/node/router/status.go
+++ b/node/router/status.go
@@ -91,10 +91,10 @@
 			ID:       id,
 			Address:  rep.instance.Address,
 			Zone:     rep.instance.Zone,
-			Leaving:  rep.leaving,
+			Leaving:  rep.health.Leaving(),
 			Slots:    serviceSlots,
 			InFlight: rep.inFlight,
-			Weight:   1,
+			Weight:   rep.health.Weight(),
 		})
 	}
 	sortUpstreams(out.Upstreams)
