Requests waiting in a replaced pool are refused at once

A changed model.layers makes a new pool, and a removed model or service drops its pool. Requests that waited in the old queue got no more ticks and no capacity, and hung until their deadline. The old queue is now closed: they are refused as not_run with Retry-After 1 s.

TestReplacedPoolRefusesWaitingRequests fails in both cases without the close (the request ends at the test's bound of 5 s).

--- /dev/null
+++ b/node/router/configure_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/attempt"
+	"masticbank.example/core/config"
+	"masticbank.example/core/execution"
+)
+
+type nowhere struct{}
+
+func (nowhere) Token(attempt.Token) error { return nil }
+
+// TestReplacedPoolRefusesWaitingRequests lets a request wait for a replica while
+// a configuration replaces or removes its pool.
+func TestReplacedPoolRefusesWaitingRequests(t *testing.T) {
+	changes := map[string]func(c *config.Config){
+		"layers changed": func(c *config.Config) { c.Models["m"] = config.ModelConfig{Layers: 9, Version: "1", MaxOutput: 16} },
+		"model removed":  func(c *config.Config) { delete(c.Models, "m") },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			r, _ := newTestRouter(t)
+			waiting := make(chan struct{}, 1)
+			r.pools["m"].queue.wake = func() { waiting <- struct{}{} }
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			ended := make(chan Result, 1)
+			go func() {
+				now := time.Now()
+				ended <- r.Generate(ctx, &Request{
+					ID: "r", Workspace: "w", Model: "m", Prompt: "p", MaxTokens: 1, Arrived: now, Deadline: now.Add(time.Minute),
+				}, nowhere{})
+			}()
+			<-waiting
+			c := testConfig()
+			change(c)
+			r.Configure(c)
+			res := <-ended
+			require.Equal(t, CodeRefused, res.Code)
+			require.Equal(t, execution.NotRun, res.Execution)
+			require.Positive(t, res.RetryAfter)
+		})
+	}
+}
--- a/node/router/queue.go
+++ b/node/router/queue.go
@@ -23,6 +23,8 @@
 	slots int
 	// wake is called when a request has to wait.
 	wake func()
+	// closed tells that the pool is not in force any more.
+	closed bool
 }
 
 // unlimited is the share of an instance that runs alone.
@@ -36,6 +38,10 @@
 // the request leaves the queue and the error of ctx is returned.
 func (q *queue) enter(ctx context.Context, r admission.Request) (admission.Effect, error) {
 	q.mu.Lock()
+	if q.closed {
+		q.mu.Unlock()
+		return replacedPool(r.ID), nil
+	}
 	ch := q.expect(r.ID)
 	q.deliver(q.adm.Arrive(time.Now(), r))
 	q.mu.Unlock()
@@ -45,12 +51,41 @@
 // reenter returns a dispatched request to its place and waits again.
 func (q *queue) reenter(ctx context.Context, id string) (admission.Effect, error) {
 	q.mu.Lock()
+	if q.closed {
+		q.mu.Unlock()
+		return replacedPool(id), nil
+	}
 	ch := q.expect(id)
 	q.deliver(q.adm.Requeue(time.Now(), id))
 	q.mu.Unlock()
 	return q.wait(ctx, id, ch)
 }
 
+// close refuses the requests that wait and those that still come. The pool is
+// not in force any more, so that nothing would dispatch them.
+func (q *queue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	for id, ch := range q.waiting {
+		delete(q.waiting, id)
+		ch <- replacedPool(id)
+	}
+}
+
+// replacedPool refuses a request whose pool is not in force any more.
+func replacedPool(id string) admission.Effect {
+	return admission.Effect{Kind: admission.Refuse, ID: id, RetryAfter: retryAfterReplaced}
+}
+
+// refusalMessage describes a refusal to the caller.
+func refusalMessage(e admission.Effect) string {
+	if e.Reason == admission.ReasonNone {
+		return "a new configuration replaced the pool in which the request waited"
+	}
+	return e.Reason.String()
+}
+
 func (q *queue) expect(id string) chan admission.Effect {
 	ch := make(chan admission.Effect, 1)
 	q.waiting[id] = ch
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -34,6 +34,9 @@
 	poisonRetention = 10 * time.Minute
 	// retryAfterFailure is the hint given when upstreams failed.
 	retryAfterFailure = 2 * time.Second
+	// retryAfterReplaced is the hint given when a new configuration replaced the
+	// pool in which a request waited.
+	retryAfterReplaced = time.Second
 )
 
 // Metrics takes measurements. Implementations are safe for concurrent use.
@@ -139,6 +142,9 @@
 			p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 			continue
 		}
+		if ok {
+			p.queue.close()
+		}
 		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), poolOptions{
 			reporter:   r.reporter(),
 			engines:    r.opts.Engines,
@@ -151,8 +157,9 @@
 		p.setInstances(r.instances)
 		r.pools[name] = p
 	}
-	for name := range r.pools {
+	for name, p := range r.pools {
 		if _, ok := c.Models[name]; !ok {
+			p.queue.close()
 			delete(r.pools, name)
 		}
 	}
@@ -174,8 +181,9 @@
 		}
 		sp.configure(s, policy)
 	}
-	for name := range r.services {
+	for name, s := range r.services {
 		if _, ok := c.Services[name]; !ok {
+			s.queue.close()
 			delete(r.services, name)
 		}
 	}
--- a/node/router/run.go
+++ b/node/router/run.go
@@ -137,7 +137,7 @@
 		}
 		if effect.Kind == admission.Refuse {
 			x.refusal = &effect
-			return attempt.Unroutable{Reason: effect.Reason.String()}
+			return attempt.Unroutable{Reason: refusalMessage(effect)}
 		}
 		x.dispatched = true
 		d := x.pool.choose(x.routeRequest(nil))
--- a/node/router/service.go
+++ b/node/router/service.go
@@ -81,7 +81,7 @@
 		return failedCall(contextCode(ctx), execution.NotRun, err.Error())
 	}
 	if effect.Kind == admission.Refuse {
-		res := failedCall(refusalCode(effect.Reason), execution.NotRun, effect.Reason.String())
+		res := failedCall(refusalCode(effect.Reason), execution.NotRun, refusalMessage(effect))
 		res.RetryAfter = effect.RetryAfter
 		return res
 	}
