limits.retry_ratio holds from the first revision on

configurePools made a new pool with the ratio 0.1 and configured it only at the next revision. A new pool is now configured as an old one is.

TestRetryRatioOfFirstRevision fails without the change.

--- a/node/router/configure_test.go
+++ b/node/router/configure_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
 	"masticbank.example/core/attempt"
 	"masticbank.example/core/config"
 	"masticbank.example/core/execution"
+	"masticbank.example/node/service"
 )
 
 type nowhere struct{}
@@ -48,3 +50,20 @@
 		})
 	}
 }
+
+// TestRetryRatioOfFirstRevision pays first attempts into an empty budget.
+func TestRetryRatioOfFirstRevision(t *testing.T) {
+	e := &events{}
+	r := newRouter(Options{Engines: engines{}, Services: service.New(), Metrics: e, Logger: zap.NewNop()})
+	t.Cleanup(r.Close)
+	c := testConfig()
+	c.Limits.RetryRatio = 0.5
+	r.Configure(c)
+	require.InDelta(t, 0.5, r.pools["m"].ratio, 0)
+	p := r.pools["m"]
+	for p.mayRetry() { // empties the budget
+	}
+	before := p.budget.Saved(time.Now())
+	p.first()
+	require.GreaterOrEqual(t, p.budget.Saved(time.Now())-before, 0.5)
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -154,7 +154,7 @@
 			seed:       r.opts.Seed,
 		})
 		p.setInstanceCount(max(r.entries, 1))
-		p.setInstances(r.instances)
+		p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 		r.pools[name] = p
 	}
 	for name, p := range r.pools {
