An engine listed again at a new address begins anew

A late refusal or load report of the old address was taken for the new one, so that a replica that came back was marked as leaving again. A replica that moved while in use also stayed a member of its health group, which raised the number that may be ejected at once.

TestEngineReturnsAtNewAddress fails without the comparison of the address, and without the withdrawal from the group.

--- a/node/router/health.go
+++ b/node/router/health.go
@@ -31,11 +31,18 @@
 	return call{number: p.calls, target: u.target(), timeout: u.pace.ProgressTimeout(prefill, initial), live: u.live}, true
 }
 
+// at returns the replica at a target; it is not known any more when the replica
+// moved to another address. The caller holds p.mu.
+func (p *pool) at(t engine.Target) (*upstream, bool) {
+	u, ok := p.upstreams[t.ID]
+	return u, ok && u.target() == t
+}
+
 // progressed records an answered step of prefill tokens, 0 for a decode step.
 func (p *pool) progressed(c call, prefill, cached int, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u, ok := p.upstreams[c.target.ID]
+	u, ok := p.at(c.target)
 	if !ok {
 		return
 	}
@@ -59,7 +66,7 @@
 func (p *pool) refused(c call, code string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u, ok := p.upstreams[c.target.ID]
+	u, ok := p.at(c.target)
 	if !ok {
 		return
 	}
@@ -79,7 +86,7 @@
 func (p *pool) ended(c call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if u, ok := p.upstreams[c.target.ID]; ok {
+	if u, ok := p.at(c.target); ok {
 		delete(u.open, c.number)
 	}
 }
@@ -131,7 +138,7 @@
 func (p *pool) accuse(c call, broken bool) chan bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u, ok := p.upstreams[c.target.ID]
+	u, ok := p.at(c.target)
 	if !ok {
 		return nil
 	}
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -54,5 +54,5 @@
 	if err != nil {
 		return
 	}
-	p.report(t.ID, report)
+	p.report(t, report)
 }
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -112,7 +112,8 @@
 	u, ok := p.upstreams[in.ID]
 	if ok && moved(u.instance, in) {
 		u.failAttempts()
-		p.remove(u)
+		p.step(u, health.Leaving{Source: health.FromList})
+		p.step(u, health.Unlisted{})
 		ok = false
 	}
 	r := route.Replica{ID: in.ID, First: in.FirstLayer, Last: in.LastLayer, Zone: in.Zone, Accelerator: in.Accelerator}
@@ -164,14 +165,14 @@
 }
 
 // report takes the load report of one replica.
-func (p *pool) report(id string, r *wire.LoadReport) {
+func (p *pool) report(t engine.Target, r *wire.LoadReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u, ok := p.upstreams[id]
+	u, ok := p.at(t)
 	if !ok {
 		return
 	}
-	p.table.Report(time.Now(), id, route.Load{
+	p.table.Report(time.Now(), t.ID, route.Load{
 		Running:                r.Running,
 		Waiting:                r.Waiting,
 		Slots:                  r.Slots,
