Gauges of the log's lag, requests and upstreams are set

Only config_revision and peers were set. log_lag_ms, in_flight, queued and upstreams are now set once a second. The lag counts from the last read of the configuration stream that found no record.

--- a/node/app/app.go
+++ b/node/app/app.go
@@ -55,6 +55,7 @@
 	poller    *instancelist.Poller
 	logs      logstream.Log // nil without a log
 	appenders []*logstream.Appender
+	reads     *readTimes          // of the configuration stream; nil without a log
 	follower  *follower.Follower  // nil without a log
 	orders    *orders.Coordinator // nil without a log
 	duties    *duty.Keeper        // nil without a log
@@ -111,6 +112,7 @@
 	if err := a.startInstances(ctx); err != nil {
 		return trace.Wrap(err)
 	}
+	a.run(ctx, a.setGauges)
 	a.group.Go(func() error {
 		a.metrics.Run(ctx)
 		return nil
--- a/node/app/log.go
+++ b/node/app/log.go
@@ -25,8 +25,9 @@
 		return nil
 	}
 	a.logs = &logstream.HTTP{Base: p.Log}
+	a.reads = &readTimes{Log: a.logs}
 	a.follower = follower.New(follower.Options{
-		Log:               a.logs,
+		Log:               a.reads,
 		Appender:          a.appender(p.ConfigStream),
 		Stream:            p.ConfigStream,
 		HoldsSnapshotDuty: a.holdsSnapshotDuty,
