peers.digest_period bounds how often digests are told

The setting was read and never used. It is now the least time between two digests, and the longest one is raised to it when it is above 1 s. Heartbeats between instances do not depend on it.

--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"masticbank.example/core/demand"
 	"masticbank.example/core/membership"
 	"masticbank.example/core/neighbor"
 	"masticbank.example/core/poison"
@@ -46,6 +47,7 @@
 	a.neighbors = neighbor.NewChooser(neighbor.DefaultLimits())
 	a.sharer = sharing.New(sharing.Options{
 		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
+		Teller:   tellerConfig(s.Peers.DigestPeriod),
 		OnMember: func(membership.Changed) { a.countEntries() },
 	})
 	a.run(ctx, a.sharer.Run)
@@ -53,6 +55,12 @@
 	return n.Start()
 }
 
+// tellerConfig returns how often digests are told. The longest time between two
+// is not below the least.
+func tellerConfig(period time.Duration) demand.TellerConfig {
+	return demand.TellerConfig{MinPeriod: period, MaxPeriod: max(period, demand.DefaultMaxPeriod)}
+}
+
 // countEntries tells the router how many instances dispatch to the upstreams.
 func (a *App) countEntries() {
 	n := 0
--- a/node/settings/table.go
+++ b/node/settings/table.go
@@ -61,7 +61,7 @@
 	{"platform", "log_retention", "24h", false, "Time for which the log service keeps a record.", func(s *Settings, v string) error { return duration(&s.Platform.LogRetention, v) }},
 
 	{"peers", "key", "", false, "Shared key by which entry instances authenticate each other.", func(s *Settings, v string) error { return text(&s.Peers.Key, v) }},
-	{"peers", "digest_period", "200ms", false, "Time between two demand digests.", func(s *Settings, v string) error { return duration(&s.Peers.DigestPeriod, v) }},
+	{"peers", "digest_period", "200ms", false, "Least time between two demand digests; without changes, one is sent each second or each period, whichever is longer.", func(s *Settings, v string) error { return duration(&s.Peers.DigestPeriod, v) }},
 
 	{"admin", "key", "", true, "Key that the administration API asks for as a bearer token.", func(s *Settings, v string) error { return secret(&s.Admin.Key, v) }},
 
