--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -51,13 +51,19 @@
 	a.sharer = sharing.New(sharing.Options{
 		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
 		OnMember: func(membership.Changed) { a.setEntries() },
-		Teller:   demand.TellerConfig{MinPeriod: s.Peers.DigestPeriod, BytesPerSecond: digestBytesPerSecond},
+		Teller:   tellerConfig(s.Peers.DigestPeriod),
 	})
 	a.run(ctx, a.sharer.Run)
 	a.run(ctx, a.sharePoison)
 	return n.Start()
 }
 
+// tellerConfig returns how often digests are told. The longest time between two
+// is not below the least.
+func tellerConfig(period time.Duration) demand.TellerConfig {
+	return demand.TellerConfig{MinPeriod: period, MaxPeriod: max(period, demand.DefaultMaxPeriod), BytesPerSecond: digestBytesPerSecond}
+}
+
 // setEntries tells the router which instances dispatch to the upstreams.
 func (a *App) setEntries() {
 	var live []string
@@ -214,9 +220,11 @@
 }
 
 // Drain implements admin.Instance.
-func (a *App) Drain(upstream string) int {
-	a.router.MarkLeaving(upstream)
-	return a.broadcast(&peerpb.Leaving{Upstream: upstream}) + 1
+func (a *App) Drain(upstream string) (instances int, known bool) {
+	if !a.router.MarkLeaving(upstream) {
+		return 0, false
+	}
+	return a.broadcast(&peerpb.Leaving{Upstream: upstream}) + 1, true
 }
 
 // announceLeaving tells the peers that an upstream leaves.
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -20,6 +20,16 @@
 			})
 		}
 	}
+	for _, s := range r.allServices() {
+		for _, rep := range s.listed() {
+			g.Go(func() error {
+				ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
+				defer cancel()
+				s.readLoad(ctx, rep)
+				return nil
+			})
+		}
+	}
 	_ = g.Wait()
 }
 
@@ -30,5 +40,5 @@
 	if err != nil {
 		return
 	}
-	p.report(t.ID, report)
+	p.report(t, report)
 }
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -34,6 +34,9 @@
 	poisonRetention = 10 * time.Minute
 	// retryAfterFailure is the hint given when upstreams failed.
 	retryAfterFailure = 2 * time.Second
+	// retryAfterReplaced is the hint given when a new configuration replaced the
+	// pool in which a request waited.
+	retryAfterReplaced = time.Second
 )
 
 // Metrics takes measurements. Implementations are safe for concurrent use.
@@ -97,8 +100,16 @@
 // New returns a router without configuration; Configure and SetInstances make
 // it serve. Close ends it.
 func New(o Options) *Router {
+	r := newRouter(o)
+	r.background(func() { r.every(tickPeriod, r.tickOnce) })
+	r.background(func() { r.every(loadPeriod, r.readLoadOnce) })
+	return r
+}
+
+// newRouter returns a router without its periodic work.
+func newRouter(o Options) *Router {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Router{
+	return &Router{
 		opts:     o,
 		metrics:  o.Metrics,
 		history:  newHistory(),
@@ -109,9 +120,6 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
-	r.background(func() { r.every(tickPeriod, r.tickOnce) })
-	r.background(func() { r.every(loadPeriod, r.readLoadOnce) })
-	return r
 }
 
 // Config returns the configuration in force, or nil.
@@ -137,21 +145,24 @@
 			p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 			continue
 		}
+		if ok {
+			p.queue.close()
+		}
 		p = newPool(name, m, r.opts.RoutePolicy, r.admitter(policy), poolOptions{
+			reporter:   r.reporter(),
 			engines:    r.opts.Engines,
-			log:        r.opts.Logger,
-			events:     r.metrics,
 			background: r.background,
 			poisons:    r.poisons,
 			wake:       r.wake,
 			seed:       r.opts.Seed,
 		})
 		p.setMembers(r.opts.ID, r.entries)
-		p.setInstances(r.instances)
+		p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 		r.pools[name] = p
 	}
-	for name := range r.pools {
+	for name, p := range r.pools {
 		if _, ok := c.Models[name]; !ok {
+			p.queue.close()
 			delete(r.pools, name)
 		}
 	}
@@ -161,14 +172,21 @@
 	for name, s := range c.Services {
 		sp, ok := r.services[name]
 		if !ok {
-			sp = newServicePool(name, s, r.admitter(policy), r.wake)
+			sp = newServicePool(name, s, r.admitter(policy), serviceOptions{
+				reporter:   r.reporter(),
+				client:     r.opts.Services,
+				background: r.background,
+				wake:       r.wake,
+				seed:       r.opts.Seed,
+			})
 			sp.setInstances(r.instances)
 			r.services[name] = sp
 		}
 		sp.configure(s, policy)
 	}
-	for name := range r.services {
+	for name, s := range r.services {
 		if _, ok := c.Services[name]; !ok {
+			s.queue.close()
 			delete(r.services, name)
 		}
 	}
@@ -204,11 +222,17 @@
 	}
 }
 
-// MarkLeaving stops new work to an upstream on the word of a peer or operator.
-func (r *Router) MarkLeaving(upstream string) {
+// MarkLeaving stops new work to an upstream on the word of a peer or operator,
+// and tells whether a pool knows it.
+func (r *Router) MarkLeaving(upstream string) bool {
+	known := false
 	for _, p := range r.allPools() {
-		p.leaving(upstream, health.FromPeer)
+		known = p.leaving(upstream, health.FromPeer) || known
+	}
+	for _, s := range r.allServices() {
+		known = s.leaving(upstream, health.FromPeer) || known
 	}
+	return known
 }
 
 // Generate serves one completion request. Tokens go to sink as they come. The
@@ -270,6 +294,20 @@
 	return out
 }
 
+func (r *Router) allServices() []*servicePool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := make([]*servicePool, 0, len(r.services))
+	for _, s := range r.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+func (r *Router) reporter() reporter {
+	return reporter{log: r.opts.Logger, events: r.metrics}
+}
+
 func (r *Router) queues() []*queue {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -307,6 +345,9 @@
 	for _, p := range r.allPools() {
 		p.tick(now)
 	}
+	for _, s := range r.allServices() {
+		s.tick(now)
+	}
 }
 
 // every calls f at each period until Close.
