--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
@@ -29,8 +30,9 @@
 	// the new revision.
 	Publish(ctx context.Context, author string, c *config.Config, base uint64) (uint64, error)
 	// Drain stops new work to an upstream on all instances that can be reached
-	// and returns their number.
-	Drain(upstream string) int
+	// and returns their number. It returns false, and tells nobody, when this
+	// instance does not use the upstream.
+	Drain(upstream string) (instances int, known bool)
 	// ExplainRequest tells what is known of a request.
 	ExplainRequest(id string) (*RequestExplanation, bool)
 	// ExplainRoute gives the grounds of a route choice made now.
@@ -124,6 +126,7 @@
 		body = []byte(`{"error":"the answer cannot be encoded"}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/node/config/build.go
+++ b/node/config/build.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"masticbank.example/core/config"
+	"masticbank.example/node/inifile"
 )
 
 // Defaults of keys that may be left out.
@@ -19,6 +20,7 @@
 	defaultQueue       = 256
 	defaultPoolQueue   = 4096
 	defaultRetryRatio  = 0.1
+	defaultReserve     = 0.5
 	defaultStepTimeout = 2 * time.Second
 	defaultPoisonTTL   = 10 * time.Minute
 )
@@ -33,7 +35,7 @@
 
 func (s *section) fail(key string, v value, reason string) {
 	if s.err == nil {
-		s.err = &Error{File: v.file, Section: s.name, Key: key, Reason: reason}
+		s.err = &inifile.Error{File: v.file, Section: s.name, Key: key, Reason: reason}
 	}
 }
 
@@ -140,7 +142,7 @@
 	case s.name == "limits":
 		b.limits(s)
 	case name == "":
-		return &Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
+		return &inifile.Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
 	case kind == "rank":
 		b.rank(name, s)
 	case kind == "model":
@@ -150,7 +152,7 @@
 	case kind == "workspace":
 		b.workspace(name, s)
 	default:
-		return &Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
+		return &inifile.Error{File: s.anyFile(), Section: s.name, Key: s.anyKey(), Reason: "unknown section"}
 	}
 	return s.finish()
 }
@@ -207,9 +209,10 @@
 
 func (b *builder) limits(s *section) {
 	b.cfg.Limits = config.Limits{
-		MaxQueued:   s.number("max_queued", defaultPoolQueue),
-		RetryRatio:  s.float("retry_ratio", defaultRetryRatio),
-		StepTimeout: s.duration("step_timeout", defaultStepTimeout),
-		PoisonTTL:   s.duration("poison_ttl", defaultPoisonTTL),
+		MaxQueued:     s.number("max_queued", defaultPoolQueue),
+		RetryRatio:    s.float("retry_ratio", defaultRetryRatio),
+		UrgentReserve: s.float("urgent_reserve", defaultReserve),
+		StepTimeout:   s.duration("step_timeout", defaultStepTimeout),
+		PoisonTTL:     s.duration("poison_ttl", defaultPoisonTTL),
 	}
 }
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -2,27 +2,13 @@
 
 import (
 	"context"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"masticbank.example/node/engine"
 )
 
-// readLoad asks every replica for its load report in turn.
-func (r *Router) readLoad() {
-	ticker := time.NewTicker(loadPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-ticker.C:
-			r.readLoadOnce()
-		}
-	}
-}
-
+// readLoadOnce asks every replica for its load report.
 func (r *Router) readLoadOnce() {
 	var g errgroup.Group
 	g.SetLimit(loadReaders)
@@ -34,6 +20,16 @@
 			})
 		}
 	}
+	for _, s := range r.allServices() {
+		for _, rep := range s.listed() {
+			g.Go(func() error {
+				ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
+				defer cancel()
+				s.readLoad(ctx, rep)
+				return nil
+			})
+		}
+	}
 	_ = g.Wait()
 }
 
@@ -44,5 +40,5 @@
 	if err != nil {
 		return
 	}
-	p.report(t.ID, report)
+	p.report(t, report)
 }
