--- a/node/settings/table.go
+++ b/node/settings/table.go
@@ -72,7 +72,7 @@
 	{"limits", "max_body_bytes", "1048576", false, "Largest request body in bytes.", func(s *Settings, v string) error { return positive(&s.Limits.MaxBodyBytes, v) }},
 	{"limits", "max_requests", "8192", false, "Largest number of requests held at once, queued ones included.", func(s *Settings, v string) error { return positive(&s.Limits.MaxRequests, v) }},
 	{"limits", "max_connections", "16384", false, "Largest number of open caller connections.", func(s *Settings, v string) error { return positive(&s.Limits.MaxConnections, v) }},
-	{"limits", "idle_timeout", "10m", false, "Time after which a caller connection without a new request is closed; it also bounds one answer.", func(s *Settings, v string) error { return duration(&s.Limits.IdleTimeout, v) }},
+	{"limits", "idle_timeout", "10m", false, "Time after which a caller connection without a new request is closed. Answers are bounded by the deadlines of their requests.", func(s *Settings, v string) error { return duration(&s.Limits.IdleTimeout, v) }},
 	{"limits", "shutdown_timeout", "60s", false, "Time that requests in progress get at shutdown.", func(s *Settings, v string) error { return duration(&s.Limits.ShutdownTimeout, v) }},
 	{"limits", "unready_delay", "2s", false, "Time between reporting not ready and refusing new connections at shutdown.", func(s *Settings, v string) error { return duration(&s.Limits.UnreadyDelay, v) }},
 
