--- a/node/app/status.go
+++ b/node/app/status.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"masticbank.example/core/revision"
 	"masticbank.example/node/admin"
 	"masticbank.example/node/peer/peerpb"
 	"masticbank.example/node/router"
@@ -27,12 +28,24 @@
 		s.Pools = append(s.Pools, poolStatus(p))
 	}
 	if a.follower != nil {
-		_, s.LogReason = a.follower.Ready()
+		s.LogReason = a.logReason()
 	}
 	s.Peers = a.peerStatus()
 	return s
 }
 
+// reasonLogAway is shown by an instance that has a configuration.
+const reasonLogAway = "the log is unavailable; the configuration in force stays"
+
+// logReason tells why the log can't be followed at present, or "".
+func (a *App) logReason() string {
+	_, reason := a.follower.Ready()
+	if reason == string(revision.ReasonUnavailable) && a.state.revision.Load() > 0 {
+		return reasonLogAway
+	}
+	return reason
+}
+
 func (a *App) peerStatus() []admin.PeerStatus {
 	if a.peers == nil {
 		return nil
