--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// digestBytesPerSecond bounds what digests cost an instance, over all peers
+	// together.
+	digestBytesPerSecond = 5000
 	// poisonPeriod is the time between two looks for fingerprints to tell.
 	poisonPeriod = 250 * time.Millisecond
 	// poisonRepeat is the time after which a fingerprint is told again.
@@ -47,8 +50,8 @@
 	a.neighbors = neighbor.NewChooser(neighbor.DefaultLimits())
 	a.sharer = sharing.New(sharing.Options{
 		ID: s.Instance.ID, Peers: n, Pools: a.router, Logger: a.log,
+		OnMember: func(membership.Changed) { a.setEntries() },
 		Teller:   tellerConfig(s.Peers.DigestPeriod),
-		OnMember: func(membership.Changed) { a.countEntries() },
 	})
 	a.run(ctx, a.sharer.Run)
 	a.run(ctx, a.sharePoison)
@@ -58,19 +61,23 @@
 // tellerConfig returns how often digests are told. The longest time between two
 // is not below the least.
 func tellerConfig(period time.Duration) demand.TellerConfig {
-	return demand.TellerConfig{MinPeriod: period, MaxPeriod: max(period, demand.DefaultMaxPeriod)}
+	return demand.TellerConfig{
+		MinPeriod:      period,
+		MaxPeriod:      max(period, demand.DefaultMaxPeriod),
+		BytesPerSecond: digestBytesPerSecond,
+	}
 }
 
-// countEntries tells the router how many instances dispatch to the upstreams.
-func (a *App) countEntries() {
-	n := 0
+// setEntries tells the router which instances dispatch to the upstreams.
+func (a *App) setEntries() {
+	var live []string
 	for _, m := range a.sharer.Members() {
 		if m.State == membership.Ready || m.ID == a.opts.Settings.Instance.ID {
-			n++
+			live = append(live, m.ID)
 		}
 	}
-	a.router.SetEntries(n)
-	a.metrics.Set(metrics.Peers, int64(n-1))
+	a.router.SetEntries(live)
+	a.metrics.Set(metrics.Peers, int64(len(live)-1))
 }
 
 // sharePoison tells the peers of requests that crash upstreams, each when it is
--- a/node/router/configure_test.go
+++ b/node/router/configure_test.go
@@ -27,7 +27,7 @@
 	}
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
-			r, _ := newTestRouter(t)
+			r, _ := newPlainRouter(t)
 			waiting := make(chan struct{}, 1)
 			r.pools["m"].queue.wake = func() { waiting <- struct{}{} }
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -40,7 +40,7 @@
 				}, nowhere{})
 			}()
 			<-waiting
-			c := testConfig()
+			c := plainConfig()
 			change(c)
 			r.Configure(c)
 			res := <-ended
@@ -56,7 +56,7 @@
 	e := &events{}
 	r := newRouter(Options{Engines: engines{}, Services: service.New(), Metrics: e, Logger: zap.NewNop()})
 	t.Cleanup(r.Close)
-	c := testConfig()
+	c := plainConfig()
 	c.Limits.RetryRatio = 0.5
 	r.Configure(c)
 	require.InDelta(t, 0.5, r.pools["m"].ratio, 0)
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -74,6 +74,8 @@
 	switch code {
 	case wire.CodeLeaving:
 		p.step(u, health.Leaving{Source: health.FromUpstream})
+	case wire.CodeWrongRange:
+		p.readHolding(c.target)
 	case wire.CodeOverloaded:
 		u.limit.Refused(time.Now())
 		p.updateLimit(u)
@@ -99,7 +101,7 @@
 		return
 	}
 	u.inForce = l
-	p.table.SetLimit(u.instance.ID, l+max(1, l/2))
+	p.table.SetLimit(u.instance.ID, l)
 	p.updateCapacity()
 }
 
@@ -165,6 +167,7 @@
 			p.step(u, health.Tick{})
 		}
 	}
+	p.applyCapacity()
 }
 
 // step feeds one event to a replica's state machine and carries out its effects.
@@ -190,7 +193,9 @@
 }
 
 func (a *engineActions) setWeight(weight float64) {
-	a.pool.table.SetWeight(a.upstream.instance.ID, weight)
+	if !a.upstream.retired {
+		a.pool.table.SetWeight(a.upstream.instance.ID, weight)
+	}
 }
 
 func (a *engineActions) failAttempts() { a.pool.failAttempts(a.upstream) }
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -61,13 +61,18 @@
 	cfg       config.ModelConfig
 	table     *route.Table
 	upstreams map[string]*upstream
+	list      []wire.Instance               // the platform's list
+	inUse     string                        // model version that requests run on
+	held      map[string]holding            // what engines said against the list
 	groups    map[route.Range]*health.Group // by layer range
 	random    *rand.Rand
 	calls     uint64 // number of the last call
 	budget    *retry.Budget
 	outputs   outputs
 	slots     int // what the replicas in use carry at once
-	ratio     float64
+	// changed is true when slots is to be computed again.
+	changed bool
+	ratio   float64
 }
 
 func newPool(model string, cfg config.ModelConfig, policy route.Policy, adm admission.Admitter, o poolOptions) *pool {
@@ -78,6 +83,7 @@
 		cfg:         cfg,
 		table:       route.NewTable(cfg.Layers, policy),
 		upstreams:   map[string]*upstream{},
+		held:        map[string]holding{},
 		groups:      map[route.Range]*health.Group{},
 		random:      rand.New(rand.NewPCG(o.seed, uint64(len(model)))),
 		budget:      retry.NewBudget(retryConfig(0, defaultRetryRatio)),
@@ -90,22 +96,79 @@
 func (p *pool) setInstances(list []wire.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.list = list
+	p.applyList()
+}
+
+// applyList takes the engines that hold the model in the version in use. The
+// caller holds p.mu.
+func (p *pool) applyList() {
+	engines := p.engineList()
+	p.inUse = p.chooseVersion(engines)
+	p.readOthers(engines)
 	listed := map[string]bool{}
-	for _, in := range list {
-		if in.Role != wire.RoleEngine || in.Model != p.model || in.Version != p.cfg.Version {
-			continue
+	for _, in := range engines {
+		if in.Version == p.inUse {
+			listed[in.ID] = true
+			p.upsert(in)
 		}
-		listed[in.ID] = true
-		p.upsert(in)
 	}
 	for id, u := range p.upstreams {
-		if !listed[id] {
+		switch {
+		case listed[id]:
+		case u.instance.Version != p.inUse:
+			p.retire(u)
+		default:
 			p.step(u, health.Unlisted{})
 		}
 	}
 	p.updateCapacity()
 }
 
+// engineList returns the engines of the list that hold the model in any version.
+func (p *pool) engineList() []wire.Instance {
+	var out []wire.Instance
+	for _, in := range p.list {
+		if in.Role != wire.RoleEngine {
+			continue
+		}
+		if in = p.correct(in); in.Model == p.model {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// chooseVersion returns the configured version, or the one in use while only that
+// has replicas of every layer.
+func (p *pool) chooseVersion(engines []wire.Instance) string {
+	if p.inUse == "" || p.tiles(engines, p.cfg.Version) || !p.tiles(engines, p.inUse) {
+		return p.cfg.Version
+	}
+	return p.inUse
+}
+
+// tiles tells whether the engines of a version hold every layer of the model.
+func (p *pool) tiles(engines []wire.Instance, version string) bool {
+	var edges []capacity.Edge
+	for _, in := range engines {
+		if in.Version == version && !in.Leaving {
+			edges = append(edges, capacity.Edge{First: in.FirstLayer, Last: in.LastLayer, Units: 1})
+		}
+	}
+	return capacity.Max(p.cfg.Layers, edges) > 0
+}
+
+// retire stops new work to a replica of a version that is out of use, and
+// forgets it when its attempts have ended.
+func (p *pool) retire(u *upstream) {
+	u.retired = true
+	p.table.SetWeight(u.instance.ID, 0)
+	if u.inFlight == 0 {
+		p.remove(u)
+	}
+}
+
 // upsert takes one entry of the list. A replica that moved to another address
 // or range begins anew.
 func (p *pool) upsert(in wire.Instance) {
@@ -132,7 +195,7 @@
 }
 
 func moved(old, now wire.Instance) bool {
-	return old.Address != now.Address || old.FirstLayer != now.FirstLayer || old.LastLayer != now.LastLayer
+	return old.Address != now.Address || old.Version != now.Version || old.FirstLayer != now.FirstLayer || old.LastLayer != now.LastLayer
 }
 
 // group returns the replicas that stand in for r.
@@ -146,9 +209,19 @@
 	return g
 }
 
-// updateCapacity tells the queue how many requests the replicas in use carry
-// at once. The caller holds p.mu.
+// updateCapacity asks for a new computation of the capacity at the next tick, so
+// that many changes at once cost one. The caller holds p.mu.
 func (p *pool) updateCapacity() {
+	p.changed = true
+}
+
+// applyCapacity tells the queue how many requests the replicas in use carry at
+// once. The caller holds p.mu.
+func (p *pool) applyCapacity() {
+	if !p.changed {
+		return
+	}
+	p.changed = false
 	edges := make([]capacity.Edge, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		if u.usable() {
@@ -235,8 +308,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.End(id, tokens)
-	if u, ok := p.upstreams[id]; ok && u.inFlight > 0 {
-		u.inFlight--
+	u, ok := p.upstreams[id]
+	if !ok || u.inFlight == 0 {
+		return
+	}
+	u.inFlight--
+	if u.retired && u.inFlight == 0 {
+		p.remove(u)
 	}
 }
 
@@ -264,7 +342,7 @@
 }
 
 // configure puts a changed configuration in force; the layers stay the same.
-// Replicas of another version than the configured one leave the pool.
+// A new version comes into use when its replicas hold every layer.
 func (p *pool) configure(cfg config.ModelConfig, ratio float64, policy admission.Config, list []wire.Instance) {
 	p.mu.Lock()
 	p.cfg = cfg
@@ -275,11 +353,11 @@
 	p.setInstances(list)
 }
 
-// version returns the model version that the replicas hold.
+// version returns the model version that the replicas in use hold.
 func (p *pool) version() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cfg.Version
+	return p.inUse
 }
 
 // first pays a first attempt into the retry budget.
@@ -296,11 +374,11 @@
 	return p.budget.Take(time.Now())
 }
 
-// setInstanceCount sets the number of entry instances that dispatch to the pool.
-func (p *pool) setInstanceCount(n int) {
+// setMembers names the entry instances that dispatch to the pool.
+func (p *pool) setMembers(self string, live []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.SetInstances(n)
+	p.table.SetMembers(self, live)
 }
 
 // expectedOutput estimates the number of tokens that a request generates.
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -57,6 +57,8 @@
 
 // Options configures a Router.
 type Options struct {
+	// ID is the ID of this instance.
+	ID       string
 	Engines  engine.Client
 	Services *service.Client
 	// Orders makes calls with an idempotency key at most once on all instances
@@ -87,8 +89,8 @@
 	pools     map[string]*pool
 	services  map[string]*servicePool
 	instances []wire.Instance
-	// entries is the number of live entry instances, this one included.
-	entries int
+	// entries are the live entry instances, this one included.
+	entries []string
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -99,8 +101,8 @@
 // it serve. Close ends it.
 func New(o Options) *Router {
 	r := newRouter(o)
-	r.background(r.tick)
-	r.background(r.readLoad)
+	r.background(func() { r.every(tickPeriod, r.tickOnce) })
+	r.background(func() { r.every(loadPeriod, r.readLoadOnce) })
 	return r
 }
 
@@ -112,6 +114,7 @@
 		metrics:  o.Metrics,
 		history:  newHistory(),
 		poisons:  newPoisons(poisonRetention),
+		entries:  []string{o.ID},
 		pools:    map[string]*pool{},
 		services: map[string]*servicePool{},
 		ctx:      ctx,
@@ -153,7 +156,7 @@
 			wake:       r.wake,
 			seed:       r.opts.Seed,
 		})
-		p.setInstanceCount(max(r.entries, 1))
+		p.setMembers(r.opts.ID, r.entries)
 		p.configure(m, c.Limits.RetryRatio, policy, r.instances)
 		r.pools[name] = p
 	}
@@ -209,13 +212,13 @@
 	}
 }
 
-// SetEntries sets the number of live entry instances, this one included.
-func (r *Router) SetEntries(n int) {
+// SetEntries names the live entry instances, this one included.
+func (r *Router) SetEntries(ids []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.entries = n
+	r.entries = ids
 	for _, p := range r.pools {
-		p.setInstanceCount(max(n, 1))
+		p.setMembers(r.opts.ID, ids)
 	}
 }
 
@@ -253,7 +256,8 @@
 		sink:        sink,
 		machine: attempt.New(attempt.Config{
 			RequestID:   req.ID,
-			MaxAttempts: maxAttempts,
+			MaxFailures: maxFailures,
+			MaxRefusals: maxRefusals,
 			MaxTokens:   req.MaxTokens,
 		}),
 	}
@@ -346,15 +350,16 @@
 	}
 }
 
-func (r *Router) tick() {
-	ticker := time.NewTicker(tickPeriod)
+// every calls f at each period until Close.
+func (r *Router) every(period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-ticker.C:
-			r.tickOnce()
+			f()
 		}
 	}
 }
--- a/node/router/servicepool_test.go
+++ b/node/router/servicepool_test.go
@@ -43,7 +43,7 @@
 	}
 	for _, way := range ways {
 		t.Run(way.name, func(t *testing.T) {
-			r, e := newTestRouter(t)
+			r, e := newPlainRouter(t)
 			a, b := newReplica(t, "a"), newReplica(t, "b")
 			r.list(a.Instance, b.Instance)
 			callOf(t, r, http.MethodGet)
@@ -62,7 +62,7 @@
 }
 
 func TestMarkLeavingOfUnknownUpstream(t *testing.T) {
-	r, _ := newTestRouter(t)
+	r, _ := newPlainRouter(t)
 	require.False(t, r.MarkLeaving("nobody"))
 }
 
@@ -70,7 +70,7 @@
 // meets it goes on to b, and a gets no call until a probe is answered; then its
 // share rises in steps.
 func TestServiceReplicaIsEjected(t *testing.T) {
-	r, e := newTestRouter(t)
+	r, e := newPlainRouter(t)
 	a, b := newReplica(t, "a"), newReplica(t, "b")
 	r.list(a.Instance, b.Instance)
 	a.server.Close()
@@ -97,7 +97,7 @@
 // TestServiceEjectionIsBounded ends both servers: one stays in use at a low
 // weight, so that calls fail rather than wait.
 func TestServiceEjectionIsBounded(t *testing.T) {
-	r, e := newTestRouter(t)
+	r, e := newPlainRouter(t)
 	a, b := newReplica(t, "a"), newReplica(t, "b")
 	r.list(a.Instance, b.Instance)
 	a.server.Close()
@@ -112,7 +112,7 @@
 // TestServiceReplicaReturnsAtNewAddress lists a leaving replica again at a new
 // address: it begins anew, and what is still heard of the old one is void.
 func TestServiceReplicaReturnsAtNewAddress(t *testing.T) {
-	r, _ := newTestRouter(t)
+	r, _ := newPlainRouter(t)
 	before, after := newReplica(t, "a"), newReplica(t, "a")
 	r.list(before.Instance)
 	s := r.services["s"]
@@ -130,7 +130,7 @@
 // TestSilentServiceReplica ends a call that may be repeated once its replica
 // was found to answer no probe, well before the call's own timeout.
 func TestSilentServiceReplica(t *testing.T) {
-	r, e := newTestRouter(t)
+	r, e := newPlainRouter(t)
 	a, b := newReplica(t, "a"), newReplica(t, "b")
 	r.list(a.Instance, b.Instance)
 	a.mu.Lock() // holds back every answer
--- a/node/router/setup_test.go
+++ b/node/router/setup_test.go
@@ -44,7 +44,7 @@
 func (engines) ReplaceConnections(engine.Target)           {}
 func (engines) Forget(engine.Target)                       {}
 
-func testConfig() *config.Config {
+func plainConfig() *config.Config {
 	return &config.Config{
 		Ranks:      []config.RankConfig{{Name: "urgent", Deadline: time.Minute}},
 		Models:     map[string]config.ModelConfig{"m": {Layers: 8, Version: "1", MaxOutput: 16}},
@@ -54,14 +54,14 @@
 	}
 }
 
-// newTestRouter returns a router without periodic work, with testConfig in
+// newPlainRouter returns a router without periodic work, with plainConfig in
 // force.
-func newTestRouter(t *testing.T) (*Router, *events) {
+func newPlainRouter(t *testing.T) (*Router, *events) {
 	t.Helper()
 	e := &events{}
 	r := newRouter(Options{Engines: engines{}, Services: service.New(), Metrics: e, Logger: zap.NewNop()})
 	t.Cleanup(r.Close)
-	r.Configure(testConfig())
+	r.Configure(plainConfig())
 	return r, e
 }
 
