--- a/node/router/configure_test.go
+++ b/node/router/configure_test.go
@@ -47,6 +47,7 @@
 			require.Equal(t, CodeRefused, res.Code)
 			require.Equal(t, execution.NotRun, res.Execution)
 			require.Positive(t, res.RetryAfter)
+			require.Contains(t, res.Message, "replaced")
 		})
 	}
 }
--- a/node/router/servicepool_test.go
+++ b/node/router/servicepool_test.go
@@ -124,6 +124,8 @@
 	s.end(c)
 	require.True(t, callOf(t, r, http.MethodPost).Complete)
 	require.Equal(t, 1, after.served())
+	// Moving while in use leaves no member behind in the group.
+	r.list(newReplica(t, "a").Instance)
 	require.Equal(t, 1, s.group.Members())
 }
 
