--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -61,7 +61,11 @@
 // tellerConfig returns how often digests are told. The longest time between two
 // is not below the least.
 func tellerConfig(period time.Duration) demand.TellerConfig {
-	return demand.TellerConfig{MinPeriod: period, MaxPeriod: max(period, demand.DefaultMaxPeriod), BytesPerSecond: digestBytesPerSecond}
+	return demand.TellerConfig{
+		MinPeriod:      period,
+		MaxPeriod:      max(period, demand.DefaultMaxPeriod),
+		BytesPerSecond: digestBytesPerSecond,
+	}
 }
 
 // setEntries tells the router which instances dispatch to the upstreams.
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -193,10 +193,9 @@
 }
 
 func (a *engineActions) setWeight(weight float64) {
-	if a.upstream.retired {
-		return
+	if !a.upstream.retired {
+		a.pool.table.SetWeight(a.upstream.instance.ID, weight)
 	}
-	a.pool.table.SetWeight(a.upstream.instance.ID, weight)
 }
 
 func (a *engineActions) failAttempts() { a.pool.failAttempts(a.upstream) }
--- a/node/router/moved_test.go
+++ b/node/router/moved_test.go
@@ -13,7 +13,7 @@
 // TestEngineReturnsAtNewAddress lists a leaving engine again at a new address:
 // it begins anew, and what is still heard of the old one is void.
 func TestEngineReturnsAtNewAddress(t *testing.T) {
-	r, _ := newIdleRouter(t)
+	r, _ := newPlainRouter(t)
 	in := wire.Instance{ID: "a", Role: wire.RoleEngine, Model: "m", Version: "1", LastLayer: 7, Address: "127.0.0.1:1"}
 	r.list(in)
 	p := r.pools["m"]
--- a/node/router/setup_test.go
+++ b/node/router/setup_test.go
@@ -44,7 +44,7 @@
 func (engines) ReplaceConnections(engine.Target)           {}
 func (engines) Forget(engine.Target)                       {}
 
-func smallConfig() *config.Config {
+func plainConfig() *config.Config {
 	return &config.Config{
 		Ranks:      []config.RankConfig{{Name: "urgent", Deadline: time.Minute}},
 		Models:     map[string]config.ModelConfig{"m": {Layers: 8, Version: "1", MaxOutput: 16}},
@@ -54,14 +54,14 @@
 	}
 }
 
-// newIdleRouter returns a router without periodic work, with smallConfig in
+// newPlainRouter returns a router without periodic work, with plainConfig in
 // force.
-func newIdleRouter(t *testing.T) (*Router, *events) {
+func newPlainRouter(t *testing.T) (*Router, *events) {
 	t.Helper()
 	e := &events{}
 	r := newRouter(Options{Engines: engines{}, Services: service.New(), Metrics: e, Logger: zap.NewNop()})
 	t.Cleanup(r.Close)
-	r.Configure(smallConfig())
+	r.Configure(plainConfig())
 	return r, e
 }
 
