Statuses without a text keep their class; a deadline is not a departure

Cause: nbhttp answers 200 in place of a status that net/http has no text for, so that a 499 of the router, or a service's own 520, looked like success: three order bodies with an error went out as 200. The 499 was told to callers who were still there: when their deadline and their context ended together, a random one of the two won.

Unknown statuses go out as the x00 of their class (RFC 9110, section 15); caller_left is 408; only a cancelled context means that the caller left. A retired replica leaves its health group; a second Stop returns the result of the first.

Conclusion: no error is answered as success.

--- a/node/api/completion.go
+++ b/node/api/completion.go
@@ -218,7 +218,7 @@
 	case router.CodeAttempts, router.CodeUpstreamFailed, router.CodeRetryBudget:
 		return http.StatusBadGateway
 	case router.CodeCancelled:
-		return statusCallerLeft
+		return http.StatusRequestTimeout
 	case router.CodeRefused, router.CodePoolFull, router.CodeHopeless, router.CodeNoRoute,
 		router.CodeNoUpstream, router.CodeNotReady, router.CodeLogUnavailable:
 		return http.StatusServiceUnavailable
@@ -226,6 +226,3 @@
 		return http.StatusInternalServerError
 	}
 }
-
-// statusCallerLeft is logged for callers that closed their connection.
-const statusCallerLeft = 499
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -67,6 +68,10 @@
 	callers   *httpserver.Server
 	admin     *httpserver.Server
 
+	// stop runs stopOnce, whose result is stopped.
+	stop    sync.Once
+	stopped error
+
 	cancel context.CancelFunc
 	group  *errgroup.Group
 }
@@ -199,8 +204,14 @@
 func (a *App) AdminAddr() string { return a.admin.Addr() }
 
 // Stop reports not ready, waits for the platform's balancer to notice, lets
-// the requests in progress finish until ctx ends, and ends the instance.
+// the requests in progress finish until ctx ends, and ends the instance. Later calls
+// return the result of the first.
 func (a *App) Stop(ctx context.Context) error {
+	a.stop.Do(func() { a.stopped = a.stopOnce(ctx) })
+	return a.stopped
+}
+
+func (a *App) stopOnce(ctx context.Context) error {
 	a.log.Info("leaving", zap.Int("in_flight", a.callers.InFlight()))
 	a.state.leaving.Store(true)
 	a.setPeerState(membership.Leaving, peerpb.InstanceState_INSTANCE_STATE_LEAVING)
--- a/node/httpserver/server_test.go
+++ b/node/httpserver/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -149,3 +150,19 @@
 	wg.Wait()
 	require.NoError(t, s.Shutdown(context.Background()))
 }
+
+// TestUnknownStatusKeepsItsClass answers with statuses that have no text.
+func TestUnknownStatusKeepsItsClass(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		status, err := strconv.Atoi(r.URL.Path[1:])
+		require.NoError(t, err)
+		w.WriteHeader(status)
+	})
+	for status, want := range map[int]int{299: 200, 404: 404, 499: 400, 520: 500, 799: 500} {
+		resp, err := http.Get(fmt.Sprintf("http://%s/%d", s.Addr(), status))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, want, resp.StatusCode, status)
+	}
+	require.NoError(t, s.Shutdown(context.Background()))
+}
--- a/node/httpserver/writer.go
+++ b/node/httpserver/writer.go
@@ -20,6 +20,22 @@
 	return &writer{ResponseWriter: w, flusher: f}
 }
 
+// statusClass is the number of statuses in one class.
+const statusClass = 100
+
+// WriteHeader implements http.ResponseWriter. nbhttp answers 200 in place of a
+// status that it does not know; such a status is sent as the x00 of its class,
+// which is how callers must read it (RFC 9110, section 15).
+func (w *writer) WriteHeader(status int) {
+	if http.StatusText(status) == "" {
+		status -= status % statusClass
+	}
+	if http.StatusText(status) == "" {
+		status = http.StatusInternalServerError
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // Write implements http.ResponseWriter.
 func (w *writer) Write(data []byte) (int, error) {
 	if w.Header().Get("Content-Length") != "" {
--- a/node/orders/do.go
+++ b/node/orders/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"masticbank.example/core/order"
@@ -104,7 +105,11 @@
 	case <-a.waiter.wake:
 	case <-timer.C:
 	case <-a.ctx.Done():
-		return order.CallerGone
+		if errors.Is(a.ctx.Err(), context.Canceled) {
+			return order.CallerGone
+		}
+		// The deadline of the context ends the wait of a caller who is still there.
+		<-timer.C
 	}
 	return order.Wake
 }
--- a/node/orders/orders_test.go
+++ b/node/orders/orders_test.go
@@ -147,3 +147,32 @@
 		require.Equal(t, 2, s.runs)
 	})
 }
+
+// A caller whose context carries the deadline of the call, and who waits until
+// then for another instance to finish, is not taken for one that left.
+func TestDeadlineIsNotDeparture(t *testing.T) {
+	for range 20 {
+		pair(t, func(ctx context.Context, _ *logtest.Log, a, b *orders.Coordinator) {
+			started, release := make(chan struct{}), make(chan struct{})
+			long := call("k")
+			long.Deadline = time.Now().Add(5 * callTime)
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				a.Do(ctx, long, func(context.Context) order.Answer {
+					close(started)
+					<-release
+					return order.Answer{Status: 200, Execution: execution.Ran}
+				})
+			})
+			<-started
+			repeat := call("k")
+			waiting, cancel := context.WithDeadline(ctx, repeat.Deadline)
+			defer cancel()
+			res := b.Do(waiting, repeat, unused)
+			require.NotEqual(t, order.ReasonCallerGone, res.Reason)
+			require.NotEqual(t, execution.NotRun, res.Execution)
+			close(release)
+			wg.Wait()
+		})
+	}
+}
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -162,6 +162,11 @@
 // retire stops new work to a replica of a version that is out of use, and
 // forgets it when its attempts have ended.
 func (p *pool) retire(u *upstream) {
+	if u.retired {
+		return
+	}
+	// A leaving replica no longer counts in its health group.
+	p.step(u, health.Leaving{Source: health.FromList})
 	u.retired = true
 	p.table.SetWeight(u.instance.ID, 0)
 	if u.inFlight == 0 {
