The urgent load is averaged over the time observed

Cause: the moving average began at 0, so that after 15 s of load the reserve for the most urgent rank covered 39 % of it (1 - e^-0.5); the flood of the least urgent work that then came took the slots.

--- a/core/admission/bench_test.go
+++ b/core/admission/bench_test.go
@@ -110,7 +110,7 @@
 func withConstantReserve(slots int) func() (Admitter, int, func()) {
 	return func() (Admitter, int, func()) {
 		q := New(benchConfig(0.1))
-		return q, slots, func() { q.load.mean = 1e9 }
+		return q, slots, func() { q.load.sum, q.load.weight = 1e9, 1 }
 	}
 }
 
--- a/core/admission/reserve.go
+++ b/core/admission/reserve.go
@@ -17,15 +17,27 @@
 // load is the exponentially weighted average number of urgent requests that
 // run or wait.
 type load struct {
-	mean float64
-	last time.Time
+	// sum is the weighted sum and weight the sum of the weights, below 1 until
+	// several time constants have passed.
+	sum    float64
+	weight float64
+	last   time.Time
+}
+
+// mean returns the average over the time observed so far.
+func (l *load) mean() float64 {
+	if l.weight == 0 {
+		return 0
+	}
+	return l.sum / l.weight
 }
 
 // observe records that count requests were present since the last call.
 func (l *load) observe(now time.Time, count int) {
 	if !l.last.IsZero() && now.After(l.last) {
 		keep := math.Exp(-now.Sub(l.last).Seconds() / loadPeriod.Seconds())
-		l.mean = float64(count) + (l.mean-float64(count))*keep
+		l.sum = l.sum*keep + float64(count)*(1-keep)
+		l.weight = l.weight*keep + (1 - keep)
 	}
 	if now.After(l.last) {
 		l.last = now
@@ -37,6 +49,7 @@
 // configured fraction.
 func (q *Queue) reserved() int {
 	most := math.Floor(q.cfg.UrgentReserve * float64(q.slots))
-	needed := math.Round(q.load.mean + reserveDeviations*math.Sqrt(q.load.mean))
+	mean := q.load.mean()
+	needed := math.Round(mean + reserveDeviations*math.Sqrt(mean))
 	return int(max(min(most, needed, float64(q.slots-1)), 0))
 }
