Cache events of engines reach the route choice

Cause: the table counts the prompt prefixes that replicas hold, and nothing told it of any: no part of the running instance read cache events.

Figures: TestCacheEventsReachTheRouteChoice waits until the table expects more than half of a prompt in a replica's cache, which could not happen before.

Conclusion: every input of the route choice but link latency is fed; latency stays inside the observed pace.

--- a/cmd/internal/adminclient/client.go
+++ b/cmd/internal/adminclient/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -80,11 +81,16 @@
 	return out, c.call(ctx, http.MethodGet, "/admin/v1/explain?request="+url.QueryEscape(id), nil, out)
 }
 
-// ExplainRoute gives the grounds of a route choice made now.
-func (c *Client) ExplainRoute(ctx context.Context, model string, promptTokens, outputTokens int) (*admin.RouteExplanation, error) {
+// ExplainRoute gives the grounds of a route choice made now. A prompt that is not
+// empty replaces promptTokens.
+func (c *Client) ExplainRoute(ctx context.Context, model, prompt string, promptTokens, outputTokens int) (*admin.RouteExplanation, error) {
+	q := url.Values{}
+	q.Set("model", model)
+	q.Set("prompt", prompt)
+	q.Set("prompt_tokens", strconv.Itoa(promptTokens))
+	q.Set("output_tokens", strconv.Itoa(outputTokens))
 	out := &admin.RouteExplanation{}
-	path := fmt.Sprintf("/admin/v1/explain?model=%s&prompt_tokens=%d&output_tokens=%d", url.QueryEscape(model), promptTokens, outputTokens)
-	return out, c.call(ctx, http.MethodGet, path, nil, out)
+	return out, c.call(ctx, http.MethodGet, "/admin/v1/explain?"+q.Encode(), nil, out)
 }
 
 // LogLevel changes the level of the instance's log.
--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -310,3 +310,21 @@
 	}
 	d.post(t, "innocent")
 }
+
+// TestCacheEventsReachTheRouteChoice sends one long prompt and expects the route
+// table to know the replicas that hold its prefix.
+func TestCacheEventsReachTheRouteChoice(t *testing.T) {
+	d := start(t)
+	prompt := strings.Repeat("the price of a hutch with two doors and a wire floor ", 20)
+	d.post(t, prompt)
+	require.Eventually(t, func() bool {
+		e, ok := d.Apps[0].ExplainPrompt("dev", prompt, 12)
+		require.True(t, ok)
+		for _, r := range e.Replicas {
+			if r.CachedPart > 0.5 {
+				return true
+			}
+		}
+		return false
+	}, time.Minute, 20*time.Millisecond)
+}
--- a/cmd/masticctl/explain.go
+++ b/cmd/masticctl/explain.go
@@ -12,7 +12,8 @@
 	remote
 	Request      string `help:"ID of a request, from its answer or from the log."`
 	Model        string `help:"Model of a request that was not sent."`
-	PromptTokens int    `default:"100" help:"Length of its prompt."`
+	Prompt       string `help:"Its prompt; prefixes that replicas hold in their cache count."`
+	PromptTokens int    `default:"100" help:"Length of its prompt when none is given."`
 	OutputTokens int    `default:"100" help:"Length of its answer."`
 }
 
@@ -30,7 +31,7 @@
 		}
 		return c.show(e, func() { printRequest(e) })
 	}
-	e, err := c.client().ExplainRoute(ctx, c.Model, c.PromptTokens, c.OutputTokens)
+	e, err := c.client().ExplainRoute(ctx, c.Model, c.Prompt, c.PromptTokens, c.OutputTokens)
 	if err != nil {
 		return err
 	}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -37,6 +37,8 @@
 	ExplainRequest(id string) (*RequestExplanation, bool)
 	// ExplainRoute gives the grounds of a route choice made now.
 	ExplainRoute(model string, promptTokens, outputTokens int) (*RouteExplanation, bool)
+	// ExplainPrompt is ExplainRoute for a prompt, whose prefixes may be cached.
+	ExplainPrompt(model, prompt string, outputTokens int) (*RouteExplanation, bool)
 }
 
 // Options configures a Server.
--- a/node/admin/explain.go
+++ b/node/admin/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 )
 
@@ -50,8 +51,8 @@
 	Seconds    float64 `json:"seconds"`
 }
 
-// explain answers for a request ID, or for a request with the given model and
-// numbers of tokens.
+// explain answers for a request ID, or for a request with the given model, prompt
+// or number of prompt tokens, and number of output tokens.
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	if id := q.Get("request"); id != "" {
@@ -63,7 +64,7 @@
 		writeJSON(w, http.StatusOK, e)
 		return
 	}
-	e, ok := s.opts.Instance.ExplainRoute(q.Get("model"), number(q.Get("prompt_tokens")), number(q.Get("output_tokens")))
+	e, ok := s.explainRoute(q)
 	if !ok {
 		writeError(w, http.StatusNotFound, "unknown model")
 		return
@@ -71,6 +72,14 @@
 	writeJSON(w, http.StatusOK, e)
 }
 
+func (s *Server) explainRoute(q url.Values) (*RouteExplanation, bool) {
+	model, output := q.Get("model"), number(q.Get("output_tokens"))
+	if prompt := q.Get("prompt"); prompt != "" {
+		return s.opts.Instance.ExplainPrompt(model, prompt, output)
+	}
+	return s.opts.Instance.ExplainRoute(model, number(q.Get("prompt_tokens")), output)
+}
+
 // number reads a positive number; anything else counts as 1.
 func number(text string) int {
 	n, err := strconv.Atoi(text)
--- a/node/app/explain.go
+++ b/node/app/explain.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"masticbank.example/core/route"
 	"masticbank.example/node/admin"
 	"masticbank.example/node/router"
 )
@@ -49,6 +50,19 @@
 	if !ok {
 		return nil, false
 	}
+	return routeExplanation(&e), true
+}
+
+// ExplainPrompt gives the grounds of the route choice for a prompt.
+func (a *App) ExplainPrompt(model, prompt string, outputTokens int) (*admin.RouteExplanation, bool) {
+	e, ok := a.router.ExplainPrompt(model, prompt, outputTokens)
+	if !ok {
+		return nil, false
+	}
+	return routeExplanation(&e), true
+}
+
+func routeExplanation(e *route.Explanation) *admin.RouteExplanation {
 	out := &admin.RouteExplanation{
 		Outcome:          e.Decision.Outcome.String(),
 		EstimatedSeconds: e.Decision.Chain.Expected.Seconds(),
@@ -70,5 +84,5 @@
 			Seconds:    v.Terms.Total(),
 		})
 	}
-	return out, true
+	return out
 }
--- /dev/null
+++ b/node/router/cache.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"masticbank.example/node/engine"
+	"masticbank.example/node/wire"
+)
+
+// readCacheOnce asks every engine what its prefix cache stored and evicted since
+// the last time.
+func (r *Router) readCacheOnce() {
+	var g errgroup.Group
+	g.SetLimit(loadReaders)
+	for _, p := range r.allPools() {
+		for _, t := range p.targets() {
+			g.Go(func() error {
+				r.readCacheOf(p, t)
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
+func (r *Router) readCacheOf(p *pool, t engine.Target) {
+	from, ok := p.nextCacheEvent(t.ID)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
+	defer cancel()
+	events, err := p.engines.CacheEvents(ctx, t, from)
+	if err != nil {
+		return
+	}
+	p.applyCacheEvents(t, events)
+}
+
+func (p *pool) nextCacheEvent(id string) (uint64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[id]
+	if !ok || !u.usable() {
+		return 0, false
+	}
+	return u.cacheNext, true
+}
+
+// applyCacheEvents takes events, which may be late and may skip numbers: what the
+// table makes of them is a hint.
+func (p *pool) applyCacheEvents(t engine.Target, events *wire.CacheEvents) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.at(t)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	for _, e := range events.Events {
+		p.table.CacheEvent(now, t.ID, e.Block, e.Evicted)
+	}
+	u.cacheNext = max(u.cacheNext, events.Next)
+}
--- a/node/router/explain.go
+++ b/node/router/explain.go
@@ -41,12 +41,25 @@
 // ExplainRoute makes the choice that a request with the given numbers of tokens
 // would get now and returns its grounds.
 func (r *Router) ExplainRoute(model string, promptTokens, outputTokens int) (route.Explanation, bool) {
+	return r.explain(model, route.Request{PromptTokens: promptTokens, OutputTokens: outputTokens})
+}
+
+// ExplainPrompt is ExplainRoute for a prompt, whose prefixes may be cached.
+func (r *Router) ExplainPrompt(model, prompt string, outputTokens int) (route.Explanation, bool) {
+	req := Request{Prompt: prompt}
+	return r.explain(model, route.Request{
+		PromptTokens: req.PromptTokens(),
+		OutputTokens: outputTokens,
+		Blocks:       prefixBlocks(prompt),
+	})
+}
+
+func (r *Router) explain(model string, req route.Request) (route.Explanation, bool) {
 	p := r.pool(model)
 	if p == nil {
 		return route.Explanation{}, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	req := route.Request{PromptTokens: promptTokens, OutputTokens: outputTokens}
 	return p.table.Explain(time.Now(), req, p.random.Uint64()), true
 }
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -25,6 +25,8 @@
 	tickPeriod = 50 * time.Millisecond
 	// loadPeriod is the time between two load reports of one upstream.
 	loadPeriod = 250 * time.Millisecond
+	// cachePeriod is the time between two readings of an engine's cache events.
+	cachePeriod = time.Second
 	// loadTimeout bounds the reading of one load report.
 	loadTimeout = time.Second
 	// loadReaders bounds the load reports read at once.
@@ -103,6 +105,7 @@
 	r := newRouter(o)
 	r.background(func() { r.every(tickPeriod, r.tickOnce) })
 	r.background(func() { r.every(loadPeriod, r.readLoadOnce) })
+	r.background(func() { r.every(cachePeriod, r.readCacheOnce) })
 	return r
 }
 
--- a/node/router/upstream.go
+++ b/node/router/upstream.go
@@ -21,6 +21,8 @@
 	limit *limit.Limiter
 	// inForce is the limit that the route table and the queue know.
 	inForce int
+	// cacheNext is the sequence number of the next cache event to read.
+	cacheNext uint64
 	// retired is true while only open attempts keep the replica known.
 	retired bool
 	// inFlight counts the attempts of this instance on the replica.
