--- a/node/router/cache.go
+++ b/node/router/cache.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
@@ -13,17 +11,7 @@
 // readCacheOnce asks every engine what its prefix cache stored and evicted since
 // the last time.
 func (r *Router) readCacheOnce() {
-	var g errgroup.Group
-	g.SetLimit(loadReaders)
-	for _, p := range r.allPools() {
-		for _, t := range p.targets() {
-			g.Go(func() error {
-				r.readCacheOf(p, t)
-				return nil
-			})
-		}
-	}
-	_ = g.Wait()
+	inParallel(r.engineTasks(r.readCacheOf))
 }
 
 func (r *Router) readCacheOf(p *pool, t engine.Target) {
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -10,26 +10,40 @@
 
 // readLoadOnce asks every replica for its load report.
 func (r *Router) readLoadOnce() {
-	var g errgroup.Group
-	g.SetLimit(loadReaders)
-	for _, p := range r.allPools() {
-		for _, t := range p.targets() {
-			g.Go(func() error {
-				r.readLoadOf(p, t)
-				return nil
-			})
-		}
-	}
+	tasks := r.engineTasks(r.readLoadOf)
 	for _, s := range r.allServices() {
 		for _, rep := range s.listed() {
-			g.Go(func() error {
+			tasks = append(tasks, func() {
 				ctx, cancel := context.WithTimeout(r.ctx, loadTimeout)
 				defer cancel()
 				s.readLoad(ctx, rep)
-				return nil
 			})
 		}
 	}
+	inParallel(tasks)
+}
+
+// engineTasks returns one call of f for each engine of each model.
+func (r *Router) engineTasks(f func(p *pool, t engine.Target)) []func() {
+	var tasks []func()
+	for _, p := range r.allPools() {
+		for _, t := range p.targets() {
+			tasks = append(tasks, func() { f(p, t) })
+		}
+	}
+	return tasks
+}
+
+// inParallel runs tasks, loadReaders at once, and waits for them.
+func inParallel(tasks []func()) {
+	var g errgroup.Group
+	g.SetLimit(loadReaders)
+	for _, task := range tasks {
+		g.Go(func() error {
+			task()
+			return nil
+		})
+	}
 	_ = g.Wait()
 }
 
