New connections are answered although others close

Cause: 2 to 3 of 19,200 requests that each open a connection got EOF. A raw client told the ways apart, 25,600 requests each, twice: closing by the caller 0 and 0, closing by the server while the caller closes too 3 and 2, closing by the server with a caller that closes 5 ms later 0 and 0. So the poller holds an event of a connection that nbhttp closes with its answer, the descriptor goes to a new connection, and the event closes that one.

The closing is left to the caller, and done 2 s later otherwise, by a timer.

--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -25,6 +25,8 @@
 	headerBytes = 64 << 10
 	// watchPeriod is the time between two checks for closed connections.
 	watchPeriod = 20 * time.Millisecond
+	// closeLinger is the time that a caller gets to close its connection.
+	closeLinger = 2 * time.Second
 	// rejectLinger is how long a rejected connection stays open, so that the
 	// caller can read the answer.
 	rejectLinger = time.Second
@@ -142,6 +144,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if conn := connOf(w); conn != nil {
+		deferClose(w, r, conn)
 		// The idle timeout counts between requests, not during one.
 		_ = conn.SetReadDeadline(time.Time{})
 		s.track(conn, cancel)
@@ -150,6 +153,28 @@
 	s.opts.Handler.ServeHTTP(newWriter(w), r.WithContext(ctx))
 }
 
+// deferClose leaves it to a caller that asked for it to close the connection, and
+// closes it only some time later. nbhttp would close it with the answer, while
+// the caller does the same: the poller then may hold an event of the closed
+// connection for a descriptor that a new one has got, and close that one.
+func deferClose(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) {
+	if !r.Close || !r.ProtoAtLeast(1, 1) {
+		return
+	}
+	r.Close = false
+	w.Header().Set("Connection", "close")
+	time.AfterFunc(closeLinger, func() { closeIdle(conn) })
+}
+
+// closeIdle closes a connection once it has no answer to send.
+func closeIdle(conn *nbio.Conn) {
+	if conn.ExecuteLen() > 0 {
+		time.AfterFunc(closeLinger, func() { closeIdle(conn) })
+		return
+	}
+	_ = conn.Close()
+}
+
 // enter counts a request, or returns false when the server shuts down.
 func (s *Server) enter() bool {
 	s.mu.Lock()
