--- a/cmd/internal/trial/orders.go
+++ b/cmd/internal/trial/orders.go
@@ -61,20 +61,13 @@
 
 // Defects names what must never happen and did.
 func (o *Orders) Defects() []string {
-	var out []string
-	for what, n := range map[string]int{
+	return defects(map[string]int{
 		"orders recorded twice":                 o.Repeated,
 		"orders recorded and told not run":      o.FalselyNotRun,
 		"orders answered as done, not recorded": o.LostDone,
 		"orders answered in two ways":           o.Different,
 		"orders answered as other orders":       o.Foreign,
-	} {
-		if n > 0 {
-			out = append(out, fmt.Sprintf("%d %s", n, what))
-		}
-	}
-	slices.Sort(out)
-	return out
+	})
 }
 
 // orderKey is what all callers of one key were told.
--- a/cmd/internal/trial/publish.go
+++ b/cmd/internal/trial/publish.go
@@ -113,14 +113,19 @@
 
 // Defects names what must never happen and did.
 func (r *Race) Defects() []string {
-	var out []string
-	for what, n := range map[string]int{
+	return defects(map[string]int{
 		"bases without exactly one winner": r.BasesWithoutOneWinner,
 		"losers told a wrong winner":       r.ToldWrongWinner,
 		"reversions":                       r.Reversions,
 		"instances that differ":            r.Different,
 		"proposals with another error":     r.Refused,
-	} {
+	})
+}
+
+// defects returns one sorted line for each count above 0.
+func defects(counts map[string]int) []string {
+	var out []string
+	for what, n := range counts {
 		if n > 0 {
 			out = append(out, fmt.Sprintf("%d %s", n, what))
 		}
--- a/node/httpserver/writer.go
+++ b/node/httpserver/writer.go
@@ -6,7 +6,8 @@
 
 // pieceBytes is the largest part of an answer of unknown length that is handed to
 // nbhttp at once. From 64 KiB on, its chunked writer goes on using a buffer that
-// it has given back to the pool that all connections share, so that answers mix.
+// it has given back to the pool that all connections share, so that answers can
+// mix.
 const pieceBytes = 16 << 10
 
 // writer keeps chunked answers within pieceBytes between two flushes.
