--- a/cmd/masticbank/main.go
+++ b/cmd/masticbank/main.go
@@ -12,6 +12,7 @@
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run an entry instance until SIGTERM or SIGINT."`
+	Platform platformCmd `cmd:"" help:"Run an entry instance on the users' platform until SIGTERM."`
 	Settings settingsCmd `cmd:"" help:"Print the reference of all settings as Markdown."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
--- /dev/null
+++ b/core/layout/layout.go
@@ -0,0 +1,480 @@
+// Package layout decides which replica holds which layers of a model when the
+// replicas have accelerators of different kinds. A zone with enough memory holds
+// whole copies of the model, so that requests need not leave it; smaller zones
+// are taken together.
+//
+// Plan is a function of what the replicas hold now and needs no memory of
+// earlier plans, so that any instance can go on with the duty at any time.
+package layout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"masticbank.example/core/pipeline"
+)
+
+const (
+	// cacheShare is the part of an island's memory that is kept for the KV cache
+	// when the number of copies is chosen. With less, requests wait for memory
+	// long before the accelerators are busy.
+	cacheShare = 0.3
+	// leastCacheShare is the part of a replica's memory that is kept for the KV
+	// cache when it takes over layers of a replica that is gone.
+	leastCacheShare = 0.12
+	// shrinkSlack is the number of layers over its fair share that a replica
+	// keeps before it gives up layers that others hold too.
+	shrinkSlack = 1
+)
+
+// Node is a replica that takes layers.
+type Node struct {
+	ID   string
+	Zone string
+	Kind string
+	// From and To bound the layers held; both are 0 for an empty replica.
+	From, To int
+	// WantFrom and WantTo bound the layers of an order under way; both are 0
+	// without one.
+	WantFrom, WantTo int
+}
+
+func (n *Node) empty() bool { return n.From == n.To && n.WantFrom == n.WantTo }
+
+// span returns the layers that the node will hold.
+func (n *Node) span() (from, to int) {
+	if n.WantFrom != n.WantTo {
+		return n.WantFrom, n.WantTo
+	}
+	return n.From, n.To
+}
+
+// ordered tells whether an order is under way.
+func (n *Node) ordered() bool { return n.WantFrom != n.WantTo }
+
+// Order makes a replica hold the layers From <= layer < To.
+type Order struct {
+	ID       string
+	From, To int
+	// Why is a short reason for the log.
+	Why string
+}
+
+// Plan returns the orders that bring the fleet nearer to a layout in which each
+// island runs all layers. It returns none when nothing is to be done.
+func Plan(m *pipeline.Model, nodes []Node) []Order {
+	var out []Order
+	for _, island := range islands(m, nodes) {
+		out = append(out, planIsland(m, island)...)
+	}
+	return out
+}
+
+// islands groups the nodes by zone. Zones that cannot hold the model on their
+// own are one island.
+func islands(m *pipeline.Model, nodes []Node) [][]Node {
+	byZone := map[string][]Node{}
+	var zones []string
+	for _, n := range nodes {
+		if m.MaxLayers(n.Kind) == 0 {
+			continue
+		}
+		if byZone[n.Zone] == nil {
+			zones = append(zones, n.Zone)
+		}
+		byZone[n.Zone] = append(byZone[n.Zone], n)
+	}
+	slices.Sort(zones)
+	var out [][]Node
+	var rest []Node
+	for _, z := range zones {
+		if capacity(m, byZone[z], leastCacheShare) >= m.Layers {
+			out = append(out, byZone[z])
+		} else {
+			rest = append(rest, byZone[z]...)
+		}
+	}
+	if len(rest) > 0 {
+		out = append(out, rest)
+	}
+	for _, island := range out {
+		slices.SortFunc(island, func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
+
+// most returns the largest number of layers on a node that leaves the share of
+// its memory free.
+func most(m *pipeline.Model, kind string, free float64) int {
+	return min(m.MaxLayers(kind), int(m.Kinds[kind].MemoryMB*(1-free)/m.LayerMB))
+}
+
+func capacity(m *pipeline.Model, nodes []Node, free float64) int {
+	sum := 0
+	for _, n := range nodes {
+		sum += most(m, n.Kind, free)
+	}
+	return sum
+}
+
+// copies returns the number of times that the island holds each layer.
+func copies(m *pipeline.Model, island []Node) int {
+	return max(1, capacity(m, island, cacheShare)/m.Layers)
+}
+
+func planIsland(m *pipeline.Model, island []Node) []Order {
+	p := &plan{model: m, nodes: island, copies: copies(m, island)}
+	for _, n := range island {
+		p.memory += m.Kinds[n.Kind].MemoryMB
+	}
+	if p.allEmpty() {
+		p.fresh()
+		return p.orders
+	}
+	p.fillWithEmpty()
+	p.fillWithNeighbors()
+	p.shrink()
+	return p.orders
+}
+
+type plan struct {
+	model  *pipeline.Model
+	nodes  []Node
+	copies int
+	// memory is the sum over the island, in MB.
+	memory float64
+	orders []Order
+}
+
+func (p *plan) allEmpty() bool {
+	for i := range p.nodes {
+		if !p.nodes[i].empty() {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *plan) order(n *Node, from, to int, why string) {
+	if f, t := n.span(); f == from && t == to {
+		return
+	}
+	n.WantFrom, n.WantTo = from, to
+	p.orders = append(p.orders, Order{ID: n.ID, From: from, To: to, Why: why})
+}
+
+// fresh lays out an island without layers: columns of about equal memory, each
+// with all layers in proportion to the memory of its nodes.
+func (p *plan) fresh() {
+	byMemory := make([]*Node, len(p.nodes))
+	for i := range p.nodes {
+		byMemory[i] = &p.nodes[i]
+	}
+	slices.SortStableFunc(byMemory, func(a, b *Node) int {
+		return cmp.Compare(p.memoryOf(b), p.memoryOf(a))
+	})
+	columns := make([][]*Node, p.copies)
+	sums := make([]float64, p.copies)
+	for _, n := range byMemory {
+		least := 0
+		for i := range sums {
+			if sums[i] < sums[least] {
+				least = i
+			}
+		}
+		columns[least] = append(columns[least], n)
+		sums[least] += p.memoryOf(n)
+	}
+	for _, column := range columns {
+		// The smallest come first: the first replica of a path serves a bounded
+		// number of requests, and small parts can be had twice.
+		slices.Reverse(column)
+		p.split(column, 0, p.model.Layers, "first layout")
+	}
+}
+
+func (p *plan) memoryOf(n *Node) float64 { return p.model.Kinds[n.Kind].MemoryMB }
+
+// split gives the layers from..to to the nodes in order, in proportion to their
+// memory. It returns false when they do not fit.
+func (p *plan) split(nodes []*Node, from, to int, why string) bool {
+	sizes, ok := p.sizes(nodes, to-from, leastCacheShare)
+	if !ok {
+		return false
+	}
+	at := from
+	for i, n := range nodes {
+		if sizes[i] > 0 {
+			p.order(n, at, at+sizes[i], why)
+		}
+		at += sizes[i]
+	}
+	return true
+}
+
+// sizes shares a number of layers in proportion to memory, by largest remainder,
+// within what each node can hold.
+func (p *plan) sizes(nodes []*Node, layers int, free float64) ([]int, bool) {
+	total := 0.0
+	limit := make([]int, len(nodes))
+	room := 0
+	for i, n := range nodes {
+		total += p.memoryOf(n)
+		limit[i] = most(p.model, n.Kind, free)
+		room += limit[i]
+	}
+	if room < layers {
+		return nil, false
+	}
+	sizes := make([]int, len(nodes))
+	left := layers
+	for i, n := range nodes {
+		sizes[i] = min(limit[i], int(float64(layers)*p.memoryOf(n)/total))
+		left -= sizes[i]
+	}
+	for ; left > 0; left-- {
+		best := -1
+		for i, n := range nodes {
+			if sizes[i] >= limit[i] {
+				continue
+			}
+			if best < 0 || p.memoryOf(n)/float64(sizes[i]+1) > p.memoryOf(nodes[best])/float64(sizes[best]+1) {
+				best = i
+			}
+		}
+		sizes[best]++
+	}
+	return sizes, true
+}
+
+// depth counts the nodes that hold or will hold each layer.
+func (p *plan) depth() []int {
+	d := make([]int, p.model.Layers)
+	for i := range p.nodes {
+		from, to := p.nodes[i].span()
+		for l := from; l < min(to, len(d)); l++ {
+			d[l]++
+		}
+	}
+	return d
+}
+
+// gap returns the longest run of layers that nobody holds.
+func (p *plan) gap() (from, to int) {
+	d := p.depth()
+	for l := 0; l < len(d); {
+		if d[l] > 0 {
+			l++
+			continue
+		}
+		end := l
+		for end < len(d) && d[end] == 0 {
+			end++
+		}
+		if end-l > to-from {
+			from, to = l, end
+		}
+		l = end
+	}
+	return from, to
+}
+
+// tokens returns, for each layer, the number of tokens that the KV caches of its
+// holders take.
+func (p *plan) tokens() []float64 {
+	out := make([]float64, p.model.Layers)
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		from, to := n.span()
+		if to <= from {
+			continue
+		}
+		each := p.model.Room(n.Kind, to-from) / float64(to-from)
+		for l := from; l < min(to, len(out)); l++ {
+			out[l] += each
+		}
+	}
+	return out
+}
+
+// fair returns the number of layers that suits the node's memory.
+func (p *plan) fair(n *Node) int {
+	share := float64(p.model.Layers*p.copies) * p.memoryOf(n) / p.memory
+	return max(1, min(most(p.model, n.Kind, leastCacheShare), int(math.Round(share))))
+}
+
+// fillWithEmpty gives layers to empty nodes: the gaps first, then the layers
+// with the least KV cache.
+func (p *plan) fillWithEmpty() {
+	for {
+		n := p.largestEmpty()
+		if n == nil {
+			return
+		}
+		size := p.fair(n)
+		from, to := p.gap()
+		if to > from {
+			size = min(most(p.model, n.Kind, leastCacheShare), max(size, to-from))
+			start := from
+			if size > to-from {
+				// Neighbours that are crowded get rid of the layers beside the gap.
+				start = p.weakest(size, max(0, to-size), from)
+			}
+			p.order(n, start, min(p.model.Layers, start+size), "gap")
+			continue
+		}
+		start := p.weakest(size, 0, p.model.Layers-size)
+		p.order(n, start, start+size, "least room")
+	}
+}
+
+func (p *plan) largestEmpty() *Node {
+	var best *Node
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if n.empty() && (best == nil || p.memoryOf(n) > p.memoryOf(best)) {
+			best = n
+		}
+	}
+	return best
+}
+
+// weakest returns the start between low and high of the window of layers with
+// the least KV cache.
+func (p *plan) weakest(size, low, high int) int {
+	tokens := p.tokens()
+	best, bestSum := low, math.Inf(1)
+	for start := low; start <= high && start+size <= p.model.Layers; start++ {
+		sum := 0.0
+		for l := start; l < start+size; l++ {
+			sum += tokens[l]
+		}
+		if sum < bestSum {
+			best, bestSum = start, sum
+		}
+	}
+	return best
+}
+
+// fillWithNeighbors closes a gap by nodes that hold the layers beside it: as few
+// as can take it.
+func (p *plan) fillWithNeighbors() {
+	for range len(p.nodes) {
+		from, to := p.gap()
+		if to <= from || !p.closeGap(from, to) {
+			return
+		}
+	}
+}
+
+func (p *plan) closeGap(from, to int) bool {
+	left := p.chain(from, -1)
+	right := p.chain(to, 1)
+	for k := 1; k <= max(len(left), len(right)); k++ {
+		l := left[:min(k, len(left))]
+		r := right[:min(k, len(right))]
+		nodes := slices.Clone(l)
+		slices.Reverse(nodes)
+		nodes = append(nodes, r...)
+		if len(nodes) == 0 {
+			continue
+		}
+		start, end := from, to
+		if len(l) > 0 {
+			start, _ = l[len(l)-1].span()
+		}
+		if len(r) > 0 {
+			_, end = r[len(r)-1].span()
+		}
+		if p.extend(nodes, start, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// chain returns nodes without orders that follow each other from a layer
+// downwards (step -1) or upwards (step 1).
+func (p *plan) chain(edge, step int) []*Node {
+	var out []*Node
+	for {
+		var next *Node
+		for i := range p.nodes {
+			n := &p.nodes[i]
+			from, to := n.span()
+			if to <= from || n.ordered() {
+				continue
+			}
+			if (step < 0 && to == edge) || (step > 0 && from == edge) {
+				if next == nil || p.memoryOf(n) > p.memoryOf(next) {
+					next = n
+				}
+			}
+		}
+		if next == nil {
+			return out
+		}
+		out = append(out, next)
+		from, to := next.span()
+		if step < 0 {
+			edge = from
+		} else {
+			edge = to
+		}
+	}
+}
+
+// extend shares the layers start..end among the nodes. A node goes on holding
+// what it has, as far as its memory allows, until others hold it too.
+func (p *plan) extend(nodes []*Node, start, end int) bool {
+	sizes, ok := p.sizes(nodes, end-start, leastCacheShare)
+	if !ok {
+		return false
+	}
+	at := start
+	for i, n := range nodes {
+		if sizes[i] == 0 {
+			return false
+		}
+		from, to := at, at+sizes[i]
+		at = to
+		heldFrom, heldTo := n.span()
+		if joined := max(to, heldTo) - min(from, heldFrom); joined <= p.model.MaxLayers(n.Kind) {
+			from, to = min(from, heldFrom), max(to, heldTo)
+		}
+		p.order(n, from, to, "replica gone")
+	}
+	return true
+}
+
+// shrink lets nodes that hold more than their share give up layers at an end
+// that another node holds already.
+func (p *plan) shrink() {
+	held := make([]int, p.model.Layers)
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if n.ordered() {
+			continue // until the order is done, the range held is uncertain
+		}
+		for l := n.From; l < min(n.To, len(held)); l++ {
+			held[l]++
+		}
+	}
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if n.ordered() || n.To-n.From <= p.fair(n)+shrinkSlack {
+			continue
+		}
+		from, to := n.From, n.To
+		for to-from > p.fair(n) && held[from] >= p.copies+1 {
+			held[from]--
+			from++
+		}
+		for to-from > p.fair(n) && held[to-1] >= p.copies+1 {
+			held[to-1]--
+			to--
+		}
+		p.order(n, from, to, "held twice")
+	}
+}
--- /dev/null
+++ b/core/pipeline/pipeline.go
@@ -0,0 +1,266 @@
+package pipeline
+
+import (
+	"time"
+)
+
+// Replica is a holder of consecutive layers.
+type Replica struct {
+	ID      string
+	Address string
+	Zone    string
+	Kind    string
+	// From and To bound the layers that serve requests: From <= layer < To.
+	From, To int
+}
+
+// Hop is one replica of a path with the layers that it runs.
+type Hop struct {
+	ID       string
+	Address  string
+	Zone     string
+	From, To int
+}
+
+// Path runs all layers in order.
+type Path []Hop
+
+// Uses tells whether the path passes through a replica.
+func (p Path) Uses(id string) bool {
+	for _, h := range p {
+		if h.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Demand is what one request asks of every replica on its path.
+type Demand struct {
+	// Prompt is the number of tokens to read.
+	Prompt float64
+	// Output is the expected number of tokens to write.
+	Output float64
+	// Written is the number of output tokens known already.
+	Written float64
+}
+
+// tokens returns the largest context that is expected.
+func (d Demand) tokens() float64 { return d.Prompt + d.Output }
+
+// load is the work on one replica.
+type load struct {
+	// room is the KV cache in tokens times layers.
+	room float64
+	// reserved is the KV cache of requests of this instance, in tokens times
+	// layers; foreign that of other instances.
+	reserved, foreign float64
+	// sequences and foreignSequences count requests that pass through.
+	sequences, foreignSequences float64
+	// reading is the number of prompt tokens times layers not read yet.
+	reading, foreignReading float64
+	// first counts the requests of this instance that enter the path here.
+	first int
+	// pace over 1 means that the replica is slower than its kind.
+	pace float64
+	// blockedUntil takes the replica out of use.
+	blockedUntil time.Time
+	why          string
+}
+
+// Fleet holds the replicas of one model and their load. It is not safe for
+// concurrent use.
+type Fleet struct {
+	model    *Model
+	replicas map[string]*member
+	// atLayer lists the usable replicas that hold each layer.
+	atLayer [][]*member
+	ordered []*member
+}
+
+type member struct {
+	Replica
+	load
+	index int
+	seen  bool
+}
+
+// NewFleet returns a fleet without replicas.
+func NewFleet(m *Model) *Fleet {
+	return &Fleet{model: m, replicas: map[string]*member{}}
+}
+
+// Model returns the figures in use.
+func (f *Fleet) Model() *Model { return f.model }
+
+// SetModel puts changed figures in force.
+func (f *Fleet) SetModel(m *Model) {
+	f.model = m
+	for _, r := range f.replicas {
+		r.room = m.Room(r.Kind, r.To-r.From)
+	}
+	f.index()
+}
+
+// Set replaces the list of replicas. The load on replicas that stay is kept.
+func (f *Fleet) Set(list []Replica) {
+	for _, m := range f.replicas {
+		m.seen = false
+	}
+	for _, r := range list {
+		m := f.replicas[r.ID]
+		if m == nil {
+			m = &member{load: load{pace: 1}}
+			f.replicas[r.ID] = m
+		}
+		m.Replica = r
+		m.seen = true
+		m.room = f.model.Room(r.Kind, r.To-r.From)
+	}
+	for id, m := range f.replicas {
+		if !m.seen && m.sequences == 0 {
+			delete(f.replicas, id)
+		}
+	}
+	f.index()
+}
+
+func (f *Fleet) index() {
+	f.atLayer = make([][]*member, f.model.Layers)
+	f.ordered = f.ordered[:0]
+	for _, m := range f.replicas {
+		if !m.seen {
+			continue
+		}
+		f.ordered = append(f.ordered, m)
+	}
+	sortMembers(f.ordered)
+	for i, m := range f.ordered {
+		m.index = i
+		for l := max(0, m.From); l < min(m.To, f.model.Layers); l++ {
+			f.atLayer[l] = append(f.atLayer[l], m)
+		}
+	}
+}
+
+// Block takes a replica out of new paths until a time.
+func (f *Fleet) Block(id string, until time.Time, why string) {
+	if m := f.replicas[id]; m != nil && until.After(m.blockedUntil) {
+		m.blockedUntil = until
+		m.why = why
+	}
+}
+
+// Unblock puts a replica back into use.
+func (f *Fleet) Unblock(id string) {
+	if m := f.replicas[id]; m != nil {
+		m.blockedUntil = time.Time{}
+	}
+}
+
+// Blocked tells whether the replica is out of use at now.
+func (f *Fleet) Blocked(id string, now time.Time) bool {
+	m := f.replicas[id]
+	return m == nil || !m.seen || now.Before(m.blockedUntil)
+}
+
+// IDAt returns the ID of the listed replica with the address, or "".
+func (f *Fleet) IDAt(address string) string {
+	for _, m := range f.ordered {
+		if m.Address == address {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+// Replica returns a replica in the list.
+func (f *Fleet) Replica(id string) (Replica, bool) {
+	m := f.replicas[id]
+	if m == nil || !m.seen {
+		return Replica{}, false
+	}
+	return m.Replica, true
+}
+
+// Covered tells whether every layer is held by a usable replica.
+func (f *Fleet) Covered(now time.Time) bool {
+	if len(f.atLayer) == 0 {
+		return false
+	}
+	for _, members := range f.atLayer {
+		found := false
+		for _, m := range members {
+			found = found || !now.Before(m.blockedUntil)
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// Reserve adds the load of a request on its path.
+func (f *Fleet) Reserve(p Path, d Demand) { f.shift(p, d, 1) }
+
+// Release takes away what Reserve added.
+func (f *Fleet) Release(p Path, d Demand) { f.shift(p, d, -1) }
+
+func (f *Fleet) shift(p Path, d Demand, sign float64) {
+	for i, h := range p {
+		m := f.replicas[h.ID]
+		if m == nil {
+			continue
+		}
+		m.reserved = max(0, m.reserved+sign*d.tokens()*float64(h.To-h.From))
+		m.sequences = max(0, m.sequences+sign)
+		if i == 0 {
+			m.first = max(0, m.first+int(sign))
+		}
+	}
+}
+
+// Reading adds (sign 1) or takes away (sign -1) a prompt that is being read.
+func (f *Fleet) Reading(p Path, d Demand, sign float64) {
+	for _, h := range p {
+		if m := f.replicas[h.ID]; m != nil {
+			m.reading = max(0, m.reading+sign*d.Prompt*float64(h.To-h.From))
+		}
+	}
+}
+
+// Load is the work of one instance on one replica.
+type Load struct {
+	// Reserved is in tokens times layers.
+	Reserved  float64
+	Sequences float64
+	// Reading is in prompt tokens times layers.
+	Reading float64
+}
+
+// Own returns the load of this instance by replica ID; replicas without load
+// are left out.
+func (f *Fleet) Own() map[string]Load {
+	out := map[string]Load{}
+	for id, m := range f.replicas {
+		if m.sequences > 0 {
+			out[id] = Load{Reserved: m.reserved, Sequences: m.sequences, Reading: m.reading}
+		}
+	}
+	return out
+}
+
+// SetForeign replaces the load of all other instances together.
+func (f *Fleet) SetForeign(loads map[string]Load) {
+	for id, m := range f.replicas {
+		l := loads[id]
+		m.foreign, m.foreignSequences, m.foreignReading = l.Reserved, l.Sequences, l.Reading
+	}
+}
+
+// SetPace tells how much slower than its kind a replica is; 1 is normal.
+func (f *Fleet) SetPace(id string, pace float64) {
+	if m := f.replicas[id]; m != nil && pace > 0 {
+		m.pace = pace
+	}
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,247 @@
+// Package roster keeps the replicas that the platform lists: which may get new
+// work, which are leaving, and which only seem gone because the platform's store
+// was away. It has no I/O and no clock.
+package roster
+
+import (
+	"sort"
+	"time"
+)
+
+// State is what a replica says of itself.
+type State int
+
+// States of a replica.
+const (
+	// Ready replicas take new work.
+	Ready State = iota
+	// Draining replicas finish what they have.
+	Draining
+)
+
+// Layers is a range of layers with the version of their weights.
+type Layers struct {
+	From, To int
+	Version  int64
+}
+
+// Entry is what a replica has registered.
+type Entry struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Kind is the accelerator, "" for plain services.
+	Kind  string
+	Slots int
+	State State
+	// Born is the start of the replica in Unix milliseconds. It tells a restart
+	// under the same ID.
+	Born int64
+	// Layers is nil while the replica holds none.
+	Layers *Layers
+	// Sequence is the number of heartbeats, which restarts with the replica.
+	Sequence int64
+}
+
+// restoreGrace is the time after an outage of the store within which entries
+// that lapsed meanwhile come back, as the platform states (about 2 s), and a
+// margin for the next read.
+const restoreGrace = 2500 * time.Millisecond
+
+// Roster is not safe for concurrent use.
+type Roster struct {
+	entries map[string]*record
+	// away is true while the store does not answer; backAt is the time at which
+	// it answered again.
+	away   bool
+	backAt time.Time
+}
+
+type record struct {
+	Entry
+	// lapsedAt is set when the entry was removed during an outage or shortly
+	// after, and may come back.
+	lapsedAt time.Time
+	leaving  bool
+}
+
+// New returns an empty roster.
+func New() *Roster { return &Roster{entries: map[string]*record{}} }
+
+// Change tells what an update did.
+type Change int
+
+// Changes.
+const (
+	// Same means that nothing but the heartbeat changed.
+	Same Change = iota
+	// Joined means a new replica or a restart of a known one.
+	Joined
+	// Left means that no new work may go there.
+	Left
+	// Updated means another change, such as the layers held.
+	Updated
+	// Lapsed means that the entry was removed during an outage of the store, and
+	// is used until the grace period ends.
+	Lapsed
+)
+
+// String returns the name used in logs.
+func (c Change) String() string {
+	return [...]string{"same", "joined", "left", "updated", "lapsed"}[c]
+}
+
+// StoreAway tells that the store does not answer.
+func (r *Roster) StoreAway() { r.away = true }
+
+// StoreBack tells that the store answers.
+func (r *Roster) StoreBack(now time.Time) {
+	if r.away {
+		r.backAt = now
+	}
+	r.away = false
+}
+
+// InGrace tells whether entries that are missing now may still come back.
+func (r *Roster) InGrace(now time.Time) bool {
+	return r.away || (!r.backAt.IsZero() && now.Before(r.backAt.Add(restoreGrace)))
+}
+
+// Put takes an entry. An older heartbeat of the same start is ignored.
+func (r *Roster) Put(e Entry) Change {
+	old := r.entries[e.ID]
+	if old == nil {
+		r.entries[e.ID] = &record{Entry: e, leaving: e.State == Draining}
+		return joinedOrLeft(e)
+	}
+	if e.Born < old.Born {
+		return Same
+	}
+	restarted := e.Born > old.Born
+	if !restarted && e.Sequence < old.Sequence {
+		return Same
+	}
+	was := *old
+	old.Entry = e
+	old.lapsedAt = time.Time{}
+	// A replica that leaves does not come back before it restarts.
+	old.leaving = e.State == Draining || (!restarted && was.leaving)
+	switch {
+	case restarted:
+		return joinedOrLeft(e)
+	case old.leaving != was.leaving:
+		return Left
+	case !sameUse(was.Entry, e) || !was.lapsedAt.IsZero():
+		return Updated
+	default:
+		return Same
+	}
+}
+
+func joinedOrLeft(e Entry) Change {
+	if e.State == Draining {
+		return Left
+	}
+	return Joined
+}
+
+func sameUse(a, b Entry) bool {
+	if a.Address != b.Address || a.Service != b.Service || a.Zone != b.Zone || a.Kind != b.Kind || a.Slots != b.Slots {
+		return false
+	}
+	if (a.Layers == nil) != (b.Layers == nil) {
+		return false
+	}
+	return a.Layers == nil || *a.Layers == *b.Layers
+}
+
+// Remove takes the removal of an entry.
+func (r *Roster) Remove(now time.Time, id string) Change {
+	old := r.entries[id]
+	if old == nil {
+		return Same
+	}
+	if r.InGrace(now) && !old.leaving {
+		if old.lapsedAt.IsZero() {
+			old.lapsedAt = now
+			return Lapsed
+		}
+		return Same
+	}
+	delete(r.entries, id)
+	return Left
+}
+
+// Replace takes a full list, read at now: entries that are missing in it are
+// removed. It returns the IDs whose state changed.
+func (r *Roster) Replace(now time.Time, list []Entry) map[string]Change {
+	changed := map[string]Change{}
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		if c := r.Put(e); c != Same {
+			changed[e.ID] = c
+		}
+	}
+	for id := range r.entries {
+		if listed[id] {
+			continue
+		}
+		if c := r.Remove(now, id); c != Same {
+			changed[id] = c
+		}
+	}
+	return changed
+}
+
+// Expire removes the entries that did not come back within the grace period,
+// and returns their IDs.
+func (r *Roster) Expire(now time.Time) []string {
+	if r.InGrace(now) {
+		return nil
+	}
+	var gone []string
+	for id, e := range r.entries {
+		if !e.lapsedAt.IsZero() {
+			delete(r.entries, id)
+			gone = append(gone, id)
+		}
+	}
+	sort.Strings(gone)
+	return gone
+}
+
+// Leave marks a replica as leaving on the word of another instance.
+func (r *Roster) Leave(id string, born int64) bool {
+	old := r.entries[id]
+	if old == nil || old.leaving || old.Born != born {
+		return false
+	}
+	old.leaving = true
+	return true
+}
+
+// Usable returns the entries of a service that take new work, sorted by ID.
+func (r *Roster) Usable(service string) []Entry {
+	var out []Entry
+	for _, e := range r.entries {
+		if e.Service == service && !e.leaving {
+			out = append(out, e.Entry)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Get returns an entry and whether it is leaving.
+func (r *Roster) Get(id string) (e Entry, leaving, ok bool) {
+	old := r.entries[id]
+	if old == nil {
+		return Entry{}, false, false
+	}
+	return old.Entry, old.leaving, true
+}
+
+// Len returns the number of entries.
+func (r *Roster) Len() int { return len(r.entries) }
--- /dev/null
+++ b/node/control/control.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"masticbank.example/core/roster"
+	"masticbank.example/core/routing"
+	"masticbank.example/node/gateway"
+)
+
+const (
+	// configWait is the longest wait for a new configuration in one call. A
+	// connection that has gone silent is noticed after it.
+	configWait = 2 * time.Second
+	// replicaInterval is the time between two reads of the replicas' entries. A
+	// replica that leaves must get nothing new within 2 s.
+	replicaInterval = 500 * time.Millisecond
+	// retryInterval is the time between two calls while the store does not answer.
+	retryInterval = 250 * time.Millisecond
+	// memberTTL is how long the group keeps a member that it does not hear.
+	memberTTL = 3 * time.Second
+	// joinInterval is the time between two joins, three within memberTTL.
+	joinInterval = time.Second
+	// memberReads is the number of joins for each read of the member list.
+	memberReads = 3
+)
+
+// Options configures a Control.
+type Options struct {
+	Configs  ConfigSource
+	Replicas ReplicaSource
+	Group    Group
+	Orders   gateway.ReplicaControl
+	Gateway  *gateway.Gateway
+	Logger   *zap.Logger
+	// OnMembers, if set, is called with the names of all members.
+	OnMembers func([]string)
+}
+
+// Control runs the connection of one instance to the store. It is safe for
+// concurrent use.
+type Control struct {
+	opts Options
+	log  *zap.Logger
+
+	mu      sync.Mutex
+	version int64
+	roster  *roster.Roster
+	listed  bool
+	duty    dutyState
+	placed  map[string]placement
+	store   dependency
+	// malformed holds the keys that were reported as unreadable.
+	malformed map[string]string
+
+	retired    atomic.Bool
+	retire     chan struct{}
+	configured atomic.Bool
+	loaded     atomic.Bool
+}
+
+// dutyState is the last word of the group.
+type dutyState struct {
+	Membership
+	// until is when this word is too old to act on.
+	until time.Time
+	// fenced is the generation that a replica refused.
+	fenced int64
+}
+
+// dependency notes whether the store answers.
+type dependency struct {
+	away  bool
+	since time.Time
+}
+
+// New returns a control that has read nothing yet.
+func New(o Options) *Control {
+	return &Control{
+		opts:      o,
+		log:       o.Logger,
+		roster:    roster.New(),
+		placed:    map[string]placement{},
+		malformed: map[string]string{},
+		retire:    make(chan struct{}),
+	}
+}
+
+// Ready tells whether the configuration and the replicas are known.
+func (c *Control) Ready() bool { return c.configured.Load() && c.loaded.Load() }
+
+// Run follows the store until ctx ends, and leaves the group then.
+func (c *Control) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.followConfig(ctx) })
+	g.Go(func() error { return c.followReplicas(ctx) })
+	g.Go(func() error { return c.keepMembership(ctx) })
+	g.Go(func() error { return c.keepLayout(ctx) })
+	return g.Wait()
+}
+
+// answered notes that the store answered.
+func (c *Control) answered(call string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.store.away {
+		return
+	}
+	now := time.Now()
+	c.log.Info("store answers again", zap.String("call", call), zap.Duration("away", now.Sub(c.store.since)))
+	c.store = dependency{}
+	c.roster.StoreBack(now)
+}
+
+// failed notes that the store did not answer, and waits a little.
+func (c *Control) failed(ctx context.Context, call string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	if !c.store.away {
+		c.store = dependency{away: true, since: time.Now()}
+		c.log.Warn("store does not answer", zap.String("call", call), zap.Error(err))
+	}
+	c.roster.StoreAway()
+	c.mu.Unlock()
+	sleep(ctx, retryInterval)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// reportMalformed logs an unreadable record once for each content.
+func (c *Control) reportMalformed(list []*Malformed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range list {
+		text := m.Err.Error()
+		if c.malformed[m.Key] == text || len(c.malformed) > maxMalformed {
+			continue
+		}
+		c.malformed[m.Key] = text
+		c.log.Warn("unreadable record ignored", zap.String("key", m.Key), zap.Error(m.Err))
+	}
+}
+
+// maxMalformed bounds the unreadable keys that are remembered.
+const maxMalformed = 256
+
+// apply puts a configuration in force if it is newer than the present one.
+func (c *Control) apply(cfg *routing.Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cfg.Version <= c.version {
+		if cfg.Version < c.version {
+			c.log.Warn("older configuration ignored", zap.Int64("version", cfg.Version), zap.Int64("in_force", c.version))
+		}
+		return
+	}
+	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version),
+		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))
+	c.version = cfg.Version
+	c.opts.Gateway.Configure(routing.NewTable(cfg))
+	c.opts.Gateway.SetReplicas(c.roster.Usable)
+	c.configured.Store(true)
+}
--- /dev/null
+++ b/node/control/duty.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/layout"
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
+	"masticbank.example/node/gateway"
+)
+
+const (
+	// dutyMargin is the part of memberTTL after the last join was sent at which an
+	// instance stops to act on it.
+	dutyMargin = 700 * time.Millisecond
+	// layoutInterval is the time between two looks at the layout.
+	layoutInterval = 200 * time.Millisecond
+	// orderPatience is how long an order without an answer counts as under way.
+	orderPatience = 1500 * time.Millisecond
+	// loadSlack is added to the expected time of a load before it is ordered again.
+	loadSlack = 3 * time.Second
+)
+
+// keepMembership stays in the group until ctx ends, and leaves it then.
+func (c *Control) keepMembership(ctx context.Context) error {
+	var generation int64
+	for n := 0; ctx.Err() == nil && !c.retired.Load(); n++ {
+		sent := time.Now()
+		m, err := c.opts.Group.Join(ctx, memberTTL, generation)
+		if err != nil {
+			c.failed(ctx, "membership", err)
+			continue
+		}
+		c.answered("membership")
+		generation = m.Generation
+		c.setDuty(sent, m)
+		if n%memberReads == 0 {
+			c.readMembers(ctx)
+		}
+		c.rest(ctx, joinInterval-time.Since(sent))
+	}
+	c.setDuty(time.Now(), Membership{Generation: generation})
+	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryInterval)
+	defer cancel()
+	if err := c.opts.Group.Leave(leaveCtx); err != nil {
+		c.log.Info("the group drops this member by itself", zap.Error(err))
+	}
+	return nil
+}
+
+// rest waits until the next join, or until the instance retires.
+func (c *Control) rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.retire:
+	case <-ctx.Done():
+	}
+}
+
+// Retire gives the duty to another instance. The rest goes on until Run ends.
+func (c *Control) Retire() {
+	if c.retired.CompareAndSwap(false, true) {
+		close(c.retire)
+	}
+}
+
+func (c *Control) setDuty(sent time.Time, m Membership) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m.Duty != c.duty.Duty {
+		c.log.Info("duty of ordering replicas", zap.Bool("held", m.Duty), zap.Int64("generation", m.Generation))
+		clear(c.placed)
+	}
+	c.duty.Membership = m
+	c.duty.until = sent.Add(memberTTL - dutyMargin)
+}
+
+func (c *Control) readMembers(ctx context.Context) {
+	members, err := c.opts.Group.Members(ctx)
+	if err != nil {
+		c.log.Info("members not read", zap.Error(err))
+		return
+	}
+	c.opts.Gateway.SetInstances(len(members))
+	if c.opts.OnMembers != nil {
+		c.opts.OnMembers(members)
+	}
+}
+
+// fence returns the token for orders, or false without the duty.
+func (c *Control) fence(now time.Time) (int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.duty.Duty || !now.Before(c.duty.until) || c.duty.Generation <= c.duty.fenced {
+		return 0, false
+	}
+	return c.duty.Generation, true
+}
+
+// placement is an order under way.
+type placement struct {
+	from, to int
+	born     int64
+	until    time.Time
+}
+
+// keepLayout orders replicas to hold layers while this instance has the duty.
+func (c *Control) keepLayout(ctx context.Context) error {
+	ticker := time.NewTicker(layoutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if token, ok := c.fence(time.Now()); ok {
+				c.orderLayout(ctx, token)
+			}
+		}
+	}
+}
+
+func (c *Control) orderLayout(ctx context.Context, token int64) {
+	table := c.opts.Gateway.Table()
+	if table == nil || !c.loaded.Load() {
+		return
+	}
+	for i := range table.Services() {
+		s := &table.Services()[i]
+		if s.Model == nil {
+			continue
+		}
+		nodes, entries := c.nodes(s.Name)
+		orders := layout.Plan(s.Model, nodes)
+		c.send(ctx, s.Model, entries, orders, token)
+	}
+}
+
+// nodes returns the replicas that take layers.
+func (c *Control) nodes(service string) ([]layout.Node, map[string]roster.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	entries := map[string]roster.Entry{}
+	var out []layout.Node
+	for _, e := range c.roster.Usable(service) {
+		entries[e.ID] = e
+		n := layout.Node{ID: e.ID, Zone: e.Zone, Kind: e.Kind}
+		if e.Layers != nil {
+			n.From, n.To = e.Layers.From, e.Layers.To
+		}
+		if p, ok := c.placed[e.ID]; ok {
+			if p.born != e.Born || now.After(p.until) || (p.from == n.From && p.to == n.To) {
+				delete(c.placed, e.ID)
+			} else {
+				n.WantFrom, n.WantTo = p.from, p.to
+			}
+		}
+		out = append(out, n)
+	}
+	return out, entries
+}
+
+// send gives the orders at the same time.
+func (c *Control) send(ctx context.Context, m *pipeline.Model, entries map[string]roster.Entry, orders []layout.Order, token int64) {
+	var wg sync.WaitGroup
+	for _, o := range orders {
+		e := entries[o.ID]
+		c.mu.Lock()
+		c.placed[o.ID] = placement{from: o.From, to: o.To, born: e.Born, until: time.Now().Add(orderPatience)}
+		c.mu.Unlock()
+		wg.Go(func() { c.sendOne(ctx, m, e, o, len(orders), token) })
+	}
+	wg.Wait()
+}
+
+func (c *Control) sendOne(ctx context.Context, m *pipeline.Model, e roster.Entry, o layout.Order, together int, token int64) {
+	res, err := c.opts.Orders.Place(ctx, gateway.Replica{ID: e.ID, Address: e.Address}, o.From, o.To, token)
+	c.log.Info("layers ordered", zap.String("replica", o.ID), zap.String("kind", e.Kind), zap.String("zone", e.Zone),
+		zap.Int("from", o.From), zap.Int("to", o.To), zap.String("why", o.Why), zap.Int64("fence", token),
+		zap.Int64("heartbeat", e.Sequence), zap.Stringer("result", res.Status), zap.Error(err))
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch res.Status {
+	case gateway.OrderTaken:
+		p := c.placed[o.ID]
+		p.until = time.Now().Add(loadTime(m, o.To-o.From, together))
+		c.placed[o.ID] = p
+	case gateway.OrderFenced:
+		c.duty.fenced = max(c.duty.fenced, token)
+	case gateway.OrderConflict, gateway.OrderOtherReplica, gateway.OrderUnknownRequest:
+	}
+}
+
+// loadTime is the longest time expected for loading layers beside other loads.
+func loadTime(m *pipeline.Model, layers, together int) time.Duration {
+	queue := 1.0
+	if m.LoadsAtOnce > 0 {
+		queue = max(1, float64(together)/float64(m.LoadsAtOnce))
+	}
+	s := m.LoadSeconds * float64(layers) / float64(m.Layers) * queue
+	return time.Duration(s*float64(time.Second)) + loadSlack
+}
--- /dev/null
+++ b/node/exchange/socket.go
@@ -0,0 +1,54 @@
+package exchange
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// setUnackedTimeout ends the connection when data that was sent is not
+// acknowledged within d.
+func setUnackedTimeout(c net.Conn, d time.Duration) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || d <= 0 {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// quiet tells whether an idle connection has neither been closed by its peer nor
+// received bytes, which would belong to an earlier request.
+func quiet(cn *conn) bool {
+	if cn.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := cn.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		empty = rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && empty
+}
--- /dev/null
+++ b/node/gateway/events.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// event is a whole event of a stream.
+type event struct {
+	// id is -1 for events without a number.
+	id   int64
+	data []byte
+	// err ends the stream: io.EOF after the last event.
+	err error
+}
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+var errEventTooLarge = errors.New("the event is too large")
+
+// readEvents reads whole events until the stream ends and passes them on. It
+// returns when stop is closed; the reader must then fail soon.
+func readEvents(r io.Reader, out chan<- event, stop <-chan struct{}) {
+	br := bufio.NewReader(r)
+	for {
+		ev := nextEvent(br)
+		select {
+		case out <- ev:
+		case <-stop:
+			return
+		}
+		if ev.err != nil {
+			return
+		}
+	}
+}
+
+// nextEvent reads up to the blank line that ends an event. A stream that ends
+// within an event is broken.
+func nextEvent(br *bufio.Reader) event {
+	ev := event{id: -1}
+	for {
+		line, err := br.ReadSlice('\n')
+		ev.data = append(ev.data, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if len(ev.data) > maxEventBytes {
+				return event{err: errEventTooLarge}
+			}
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(ev.data) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return event{err: err}
+		}
+		if len(ev.data) > maxEventBytes {
+			return event{err: errEventTooLarge}
+		}
+		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
+			return ev
+		} else if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+				ev.id = n
+			}
+		}
+	}
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,309 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/retry"
+	"masticbank.example/core/routing"
+	"masticbank.example/node/exchange"
+)
+
+const (
+	// noConfigRetry is told to callers that come before the configuration is known;
+	// it is read within this time after a start.
+	noConfigRetry = 300 * time.Millisecond
+	// noReplicaRetry is told when a service has no usable replica; the list of
+	// replicas is read again within this time.
+	noReplicaRetry = 700 * time.Millisecond
+	// drainingRetry is told by an instance that stops; another one serves at once.
+	drainingRetry = 50 * time.Millisecond
+	// defaultDeadline is used for callers that state none.
+	defaultDeadline = 30 * time.Second
+	// answerMargin is kept back from the caller's deadline so that the last answer
+	// still reaches it.
+	answerMargin = 30 * time.Millisecond
+	// maxAnswerBytes bounds the plain answers that are held in memory until they
+	// are complete.
+	maxAnswerBytes = 16 << 20
+)
+
+// Options configures a Gateway.
+type Options struct {
+	Codec   Codec
+	Control ReplicaControl
+	Client  *exchange.Client
+	Logger  *zap.Logger
+	Metrics *Metrics
+	// Zone is where this instance is.
+	Zone string
+	// Retries bounds the repeats for all instances together.
+	Retries RetryBound
+}
+
+// RetryBound is the bound on repeats of one service for all instances: ratio
+// times its requests plus slack, in each window.
+type RetryBound struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Gateway is an http.Handler. It is safe for concurrent use.
+type Gateway struct {
+	opts  Options
+	log   *zap.Logger
+	table atomic.Pointer[routing.Table]
+	// drainAfter is a Unix time in nanoseconds, 0 while the process stays.
+	drainAfter atomic.Int64
+
+	mu      sync.Mutex
+	models  map[string]*modelPool
+	plains  map[string]*plainPool
+	budgets map[string]*retry.Budget
+	// instances is the number of entry instances that share the retry budget.
+	instances int
+}
+
+// New returns a gateway that knows no configuration and no replicas.
+func New(o Options) *Gateway {
+	return &Gateway{
+		opts:      o,
+		log:       o.Logger,
+		models:    map[string]*modelPool{},
+		plains:    map[string]*plainPool{},
+		budgets:   map[string]*retry.Budget{},
+		instances: 1,
+	}
+}
+
+// Table returns the configuration in force, or nil.
+func (g *Gateway) Table() *routing.Table { return g.table.Load() }
+
+// call is one request on its way.
+type call struct {
+	Request
+	http      *http.Request
+	writer    http.ResponseWriter
+	body      []byte
+	route     *routing.Route
+	service   *routing.Service
+	workspace string
+	rank      int
+	arrival   time.Time
+	// deadline is when the caller or the route ends the request.
+	deadline time.Time
+	// late is what ends it: "caller" or "route".
+	late    string
+	version int64
+	sends   int
+	replica string
+}
+
+// left is the time that a replica may take.
+func (c *call) left(now time.Time) time.Duration { return c.deadline.Sub(now) }
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{Request: g.opts.Codec.Request(r.Header), http: r, writer: w, arrival: time.Now()}
+	g.opts.Metrics.Began()
+	defer g.opts.Metrics.Ended()
+	if !g.admit(c) {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		g.refuse(c, http.StatusBadRequest, "body", 0)
+		return
+	}
+	c.body = body
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if c.service.Model != nil {
+		if g.draining() {
+			g.refuse(c, http.StatusServiceUnavailable, "stopping", drainingRetry)
+			return
+		}
+		g.serveModel(ctx, c)
+		return
+	}
+	g.servePlain(ctx, c)
+}
+
+// admit finds the route, the workspace and the service of a request, or answers
+// it.
+func (g *Gateway) admit(c *call) bool {
+	table := g.table.Load()
+	if table == nil {
+		g.refuse(c, http.StatusServiceUnavailable, "no_configuration", noConfigRetry)
+		return false
+	}
+	c.version = table.Version()
+	host, path := hostAndPath(c.http)
+	c.route = table.Route(host, path)
+	if c.route == nil {
+		g.refuse(c, http.StatusNotFound, "no_route", 0)
+		return false
+	}
+	c.rank = c.route.Priority
+	if table.NeedsKeys() && !c.route.Public {
+		ws := table.Workspace(c.Key)
+		if ws == nil {
+			g.refuse(c, http.StatusUnauthorized, "unknown_key", 0)
+			return false
+		}
+		c.workspace = ws.Name
+		if ws.Priority != nil {
+			c.rank = *ws.Priority
+		}
+	}
+	c.service = table.Service(c.route.Pick(rand.Float64()))
+	if c.service == nil {
+		g.refuse(c, http.StatusServiceUnavailable, "no_service", noReplicaRetry)
+		return false
+	}
+	c.setDeadline()
+	return true
+}
+
+// setDeadline takes the earlier of the caller's deadline and the route's timeout.
+func (c *call) setDeadline() {
+	wait := c.Deadline
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	c.deadline, c.late = c.arrival.Add(wait-min(answerMargin, wait/4)), "caller"
+	if t := c.route.Timeout; t > 0 && c.arrival.Add(t).Before(c.deadline) {
+		c.deadline, c.late = c.arrival.Add(t), "route"
+	}
+}
+
+// hostAndPath returns what the route is chosen by. A target in absolute form
+// names the host itself.
+func hostAndPath(r *http.Request) (host, path string) {
+	target := r.RequestURI
+	host = r.Header.Get("Host")
+	if host == "" {
+		host = r.Host
+	}
+	if !strings.HasPrefix(target, "/") {
+		if u, err := url.Parse(target); err == nil && u.Host != "" {
+			host = u.Host
+			target = strings.TrimPrefix(target, u.Scheme+"://"+u.Host)
+		}
+	}
+	path, _, _ = strings.Cut(target, "?")
+	return host, path
+}
+
+// refuse sends an answer of the router's own. The statuses 408, 421, 429 and 503
+// state that the request did not run.
+func (g *Gateway) refuse(c *call, status int, why string, retryAfter time.Duration) {
+	h := c.writer.Header()
+	for k, v := range g.opts.Codec.Refusal(c.ID, retryAfter) {
+		h[k] = v
+	}
+	c.writer.WriteHeader(status)
+	g.finish(c, status, why, zap.Duration("retry_after", retryAfter))
+}
+
+// finish writes the line about the end of a request and counts it.
+func (g *Gateway) finish(c *call, status int, why string, more ...zap.Field) {
+	took := time.Since(c.arrival)
+	g.opts.Metrics.Done(c.workspace, c.rank, status, why, took)
+	fields := []zap.Field{
+		zap.String("request", c.ID),
+		zap.Int("status", status),
+		zap.String("outcome", why),
+		zap.Duration("took", took),
+		zap.Int64("config", c.version),
+		zap.String("workspace", c.workspace),
+		zap.Int("rank", c.rank),
+		zap.Int("sends", c.sends),
+		zap.String("replica", c.replica),
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("route", c.route.Name))
+	}
+	g.log.Info("request ended", append(fields, more...)...)
+}
+
+// request builds the message for a replica.
+func (g *Gateway) request(c *call, s Send, fresh bool) *exchange.Request {
+	s.Deadline = c.left(time.Now())
+	s.Workspace = c.workspace
+	host := c.http.Header.Get("Host")
+	if host == "" {
+		host = c.http.Host
+	}
+	return &exchange.Request{
+		Method: c.http.Method,
+		Target: c.http.RequestURI,
+		Host:   host,
+		Header: g.opts.Codec.Forward(c.http.Header, s),
+		Body:   c.body,
+		Fresh:  fresh,
+	}
+}
+
+// retryAllowed spends one retry of a service.
+func (g *Gateway) retryAllowed(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Take(time.Now())
+}
+
+// countFirst records the first attempt of a request.
+func (g *Gateway) countFirst(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).First(time.Now())
+}
+
+// retryShare is the part of the allowed repeats that the router uses; callers'
+// requests come in bursts, and instances that start anew have a full budget.
+const retryShare = 0.4
+
+// budget returns this instance's part of a service's retry budget.
+func (g *Gateway) budget(service string) *retry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(g.budgetConfig())
+		g.budgets[service] = b
+	}
+	return b
+}
+
+func (g *Gateway) budgetConfig() retry.BudgetConfig {
+	n := float64(max(1, g.instances))
+	window := max(g.opts.Retries.Window, time.Second).Seconds()
+	slack := g.opts.Retries.Slack * retryShare / n / 2
+	return retry.BudgetConfig{
+		Ratio:        g.opts.Retries.Ratio * retryShare,
+		MinPerSecond: slack / window,
+		Bank:         max(1, slack),
+	}
+}
+
+// SetInstances tells how many entry instances share the work.
+func (g *Gateway) SetInstances(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n < 1 || n == g.instances {
+		return
+	}
+	g.instances = n
+	now := time.Now()
+	for _, b := range g.budgets {
+		b.Configure(now, g.budgetConfig())
+	}
+}
--- /dev/null
+++ b/node/gateway/model.go
@@ -0,0 +1,317 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/forward"
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/waitlist"
+	"masticbank.example/node/exchange"
+	"masticbank.example/node/httpserver"
+)
+
+const (
+	// longestWait bounds how long a request waits for room before it is told to
+	// come back; callers leave a stream that does not begin after 2 s or more.
+	longestWait = 1500 * time.Millisecond
+	// modelRetryAfter is told to a refused request: the order of the time that a
+	// usual answer takes, after which room is free again.
+	modelRetryAfter = 3 * time.Second
+	// rejectedBlock keeps new paths off a part that rejected a request: it is full,
+	// leaving, or gave up layers, which its entry shows within a read interval.
+	rejectedBlock = 300 * time.Millisecond
+	// deadBlock keeps new paths off a part that is silent, about as long as the
+	// entry of a dead replica stays listed.
+	deadBlock = 4 * time.Second
+)
+
+// stream is a model request on its way.
+type stream struct {
+	*call
+	g      *Gateway
+	pool   *modelPool
+	demand pipeline.Demand
+	avoid  map[string]bool
+	// begun is true when the head of the answer went to the caller.
+	begun bool
+	// last is the number of the last event that the caller has, -1 without one.
+	last int64
+	// events counts those passed on by this request.
+	events int
+	grant  *grant
+	// lastAt is when the last event came, or when the request was sent.
+	lastAt time.Time
+}
+
+// serveModel runs a request over a path through all layers.
+func (g *Gateway) serveModel(ctx context.Context, c *call) {
+	g.countFirst(c.service.Name)
+	s := &stream{call: c, g: g, pool: g.model(c.service), demand: demandOf(c), avoid: map[string]bool{}, last: -1}
+	if n, err := strconv.ParseInt(c.LastEvent, 10, 64); err == nil {
+		s.last = n
+	}
+	h := forward.History{Repeatable: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts}
+	for {
+		s.grant = s.pool.acquire(ctx, s.item(), s.demand, pipeline.Constraint{Avoid: s.avoid})
+		if s.grant == nil {
+			s.endWithoutPath(ctx, &h)
+			return
+		}
+		c.sends++
+		c.replica = s.grant.path()[0].ID
+		outcome, err := s.run(ctx)
+		s.grant.release()
+		next := h.Step(outcome, func() bool {
+			return ctx.Err() == nil && g.retryAllowed(c.service.Name)
+		})
+		if outcome == forward.Answered || (outcome == forward.Failed && next != forward.Retry) {
+			return
+		}
+		g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", c.replica),
+			zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int64("last_event", s.last),
+			zap.Int("parts", len(s.grant.path())), zap.Duration("left", c.left(time.Now())), zap.Error(err))
+		if next == forward.Retry {
+			continue
+		}
+		s.end(ctx, next)
+		return
+	}
+}
+
+// demandOf estimates what a request asks of the replicas.
+func demandOf(c *call) pipeline.Demand {
+	m := c.service.Model
+	d := pipeline.Demand{Prompt: c.PromptTokens, Output: c.OutputHint}
+	if d.Prompt <= 0 {
+		d.Prompt = m.UsualPrompt
+	}
+	if d.Output <= 0 {
+		d.Output = m.UsualOutput
+	}
+	if c.MaxOutputTokens > 0 {
+		d.Output = min(d.Output, c.MaxOutputTokens)
+	}
+	return d
+}
+
+func (s *stream) item() *waitlist.Item {
+	now := time.Now()
+	giveUp := now.Add(longestWait)
+	if s.deadline.Before(giveUp) {
+		giveUp = s.deadline
+	}
+	return &waitlist.Item{Rank: s.rank, Arrival: s.arrival, GiveUp: giveUp}
+}
+
+func (s *stream) endWithoutPath(ctx context.Context, h *forward.History) {
+	if h.MayHaveRun() || s.begun {
+		s.end(ctx, forward.GiveUp)
+		return
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		s.g.finish(s.call, statusCallerLeft, "caller_left")
+		return
+	}
+	why := "no_room"
+	if !s.pool.covered() {
+		why = "layers_missing"
+	}
+	s.g.refuse(s.call, http.StatusServiceUnavailable, why, modelRetryAfter)
+}
+
+// end finishes a request without a whole answer.
+func (s *stream) end(ctx context.Context, next forward.Next) {
+	switch {
+	case s.begun:
+		httpserver.Abort(s.writer)
+		why := "stream_broken"
+		if errors.Is(ctx.Err(), context.Canceled) {
+			why = "caller_left"
+		}
+		s.g.finish(s.call, statusCallerLeft, why, zap.Int64("last_event", s.last), zap.Int("events", s.events))
+	case next == forward.Refuse:
+		s.g.refuse(s.call, http.StatusServiceUnavailable, "rejected_everywhere", modelRetryAfter)
+	default:
+		s.g.giveUp(ctx, s.call)
+	}
+}
+
+// run sends the request over the granted path and passes its events on.
+func (s *stream) run(ctx context.Context) (forward.Outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	path := s.grant.path()
+	first := path[0]
+	send := Send{Replica: first.ID, Rank: s.rank, Path: path}
+	if s.last >= 0 && s.begun {
+		send.LastEvent = strconv.FormatInt(s.last, 10)
+	}
+	s.lastAt = time.Now()
+	resp, err := s.head(ctx, cancel, first, s.g.request(s.call, send, false))
+	if err != nil {
+		s.blame(first, err)
+		return outcomeOf(err), err
+	}
+	defer resp.Close()
+	info := s.g.opts.Codec.Answer(resp.Status, resp.Header)
+	switch {
+	case info.ID != s.ID:
+		resp.Discard()
+		return forward.Lost, errOtherRequest
+	case info.NotRun:
+		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+		s.rejected(info, first)
+		return forward.Rejected, err
+	case resp.Status != http.StatusOK:
+		return s.failed(resp)
+	}
+	return s.relay(ctx, cancel, resp)
+}
+
+// headResult is what comes of waiting for the head of an answer.
+type headResult struct {
+	resp *exchange.Response
+	err  error
+}
+
+// head sends the request and waits for the head of the answer, watching for
+// parts that are silent.
+func (s *stream) head(ctx context.Context, cancel context.CancelFunc, first pipeline.Hop, r *exchange.Request) (*exchange.Response, error) {
+	done := make(chan headResult, 1)
+	go func() {
+		resp, err := s.g.opts.Client.Do(ctx, first.Address, r)
+		done <- headResult{resp, err}
+	}()
+	watch := s.newWatch()
+	defer watch.stop()
+	for {
+		select {
+		case res := <-done:
+			return res.resp, res.err
+		case <-watch.timer.C:
+			if watch.check(ctx) {
+				cancel()
+				res := <-done
+				if res.err == nil {
+					res.resp.Close()
+				}
+				return nil, &exchange.Error{Sent: true, Err: errPartSilent}
+			}
+		}
+	}
+}
+
+var errPartSilent = errors.New("a part of the path is silent")
+
+// blame takes the first replica out of use after an error of its connection.
+func (s *stream) blame(first pipeline.Hop, err error) {
+	s.avoid[first.ID] = true
+	var ee *exchange.Error
+	if errors.As(err, &ee) && !ee.Sent && !errors.Is(err, context.Canceled) {
+		s.pool.block(first.ID, deadBlock, "no connection")
+	}
+}
+
+// rejected takes the part at fault out of use for a moment.
+func (s *stream) rejected(info Answer, first pipeline.Hop) {
+	id := s.pool.idAt(info.FailingPart)
+	if id == "" {
+		id = first.ID
+	}
+	s.avoid[id] = true
+	s.pool.block(id, rejectedBlock, "rejected a request")
+}
+
+// failed passes on an answer that is no stream, unless another replica is tried.
+func (s *stream) failed(resp *exchange.Response) (forward.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil || s.begun {
+		return forward.Lost, err
+	}
+	s.g.deliver(s.call, &plainAnswer{status: resp.Status, header: resp.Header, body: body})
+	return forward.Answered, nil
+}
+
+// relay passes whole events on as they arrive.
+func (s *stream) relay(ctx context.Context, cancel context.CancelFunc, resp *exchange.Response) (forward.Outcome, error) {
+	events := make(chan event)
+	stop := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		readEvents(resp.Body, events, stop)
+	}()
+	defer func() {
+		cancel() // ends a read under way
+		close(stop)
+		<-finished
+	}()
+	watch := s.newWatch()
+	defer watch.stop()
+	for {
+		select {
+		case ev := <-events:
+			done, outcome, err := s.take(ctx, resp, ev)
+			if done {
+				return outcome, err
+			}
+			watch.progress()
+		case <-watch.timer.C:
+			if watch.check(ctx) {
+				return forward.Lost, errPartSilent
+			}
+		case <-ctx.Done():
+			return forward.Lost, ctx.Err()
+		}
+	}
+}
+
+// take handles one event; done tells that the run is over.
+func (s *stream) take(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
+	if errors.Is(ev.err, io.EOF) {
+		s.begin(resp)
+		s.g.finish(s.call, resp.Status, "delivered", zap.Int("events", s.events), zap.Int("parts", len(s.grant.path())))
+		return true, forward.Answered, nil
+	}
+	if ev.err != nil {
+		return true, forward.Lost, ev.err
+	}
+	if ev.id >= 0 && ev.id <= s.last {
+		return false, 0, nil // the caller has it from an earlier run
+	}
+	s.grant.firstToken()
+	s.begin(resp)
+	if s.events == 0 {
+		s.g.opts.Metrics.FirstEvent(s.rank, time.Since(s.arrival))
+	}
+	if _, err := s.writer.Write(ev.data); err != nil {
+		return true, forward.Lost, err
+	}
+	s.writer.(http.Flusher).Flush()
+	if ev.id >= 0 {
+		s.last = ev.id
+	}
+	s.events++
+	s.lastAt = time.Now()
+	return false, 0, nil
+}
+
+// begin sends the head of the first run's answer.
+func (s *stream) begin(resp *exchange.Response) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	h := s.writer.Header()
+	for k, v := range s.g.opts.Codec.ToCaller(resp.Header) {
+		h[k] = v
+	}
+	s.writer.WriteHeader(resp.Status)
+}
--- /dev/null
+++ b/node/gateway/modelpool.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
+	"masticbank.example/core/routing"
+	"masticbank.example/core/waitlist"
+)
+
+const (
+	// reportAge is how old a report may be that several streams share.
+	reportAge = 150 * time.Millisecond
+	// pumpInterval is how often waiting requests are looked at without an event.
+	pumpInterval = 50 * time.Millisecond
+)
+
+// modelPool holds the replicas of one model service, their load, and the requests
+// that wait for room. It is safe for concurrent use.
+type modelPool struct {
+	name    string
+	control ReplicaControl
+	log     *zap.Logger
+
+	mu      sync.Mutex
+	fleet   *pipeline.Fleet
+	born    map[string]int64
+	waiting waitlist.List
+	waiters map[*waitlist.Item]*waiter
+	reports map[string]*sharedReport
+}
+
+// waiter is a request that waits for a path.
+type waiter struct {
+	demand  pipeline.Demand
+	limit   pipeline.Constraint
+	granted chan *grant
+}
+
+// grant is a path with its load reserved.
+type grant struct {
+	pool    *modelPool
+	demand  pipeline.Demand
+	choice  pipeline.Choice
+	reading bool
+	ended   bool
+}
+
+type sharedReport struct {
+	at     time.Time
+	done   chan struct{}
+	report Report
+	err    error
+}
+
+func newModelPool(s *routing.Service, control ReplicaControl, log *zap.Logger) *modelPool {
+	return &modelPool{
+		name:    s.Name,
+		control: control,
+		log:     log.With(zap.String("service", s.Name)),
+		fleet:   pipeline.NewFleet(s.Model),
+		born:    map[string]int64{},
+		waiters: map[*waitlist.Item]*waiter{},
+		reports: map[string]*sharedReport{},
+	}
+}
+
+// setModel puts changed figures of the model in force.
+func (p *modelPool) setModel(m *pipeline.Model) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.SetModel(m)
+}
+
+// set replaces the list of usable replicas.
+func (p *modelPool) set(entries []roster.Entry) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []pipeline.Replica
+	for _, e := range entries {
+		if e.Layers == nil {
+			continue
+		}
+		list = append(list, pipeline.Replica{
+			ID: e.ID, Address: e.Address, Zone: e.Zone, Kind: e.Kind, From: e.Layers.From, To: e.Layers.To,
+		})
+		if was, ok := p.born[e.ID]; ok && was != e.Born {
+			p.fleet.Unblock(e.ID)
+		}
+		p.born[e.ID] = e.Born
+	}
+	p.fleet.Set(list)
+	p.pump(time.Now())
+}
+
+// covered tells whether a path through all layers exists.
+func (p *modelPool) covered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.Covered(time.Now())
+}
+
+// acquire waits for a path until giveUp or the end of ctx; it returns nil then.
+func (p *modelPool) acquire(ctx context.Context, it *waitlist.Item, d pipeline.Demand, limit pipeline.Constraint) *grant {
+	w := &waiter{demand: d, limit: limit, granted: make(chan *grant, 1)}
+	p.mu.Lock()
+	p.waiting.Add(it)
+	p.waiters[it] = w
+	p.pump(time.Now())
+	p.mu.Unlock()
+	select {
+	case g := <-w.granted:
+		return g
+	default:
+	}
+	timer := time.NewTimer(time.Until(it.GiveUp))
+	defer timer.Stop()
+	select {
+	case g := <-w.granted:
+		return g
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return p.withdraw(it, w)
+}
+
+// withdraw takes a waiter out; it returns a grant that came meanwhile.
+func (p *modelPool) withdraw(it *waitlist.Item, w *waiter) *grant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting.Remove(it)
+	delete(p.waiters, it)
+	select {
+	case g := <-w.granted:
+		return g
+	default:
+		return nil
+	}
+}
+
+// pump grants paths to the first waiters. The caller holds the lock.
+func (p *modelPool) pump(now time.Time) {
+	for {
+		it := p.waiting.First()
+		if it == nil {
+			return
+		}
+		w := p.waiters[it]
+		choice, ok := p.fleet.Choose(now, w.demand, w.limit)
+		if !ok {
+			return
+		}
+		p.waiting.Remove(it)
+		delete(p.waiters, it)
+		w.granted <- p.reserve(choice, w.demand)
+	}
+}
+
+func (p *modelPool) reserve(choice pipeline.Choice, d pipeline.Demand) *grant {
+	p.fleet.Reserve(choice.Path, d)
+	p.fleet.Reading(choice.Path, d, 1)
+	return &grant{pool: p, demand: d, choice: choice, reading: true}
+}
+
+// tick looks at the waiting requests.
+func (p *modelPool) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pump(time.Now())
+}
+
+// firstToken tells that the prompt was read.
+func (g *grant) firstToken() {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	if g.reading {
+		g.pool.fleet.Reading(g.choice.Path, g.demand, -1)
+		g.reading = false
+	}
+}
+
+// release gives the room back.
+func (g *grant) release() {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	g.free()
+	g.pool.pump(time.Now())
+}
+
+func (g *grant) free() {
+	if g.ended {
+		return
+	}
+	g.ended = true
+	if g.reading {
+		g.pool.fleet.Reading(g.choice.Path, g.demand, -1)
+	}
+	g.pool.fleet.Release(g.choice.Path, g.demand)
+}
+
+// path returns the present path.
+func (g *grant) path() pipeline.Path { return g.choice.Path }
+
+// move reserves another path with the same first part, or returns false. The old
+// path is given back when the new one is confirmed.
+func (g *grant) move(avoid map[string]bool) (pipeline.Choice, bool) {
+	p := g.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := g.choice.Path[0]
+	limit := pipeline.Constraint{Avoid: avoid, First: first.ID, FirstTo: first.To}
+	return p.fleet.Choose(time.Now(), g.demand, limit)
+}
+
+// confirm replaces the path by the chosen one.
+func (g *grant) confirm(c pipeline.Choice) {
+	p := g.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.Reserve(c.Path, g.demand)
+	if g.reading {
+		p.fleet.Reading(c.Path, g.demand, 1)
+		p.fleet.Reading(g.choice.Path, g.demand, -1)
+	}
+	p.fleet.Release(g.choice.Path, g.demand)
+	g.choice = c
+}
+
+// block takes a replica out of new paths for a while.
+func (p *modelPool) block(id string, d time.Duration, why string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if id == "" {
+		return
+	}
+	if !p.fleet.Blocked(id, now) {
+		p.log.Info("replica taken out of use", zap.String("replica", id), zap.String("why", why), zap.Duration("for", d))
+	}
+	p.fleet.Block(id, now.Add(d), why)
+}
+
+// idAt returns the ID of the replica with the address, or "".
+func (p *modelPool) idAt(address string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.IDAt(address)
+}
+
+// report asks a replica for its state; callers at about the same time share one
+// question.
+func (p *modelPool) report(ctx context.Context, r Replica) (Report, error) {
+	p.mu.Lock()
+	s := p.reports[r.ID]
+	if s != nil && time.Since(s.at) < reportAge {
+		p.mu.Unlock()
+		select {
+		case <-s.done:
+			return s.report, s.err
+		case <-ctx.Done():
+			return Report{}, ctx.Err()
+		}
+	}
+	s = &sharedReport{at: time.Now(), done: make(chan struct{})}
+	p.reports[r.ID] = s
+	p.mu.Unlock()
+	s.report, s.err = p.control.Report(context.WithoutCancel(ctx), r)
+	close(s.done)
+	if s.err == nil && s.report.Pace > 0 {
+		p.mu.Lock()
+		p.fleet.SetPace(r.ID, s.report.Pace)
+		p.mu.Unlock()
+	}
+	return s.report, s.err
+}
--- /dev/null
+++ b/node/gateway/plain.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/forward"
+	"masticbank.example/core/routing"
+	"masticbank.example/node/exchange"
+)
+
+const (
+	// firstTryShare is the part of the time left that the first replica of a
+	// repeatable request gets before another one is asked.
+	firstTryShare = 0.4
+	// plainRetryAfter is told when all replicas of a plain service are full; their
+	// calls take some ten milliseconds.
+	plainRetryAfter = 100 * time.Millisecond
+)
+
+// plainAnswer is a whole answer of a replica.
+type plainAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// servePlain forwards a request whose answer is short. The answer is passed on
+// when it is complete.
+func (g *Gateway) servePlain(ctx context.Context, c *call) {
+	pool := g.plain(c.service.Name)
+	g.countFirst(c.service.Name)
+	h := forward.History{Repeatable: c.route.Kind == routing.Idempotent, MaxRuns: c.route.MaxAttempts}
+	tried := map[string]bool{}
+	for {
+		replica, ok := pool.pick(time.Now(), tried)
+		if !ok {
+			g.endWithoutReplica(ctx, c, &h, len(tried))
+			return
+		}
+		tried[replica.ID] = true
+		c.sends++
+		c.replica = replica.ID
+		outcome, answer, err := g.sendPlain(ctx, c, pool, replica, &h)
+		next := h.Step(outcome, func() bool {
+			return ctx.Err() == nil && g.retryAllowed(c.service.Name)
+		})
+		if outcome != forward.Answered {
+			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
+				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
+				zap.Duration("left", c.left(time.Now())), zap.Error(err))
+		}
+		switch next {
+		case forward.Retry:
+			continue
+		case forward.Deliver:
+			g.deliver(c, answer)
+		case forward.Refuse:
+			g.refuse(c, http.StatusServiceUnavailable, "rejected_everywhere", plainRetryAfter)
+		case forward.GiveUp:
+			g.giveUp(ctx, c)
+		}
+		return
+	}
+}
+
+// endWithoutReplica answers a request for which no replica is left.
+func (g *Gateway) endWithoutReplica(ctx context.Context, c *call, h *forward.History, tried int) {
+	switch {
+	case h.MayHaveRun():
+		g.giveUp(ctx, c)
+	case tried > 0:
+		g.refuse(c, http.StatusServiceUnavailable, "rejected_everywhere", plainRetryAfter)
+	default:
+		g.refuse(c, http.StatusServiceUnavailable, "no_replica", noReplicaRetry)
+	}
+}
+
+// giveUp answers a request that may have run.
+func (g *Gateway) giveUp(ctx context.Context, c *call) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		g.finish(c, statusCallerLeft, "caller_left")
+		return
+	}
+	if ctx.Err() != nil {
+		g.refuse(c, http.StatusGatewayTimeout, "deadline_"+c.late, 0)
+		return
+	}
+	g.refuse(c, http.StatusBadGateway, "answer_lost", 0)
+}
+
+// statusCallerLeft is logged for callers that closed their connection.
+const statusCallerLeft = 499
+
+// sendPlain sends the request to one replica and reads the whole answer.
+func (g *Gateway) sendPlain(ctx context.Context, c *call, pool *plainPool, replica Replica, h *forward.History) (forward.Outcome, *plainAnswer, error) {
+	now := time.Now()
+	if h.Repeatable && h.Runs+1 < h.MaxRuns {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(float64(c.left(now))*firstTryShare))
+		defer cancel()
+	}
+	pool.begin(replica.ID)
+	outcome, answer, err := g.exchangePlain(ctx, c, replica, !h.Repeatable, pool)
+	pool.end(time.Now(), replica.ID, outcome, time.Since(now))
+	return outcome, answer, err
+}
+
+var (
+	errOtherRequest = errors.New("the answer belongs to another request")
+	errTooLarge     = errors.New("the answer is too large")
+)
+
+func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh bool, pool *plainPool) (forward.Outcome, *plainAnswer, error) {
+	resp, err := g.opts.Client.Do(ctx, replica.Address, g.request(c, Send{Replica: replica.ID, Rank: -1}, fresh))
+	if err != nil {
+		return outcomeOf(err), nil, err
+	}
+	defer resp.Close()
+	info := g.opts.Codec.Answer(resp.Status, resp.Header)
+	if info.ID != c.ID {
+		resp.Discard()
+		return forward.Lost, nil, errOtherRequest
+	}
+	pool.loaded(replica.ID, info)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if info.NotRun {
+		return forward.Rejected, nil, nil
+	}
+	if err != nil {
+		return forward.Lost, nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		resp.Discard()
+		return forward.Lost, nil, errTooLarge
+	}
+	answer := &plainAnswer{status: resp.Status, header: resp.Header, body: body}
+	if resp.Status >= http.StatusInternalServerError {
+		return forward.Failed, answer, nil
+	}
+	return forward.Answered, answer, nil
+}
+
+func outcomeOf(err error) forward.Outcome {
+	var ee *exchange.Error
+	if errors.As(err, &ee) && !ee.Sent {
+		return forward.Unsent
+	}
+	return forward.Lost
+}
+
+// deliver passes a whole answer on.
+func (g *Gateway) deliver(c *call, a *plainAnswer) {
+	h := c.writer.Header()
+	for k, v := range g.opts.Codec.ToCaller(a.header) {
+		h[k] = v
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.writer.WriteHeader(a.status)
+	_, err := c.writer.Write(a.body)
+	g.finish(c, a.status, "delivered", zap.Error(err))
+}
--- /dev/null
+++ b/node/gateway/state.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
+	"masticbank.example/core/routing"
+)
+
+// Configure puts a configuration in force. Versions come in order.
+func (g *Gateway) Configure(t *routing.Table) {
+	g.mu.Lock()
+	for _, s := range t.Services() {
+		if s.Model == nil {
+			continue
+		}
+		if p := g.models[s.Name]; p != nil {
+			p.setModel(s.Model)
+		}
+	}
+	g.mu.Unlock()
+	g.table.Store(t)
+}
+
+// SetReplicas replaces the list of usable replicas of each service.
+func (g *Gateway) SetReplicas(usable func(service string) []roster.Entry) {
+	t := g.table.Load()
+	if t == nil {
+		return
+	}
+	for i := range t.Services() {
+		s := &t.Services()[i]
+		entries := usable(s.Name)
+		if s.Model != nil {
+			g.model(s).set(entries)
+			continue
+		}
+		g.plain(s.Name).set(entries)
+	}
+}
+
+// model returns the pool of a model service.
+func (g *Gateway) model(s *routing.Service) *modelPool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.models[s.Name]
+	if p == nil {
+		p = newModelPool(s, g.opts.Control, g.log)
+		g.models[s.Name] = p
+	}
+	return p
+}
+
+// plain returns the pool of a plain service.
+func (g *Gateway) plain(name string) *plainPool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.plains[name]
+	if p == nil {
+		p = newPlainPool(g.opts.Zone)
+		g.plains[name] = p
+	}
+	return p
+}
+
+func (g *Gateway) modelPools() []*modelPool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]*modelPool, 0, len(g.models))
+	for _, p := range g.models {
+		out = append(out, p)
+	}
+	return out
+}
+
+// pruneInterval is how often idle connections are looked at.
+const pruneInterval = time.Second
+
+// Run looks at waiting requests and idle connections until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	pump := time.NewTicker(pumpInterval)
+	defer pump.Stop()
+	prune := time.NewTicker(pruneInterval)
+	defer prune.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pump.C:
+			for _, p := range g.modelPools() {
+				p.tick()
+			}
+		case <-prune.C:
+			g.opts.Client.Prune()
+		}
+	}
+}
+
+// Loads returns the work of this instance by service and replica.
+func (g *Gateway) Loads() map[string]map[string]pipeline.Load {
+	out := map[string]map[string]pipeline.Load{}
+	for _, p := range g.modelPools() {
+		p.mu.Lock()
+		out[p.name] = p.fleet.Own()
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// SetForeign takes the work of all other instances on the replicas of a service.
+func (g *Gateway) SetForeign(service string, loads map[string]pipeline.Load) {
+	g.mu.Lock()
+	p := g.models[service]
+	g.mu.Unlock()
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.SetForeign(loads)
+	p.pump(time.Now())
+}
+
+// SetRetryBound changes the bound on repeats.
+func (g *Gateway) SetRetryBound(b RetryBound) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opts.Retries = b
+	now := time.Now()
+	for _, budget := range g.budgets {
+		budget.Configure(now, g.budgetConfig())
+	}
+}
+
+// Drain refuses streams that come after the time: they could not end before the
+// process does.
+func (g *Gateway) Drain(after time.Time) { g.drainAfter.Store(after.UnixNano()) }
+
+// draining tells whether new streams are refused.
+func (g *Gateway) draining() bool {
+	at := g.drainAfter.Load()
+	return at != 0 && time.Now().UnixNano() > at
+}
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -59,6 +59,8 @@
 	inFlight atomic.Int64
 	mu       sync.Mutex
 	closing  bool
+	// draining answers ask callers to close their connections.
+	draining atomic.Bool
 	requests map[*nbio.Conn]context.CancelFunc
 	// answering holds the connections whose handler has returned while nbhttp
 	// may still be writing the end of the answer.
@@ -133,6 +135,20 @@
 	return err
 }
 
+// Drain makes every answer from now on ask the caller to close its connection.
+// Requests are served until Shutdown.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Abort closes the connection of an answer that cannot be completed, so that it
+// does not look complete to the caller.
+func Abort(w http.ResponseWriter) {
+	if aw, ok := w.(*writer); ok && aw.conn != nil {
+		_ = aw.conn.CloseWithError(errAborted)
+	}
+}
+
+var errAborted = errors.New("answer cannot be completed")
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if !s.enter() {
 		s.refuse(w)
@@ -143,14 +159,18 @@
 	defer s.inFlight.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if conn := connOf(w); conn != nil {
+	conn := connOf(w)
+	if conn != nil {
+		if s.draining.Load() {
+			r.Close = true
+		}
 		deferClose(w, r, conn)
 		// The idle timeout counts between requests, not during one.
 		_ = conn.SetReadDeadline(time.Time{})
 		s.track(conn, cancel)
 		defer s.untrack(conn)
 	}
-	s.opts.Handler.ServeHTTP(newWriter(w), r.WithContext(ctx))
+	s.opts.Handler.ServeHTTP(newWriter(w, conn), r.WithContext(ctx))
 }
 
 // deferClose leaves it to a caller that asked for it to close the connection, and
--- a/node/httpserver/writer.go
+++ b/node/httpserver/writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+
+	"github.com/lesismal/nbio"
 )
 
 // pieceBytes is the largest part of an answer of unknown length that is handed to
@@ -14,11 +16,12 @@
 type writer struct {
 	http.ResponseWriter
 	flusher http.Flusher
+	conn    *nbio.Conn // nil if unknown
 }
 
-func newWriter(w http.ResponseWriter) *writer {
+func newWriter(w http.ResponseWriter, conn *nbio.Conn) *writer {
 	f, _ := w.(http.Flusher)
-	return &writer{ResponseWriter: w, flusher: f}
+	return &writer{ResponseWriter: w, flusher: f, conn: conn}
 }
 
 // statusClass is the number of statuses in one class.
