Connections of finished streams are used again; fewer calls to the store

Cause: the context of a run was ended before its connection was given back, so that each stream opened a new connection (1,973 for 2,249 requests).

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -17,18 +17,16 @@
 const (
 	// configWait is the longest wait for a new configuration in one call. A
 	// connection that has gone silent is noticed after it.
-	configWait = 2 * time.Second
+	configWait = 3 * time.Second
 	// replicaInterval is the time between two reads of the replicas' entries. A
 	// replica that leaves must get nothing new within 2 s.
-	replicaInterval = 500 * time.Millisecond
+	replicaInterval = 800 * time.Millisecond
 	// retryInterval is the time between two calls while the store does not answer.
 	retryInterval = 250 * time.Millisecond
 	// memberTTL is how long the group keeps a member that it does not hear.
 	memberTTL = 3 * time.Second
 	// joinInterval is the time between two joins, three within memberTTL.
 	joinInterval = time.Second
-	// memberReads is the number of joins for each read of the member list.
-	memberReads = 3
 )
 
 // Options configures a Control.
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -28,7 +28,7 @@
 // keepMembership stays in the group until ctx ends, and leaves it then.
 func (c *Control) keepMembership(ctx context.Context) error {
 	var generation int64
-	for n := 0; ctx.Err() == nil && !c.retired.Load(); n++ {
+	for ctx.Err() == nil && !c.retired.Load() {
 		sent := time.Now()
 		m, err := c.opts.Group.Join(ctx, memberTTL, generation)
 		if err != nil {
@@ -36,10 +36,10 @@
 			continue
 		}
 		c.answered("membership")
-		generation = m.Generation
 		c.setDuty(sent, m)
-		if n%memberReads == 0 {
-			c.readMembers(ctx)
+		// The generation grows with each change of the members.
+		if m.Generation != generation && c.readMembers(ctx) {
+			generation = m.Generation
 		}
 		c.rest(ctx, joinInterval-time.Since(sent))
 	}
@@ -81,16 +81,19 @@
 	c.duty.until = sent.Add(memberTTL - dutyMargin)
 }
 
-func (c *Control) readMembers(ctx context.Context) {
+// readMembers tells how many instances there are; it returns false when the store
+// does not answer.
+func (c *Control) readMembers(ctx context.Context) bool {
 	members, err := c.opts.Group.Members(ctx)
 	if err != nil {
 		c.log.Info("members not read", zap.Error(err))
-		return
+		return false
 	}
 	c.opts.Gateway.SetInstances(len(members))
 	if c.opts.OnMembers != nil {
 		c.opts.OnMembers(members)
 	}
+	return true
 }
 
 // fence returns the token for orders, or false without the duty.
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -248,8 +248,11 @@
 		defer close(finished)
 		readEvents(resp.Body, events, stop)
 	}()
+	whole := false
 	defer func() {
-		cancel() // ends a read under way
+		if !whole {
+			cancel() // ends a read under way
+		}
 		close(stop)
 		<-finished
 	}()
@@ -260,6 +263,7 @@
 		case ev := <-events:
 			done, outcome, err := s.take(ctx, resp, ev)
 			if done {
+				whole = outcome == forward.Answered
 				return outcome, err
 			}
 			watch.progress()
