--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -18,6 +20,7 @@
 	"masticbank.example/node/exchange"
 	"masticbank.example/node/gateway"
 	"masticbank.example/node/httpserver"
+	"masticbank.example/node/mesh"
 	"masticbank.example/platform"
 )
 
@@ -78,6 +81,8 @@
 	gateway  *gateway.Gateway
 	metrics  *gateway.Metrics
 	control  *control.Control
+	mesh     *mesh.Mesh
+	member   string
 	callers  *httpserver.Server
 	ready    *httpserver.Server
 	metric   *httpserver.Server
@@ -103,22 +108,41 @@
 		}),
 	}
 	i.settings.Store(s)
+	// The name is new for each process: one that starts again has nothing of the
+	// duties that it held before.
+	i.member = s.Instance + "@" + s.IP + "@" + uuid.NewString()
 	i.gateway = gateway.New(gateway.Options{
-		Codec:   platform.Codec{},
-		Control: i.replicas,
-		Client:  i.client,
-		Logger:  i.log,
-		Metrics: i.metrics,
-		Zone:    s.Zone,
-		Retries: retryBound(s),
+		Codec:    platform.Codec{},
+		Control:  i.replicas,
+		Client:   i.client,
+		Logger:   i.log,
+		Metrics:  i.metrics,
+		Zone:     s.Zone,
+		Retries:  retryBound(s),
+		OnSilent: func(replica string) { i.mesh.Silent(replica) },
+	})
+	var err error
+	i.mesh, err = mesh.Start(mesh.Options{
+		Member:    i.member,
+		Zone:      s.Zone,
+		Listen:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)),
+		Cluster:   s.Store.Address,
+		Gateway:   i.gateway,
+		OnLeaving: func(replica string) { i.control.Leaving(replica) },
+		Logger:    i.log,
 	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	i.control = control.New(control.Options{
-		Configs:  platform.ConfigSource{Store: i.store},
-		Replicas: platform.ReplicaSource{Store: i.store},
-		Group:    platform.Group{Store: i.store, Member: s.Instance + "@" + s.IP},
-		Orders:   i.replicas,
-		Gateway:  i.gateway,
-		Logger:   i.log,
+		Configs:   platform.ConfigSource{Store: i.store},
+		Replicas:  platform.ReplicaSource{Store: i.store},
+		Group:     platform.Group{Store: i.store, Member: i.member},
+		Orders:    i.replicas,
+		Gateway:   i.gateway,
+		Logger:    i.log,
+		OnMembers: i.setMembers,
+		OnLeaving: i.mesh.Leaving,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
@@ -130,11 +154,26 @@
 	i.group.Go(func() error { return i.control.Run(ctx) })
 	i.group.Go(func() error { i.gateway.Run(ctx); return nil })
 	i.group.Go(func() error { i.watchSettings(ctx); return nil })
+	i.group.Go(func() error { i.mesh.Run(ctx); return nil })
 	i.log.Info("started", zap.String("version", o.Version), zap.String("zone", s.Zone), zap.String("callers", s.CallersAddress),
 		zap.String("ready", s.ReadyAddress), zap.String("store", s.Store.Address), zap.Int("metrics_port", o.MetricsPort))
 	return i, nil
 }
 
+// setMembers takes the names of all instances: instance@IP@process.
+func (i *Instance) setMembers(names []string) {
+	addresses := make(map[string]string, len(names))
+	for _, name := range names {
+		if parts := strings.Split(name, "@"); len(parts) == memberParts {
+			addresses[name] = parts[1]
+		}
+	}
+	i.mesh.SetMembers(addresses)
+}
+
+// memberParts is the number of parts of a member's name.
+const memberParts = 3
+
 func retryBound(s *platform.Settings) gateway.RetryBound {
 	return gateway.RetryBound{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
--- /dev/null
+++ b/core/layout/layout_test.go
@@ -0,0 +1,203 @@
+package layout_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/layout"
+	"masticbank.example/core/pipeline"
+)
+
+func model() *pipeline.Model {
+	return &pipeline.Model{
+		Layers: 80, LayerMB: 1750, KVTokenBytes: 590000,
+		Kinds: map[string]pipeline.Kind{
+			"h100": {Name: "h100", MemoryMB: 72000}, "a100s": {Name: "a100s", MemoryMB: 36000},
+			"l4": {Name: "l4", MemoryMB: 21600}, "t4": {Name: "t4", MemoryMB: 14400},
+		},
+	}
+}
+
+func zone(name string, kinds map[string]int) []layout.Node {
+	var out []layout.Node
+	for _, kind := range []string{"h100", "a100s", "l4", "t4"} {
+		for i := range kinds[kind] {
+			out = append(out, layout.Node{ID: fmt.Sprintf("%s-%s-%d", name, kind, i), Zone: name, Kind: kind})
+		}
+	}
+	return out
+}
+
+// fleet is one zone with a large accelerator, one with many middle ones.
+func fleet() []layout.Node {
+	nodes := zone("quito", map[string]int{"h100": 1, "a100s": 1, "l4": 5, "t4": 7})
+	return append(nodes, zone("ambato", map[string]int{"a100s": 1, "l4": 8, "t4": 3})...)
+}
+
+// carryOut does what the orders say, as if each load had ended.
+func carryOut(nodes []layout.Node, orders []layout.Order) {
+	for _, o := range orders {
+		for i := range nodes {
+			if nodes[i].ID == o.ID {
+				nodes[i].From, nodes[i].To = o.From, o.To
+			}
+		}
+	}
+}
+
+// settle plans until nothing is left to do.
+func settle(t require.TestingT, m *pipeline.Model, nodes []layout.Node) int {
+	for round := range 20 {
+		orders := layout.Plan(m, nodes)
+		if len(orders) == 0 {
+			return round
+		}
+		carryOut(nodes, orders)
+	}
+	require.Fail(t, "the layout does not settle", "%v", layout.Plan(m, nodes))
+	return 0
+}
+
+func requireFits(t require.TestingT, m *pipeline.Model, nodes []layout.Node) {
+	for _, n := range nodes {
+		require.LessOrEqual(t, n.To-n.From, m.MaxLayers(n.Kind), "%s", n.ID)
+		require.GreaterOrEqual(t, n.From, 0)
+		require.LessOrEqual(t, n.To, m.Layers)
+	}
+}
+
+func depths(m *pipeline.Model, nodes []layout.Node, zone string) []int {
+	out := make([]int, m.Layers)
+	for _, n := range nodes {
+		if zone != "" && n.Zone != zone {
+			continue
+		}
+		for l := n.From; l < n.To; l++ {
+			out[l]++
+		}
+	}
+	return out
+}
+
+func requireCovered(t require.TestingT, m *pipeline.Model, nodes []layout.Node, zone string) {
+	for l, d := range depths(m, nodes, zone) {
+		require.Positive(t, d, "layer %d in zone %q", l, zone)
+	}
+}
+
+func without(nodes []layout.Node, id string) []layout.Node {
+	var out []layout.Node
+	for _, n := range nodes {
+		if n.ID != id {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func TestFreshZonesHoldWholeModels(t *testing.T) {
+	m := model()
+	nodes := fleet()
+	carryOut(nodes, layout.Plan(m, nodes))
+	requireFits(t, m, nodes)
+	for _, z := range []string{"quito", "ambato"} {
+		requireCovered(t, m, nodes, z)
+	}
+	require.Empty(t, layout.Plan(m, nodes), "a fresh layout is left alone")
+}
+
+func TestFreshLayoutFollowsMemory(t *testing.T) {
+	m := model()
+	nodes := fleet()
+	carryOut(nodes, layout.Plan(m, nodes))
+	for _, n := range nodes {
+		room := m.Room(n.Kind, n.To-n.From) / float64(n.To-n.From)
+		require.Greater(t, room, 50_000.0, "tokens that fit beside the layers of %s", n.ID)
+	}
+}
+
+func TestAnyOneReplicaIsReplaced(t *testing.T) {
+	m := model()
+	for _, lost := range fleet() {
+		nodes := fleet()
+		settle(t, m, nodes)
+		nodes = without(nodes, lost.ID)
+		before := append([]layout.Node(nil), nodes...)
+		settle(t, m, nodes)
+		requireFits(t, m, nodes)
+		requireCovered(t, m, nodes, lost.Zone)
+		loaded := 0
+		for i := range nodes {
+			for l := nodes[i].From; l < nodes[i].To; l++ {
+				if l < before[i].From || l >= before[i].To {
+					loaded++
+				}
+			}
+		}
+		require.LessOrEqual(t, loaded, 2*m.MaxLayers(lost.Kind), "layers loaded after the loss of %s", lost.ID)
+	}
+}
+
+func TestReturnedReplicaRelievesItsNeighbours(t *testing.T) {
+	m := model()
+	nodes := fleet()
+	settle(t, m, nodes)
+	lost := nodes[1]
+	nodes = without(nodes, lost.ID)
+	settle(t, m, nodes)
+	nodes = append(nodes, layout.Node{ID: lost.ID, Zone: lost.Zone, Kind: lost.Kind})
+	settle(t, m, nodes)
+	requireCovered(t, m, nodes, lost.Zone)
+	require.Positive(t, nodes[len(nodes)-1].To)
+}
+
+func TestRandomLossesKeepZonesWhole(t *testing.T) {
+	m := model()
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleet()
+		settle(t, m, nodes)
+		for range rapid.IntRange(1, 4).Draw(t, "losses") {
+			lost := rapid.IntRange(0, len(nodes)-1).Draw(t, "lost")
+			nodes = without(nodes, nodes[lost].ID)
+			if rapid.Bool().Draw(t, "settles") {
+				settle(t, m, nodes)
+			}
+		}
+		settle(t, m, nodes)
+		requireFits(t, m, nodes)
+		requireCovered(t, m, nodes, "")
+	})
+}
+
+func TestSmallZonesAreTakenTogether(t *testing.T) {
+	m := model()
+	nodes := zone("a", map[string]int{"l4": 5})
+	nodes = append(nodes, zone("b", map[string]int{"l4": 5})...)
+	settle(t, m, nodes)
+	requireFits(t, m, nodes)
+	requireCovered(t, m, nodes, "")
+}
+
+func TestUnknownKindsGetNoOrders(t *testing.T) {
+	m := model()
+	nodes := append(fleet(), layout.Node{ID: "x", Zone: "quito", Kind: "unknown"})
+	for _, o := range layout.Plan(m, nodes) {
+		require.NotEqual(t, "x", o.ID)
+	}
+}
+
+func TestOrdersUnderWayAreNotRepeated(t *testing.T) {
+	m := model()
+	nodes := fleet()
+	for _, o := range layout.Plan(m, nodes) {
+		for i := range nodes {
+			if nodes[i].ID == o.ID {
+				nodes[i].WantFrom, nodes[i].WantTo = o.From, o.To
+			}
+		}
+	}
+	require.Empty(t, layout.Plan(m, nodes))
+}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -251,9 +251,9 @@
 }
 
 // SetForeign replaces the load of all other instances together.
-func (f *Fleet) SetForeign(loads map[string]Load) {
+func (f *Fleet) SetForeign(of func(id string) Load) {
 	for id, m := range f.replicas {
-		l := loads[id]
+		l := of(id)
 		m.foreign, m.foreignSequences, m.foreignReading = l.Reserved, l.Sequences, l.Reading
 	}
 }
--- /dev/null
+++ b/core/pipeline/pipeline_test.go
@@ -0,0 +1,204 @@
+package pipeline_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/pipeline"
+)
+
+var start = time.Unix(1000, 0)
+
+func model(layers int) *pipeline.Model {
+	return &pipeline.Model{
+		Layers: layers, LayerMB: 100, KVTokenBytes: 1000, StepMS: 1, PerSequenceMS: 0.004, PerContextMS: 0.005,
+		ReadPerMS: 100, UsualPrompt: 700, UsualOutput: 170,
+		Kinds: map[string]pipeline.Kind{
+			"large": {Name: "large", MemoryMB: 4000, StepFactor: 1, ReadFactor: 1},
+			"small": {Name: "small", MemoryMB: 1500, StepFactor: 10, ReadFactor: 8},
+		},
+	}
+}
+
+func replica(id, zone, kind string, from, to int) pipeline.Replica {
+	return pipeline.Replica{ID: id, Address: id + ":1", Zone: zone, Kind: kind, From: from, To: to}
+}
+
+// requireTiling checks that the path runs every layer once and in order on
+// replicas that hold them, each replica once.
+func requireTiling(t require.TestingT, layers int, list []pipeline.Replica, p pipeline.Path) {
+	held := map[string]pipeline.Replica{}
+	for _, r := range list {
+		held[r.ID] = r
+	}
+	seen := map[string]bool{}
+	at := 0
+	for _, h := range p {
+		require.Equal(t, at, h.From)
+		require.Less(t, h.From, h.To)
+		require.False(t, seen[h.ID], "replica %s twice", h.ID)
+		seen[h.ID] = true
+		require.GreaterOrEqual(t, h.From, held[h.ID].From)
+		require.LessOrEqual(t, h.To, held[h.ID].To)
+		at = h.To
+	}
+	require.Equal(t, layers, at)
+}
+
+func TestChosenPathsTileAllLayers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const layers = 12
+		f := pipeline.NewFleet(model(layers))
+		var list []pipeline.Replica
+		n := rapid.IntRange(1, 14).Draw(t, "replicas")
+		for i := range n {
+			from := rapid.IntRange(0, layers-1).Draw(t, "from")
+			to := rapid.IntRange(from+1, layers).Draw(t, "to")
+			kind := rapid.SampledFrom([]string{"large", "small"}).Draw(t, "kind")
+			zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+			list = append(list, replica(fmt.Sprintf("r%02d", i), zone, kind, from, to))
+		}
+		f.Set(list)
+		c, ok := f.Choose(start, pipeline.Demand{Prompt: 10, Output: 5}, pipeline.Constraint{})
+		if ok {
+			requireTiling(t, layers, list, c.Path)
+		} else {
+			require.False(t, f.Covered(start), "all layers are held, and yet there is no path")
+		}
+	})
+}
+
+// TestChooseMatchesBruteForce compares with all paths over whole ranges: when no
+// two replicas overlap, nothing else is possible.
+func TestChooseMatchesBruteForce(t *testing.T) {
+	const layers = 9
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		f := pipeline.NewFleet(model(layers))
+		var list []pipeline.Replica
+		for _, part := range [][2]int{{0, 3}, {3, 6}, {6, 9}} {
+			for i := range 1 + random.IntN(3) {
+				zone := string(rune('a' + random.IntN(3)))
+				kind := []string{"large", "small"}[random.IntN(2)]
+				list = append(list, replica(fmt.Sprintf("r%d-%d", part[0], i), zone, kind, part[0], part[1]))
+			}
+		}
+		f.Set(list)
+		d := pipeline.Demand{Prompt: 50, Output: 20}
+		got, ok := f.Choose(start, d, pipeline.Constraint{})
+		require.True(t, ok)
+		best := -1.0
+		for _, a := range list {
+			for _, b := range list {
+				for _, c := range list {
+					if a.From != 0 || b.From != 3 || c.From != 6 {
+						continue
+					}
+					only := map[string]bool{}
+					for _, r := range list {
+						only[r.ID] = r.ID != a.ID && r.ID != b.ID && r.ID != c.ID
+					}
+					one, ok := f.Choose(start, d, pipeline.Constraint{Avoid: only})
+					require.True(t, ok)
+					if best < 0 || one.Cost < best {
+						best = one.Cost
+					}
+				}
+			}
+		}
+		require.InDelta(t, best, got.Cost, 1e-6)
+	}
+}
+
+func TestPathsStayInTheirZone(t *testing.T) {
+	f := pipeline.NewFleet(model(8))
+	f.Set([]pipeline.Replica{
+		replica("a1", "a", "large", 0, 4), replica("a2", "a", "large", 4, 8),
+		replica("b1", "b", "large", 0, 4), replica("b2", "b", "large", 4, 8),
+	})
+	d := pipeline.Demand{Prompt: 100, Output: 50}
+	zones := map[string]int{}
+	for range 10 {
+		c, ok := f.Choose(start, d, pipeline.Constraint{})
+		require.True(t, ok)
+		f.Reserve(c.Path, d)
+		require.Equal(t, c.Path[0].Zone, c.Path[1].Zone)
+		zones[c.Path[0].Zone]++
+	}
+	require.Equal(t, map[string]int{"a": 5, "b": 5}, zones)
+}
+
+func TestFullReplicasAreNotChosen(t *testing.T) {
+	m := model(4)
+	f := pipeline.NewFleet(m)
+	f.Set([]pipeline.Replica{replica("a", "z", "small", 0, 4)})
+	d := pipeline.Demand{Prompt: 1000, Output: 100}
+	room := m.Room("small", 4) / 4 / 1100
+	n := 0
+	for ; n < 10_000; n++ {
+		c, ok := f.Choose(start, d, pipeline.Constraint{})
+		if !ok {
+			break
+		}
+		f.Reserve(c.Path, d)
+	}
+	require.Positive(t, n)
+	require.LessOrEqual(t, float64(n), room)
+	require.Greater(t, float64(n+2), room*0.9)
+}
+
+func TestForeignLoadCounts(t *testing.T) {
+	m := model(4)
+	f := pipeline.NewFleet(m)
+	f.Set([]pipeline.Replica{replica("a", "z", "small", 0, 4), replica("b", "z", "small", 0, 4)})
+	f.SetForeign(func(id string) pipeline.Load {
+		if id == "a" {
+			return pipeline.Load{Reserved: m.Room("small", 4), Sequences: 40}
+		}
+		return pipeline.Load{}
+	})
+	c, ok := f.Choose(start, pipeline.Demand{Prompt: 10, Output: 10}, pipeline.Constraint{})
+	require.True(t, ok)
+	require.Equal(t, "b", c.Path[0].ID)
+}
+
+func TestRepathKeepsTheFirstPart(t *testing.T) {
+	f := pipeline.NewFleet(model(8))
+	f.Set([]pipeline.Replica{
+		replica("a1", "a", "large", 0, 4), replica("a2", "a", "large", 4, 8), replica("a3", "a", "small", 4, 8),
+		replica("b1", "b", "large", 0, 8),
+	})
+	c, ok := f.Choose(start, pipeline.Demand{Prompt: 10, Output: 5}, pipeline.Constraint{First: "a1", FirstTo: 4, Avoid: map[string]bool{"a2": true}})
+	require.True(t, ok)
+	require.Equal(t, "a1", c.Path[0].ID)
+	require.Equal(t, 4, c.Path[0].To)
+	require.False(t, c.Path.Uses("a2"))
+}
+
+func TestBlockedReplicasAreAvoidedForATime(t *testing.T) {
+	f := pipeline.NewFleet(model(4))
+	f.Set([]pipeline.Replica{replica("a", "z", "large", 0, 4)})
+	f.Block("a", start.Add(time.Second), "silent")
+	_, ok := f.Choose(start, pipeline.Demand{}, pipeline.Constraint{})
+	require.False(t, ok)
+	_, ok = f.Choose(start.Add(time.Second), pipeline.Demand{}, pipeline.Constraint{})
+	require.True(t, ok)
+}
+
+func TestReleaseGivesBackWhatReserveTook(t *testing.T) {
+	f := pipeline.NewFleet(model(4))
+	f.Set([]pipeline.Replica{replica("a", "z", "large", 0, 4)})
+	d := pipeline.Demand{Prompt: 100, Output: 50}
+	c, _ := f.Choose(start, d, pipeline.Constraint{})
+	f.Reserve(c.Path, d)
+	f.Reading(c.Path, d, 1)
+	require.Equal(t, map[string]pipeline.Load{"a": {Reserved: 600, Sequences: 1, Reading: 400}}, f.Own())
+	f.Reading(c.Path, d, -1)
+	f.Release(c.Path, d)
+	require.Empty(t, f.Own())
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,117 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string, sequence int64) roster.Entry {
+	return roster.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a", Born: 100, Sequence: sequence}
+}
+
+func usable(r *roster.Roster) []string {
+	var ids []string
+	for _, e := range r.Usable("s") {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+func TestLeavingReplicasGetNoNewWork(t *testing.T) {
+	r := roster.New()
+	require.Equal(t, roster.Joined, r.Put(entry("a", 1)))
+	e := entry("a", 2)
+	e.State = roster.Draining
+	require.Equal(t, roster.Left, r.Put(e))
+	require.Empty(t, usable(r))
+	require.Equal(t, roster.Same, r.Put(entry("a", 3)), "a replica that leaves stays so until it restarts")
+	require.Empty(t, usable(r))
+	again := entry("a", 1)
+	again.Born = 200
+	require.Equal(t, roster.Joined, r.Put(again))
+	require.Equal(t, []string{"a"}, usable(r))
+}
+
+func TestOlderWordsAreIgnored(t *testing.T) {
+	r := roster.New()
+	e := entry("a", 5)
+	e.Layers = &roster.Layers{From: 0, To: 4}
+	r.Put(e)
+	require.Equal(t, roster.Same, r.Put(entry("a", 4)))
+	old := entry("a", 9)
+	old.Born = 50
+	require.Equal(t, roster.Same, r.Put(old))
+	got, _, _ := r.Get("a")
+	require.NotNil(t, got.Layers)
+}
+
+func TestHeartbeatsAloneChangeNothing(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	require.Equal(t, roster.Same, r.Put(entry("a", 2)))
+}
+
+func TestLayersAreAnUpdate(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	e := entry("a", 2)
+	e.Layers = &roster.Layers{From: 0, To: 4}
+	require.Equal(t, roster.Updated, r.Put(e))
+}
+
+func TestRemovalIsLeaving(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	require.Equal(t, roster.Left, r.Remove(start, "a"))
+	require.Empty(t, usable(r))
+	require.Equal(t, roster.Same, r.Remove(start, "a"))
+}
+
+func TestEntriesThatLapsedInAnOutageHaveTimeToComeBack(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	r.Put(entry("b", 1))
+	r.StoreAway()
+	r.StoreBack(start)
+	require.Equal(t, roster.Lapsed, r.Remove(start.Add(time.Second), "a"))
+	require.Equal(t, roster.Lapsed, r.Remove(start.Add(time.Second), "b"))
+	require.Equal(t, []string{"a", "b"}, usable(r))
+	require.Equal(t, roster.Updated, r.Put(entry("a", 2)))
+	require.Empty(t, r.Expire(start.Add(2*time.Second)))
+	require.Equal(t, []string{"b"}, r.Expire(start.Add(3*time.Second)))
+	require.Equal(t, []string{"a"}, usable(r))
+}
+
+func TestLeavingInAnOutageIsFinal(t *testing.T) {
+	r := roster.New()
+	e := entry("a", 1)
+	e.State = roster.Draining
+	r.Put(e)
+	r.StoreAway()
+	require.Equal(t, roster.Left, r.Remove(start, "a"))
+	require.Zero(t, r.Len())
+}
+
+func TestFullListRemovesWhatIsMissing(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	r.Put(entry("b", 1))
+	changes := r.Replace(start, []roster.Entry{entry("b", 2), entry("c", 1)})
+	require.Equal(t, map[string]roster.Change{"a": roster.Left, "c": roster.Joined}, changes)
+	require.Equal(t, []string{"b", "c"}, usable(r))
+}
+
+func TestLeaveOnAnothersWord(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	require.False(t, r.Leave("a", 99), "another start of the replica")
+	require.True(t, r.Leave("a", 100))
+	require.False(t, r.Leave("a", 100))
+	require.Empty(t, usable(r))
+}
--- /dev/null
+++ b/core/routing/table_test.go
@@ -0,0 +1,59 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/routing"
+)
+
+func table() *routing.Table {
+	return routing.NewTable(&routing.Config{
+		Version: 3,
+		Routes: []routing.Route{
+			{Name: "all", Host: "A.example", PathPrefix: "/"},
+			{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+			{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+			{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+		},
+		Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}},
+		Services:   []routing.Service{{Name: "s"}},
+	})
+}
+
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	tab := table()
+	for path, want := range map[string]string{"/x/y/z": "long", "/x/y": "short", "/x/": "short", "/x": "all", "/": "all"} {
+		require.Equal(t, want, tab.Route("a.example:80", path).Name, path)
+	}
+	require.Equal(t, "other", tab.Route("B.EXAMPLE", "/x/1").Name)
+	require.Nil(t, tab.Route("b.example", "/y/"))
+	require.Nil(t, tab.Route("c.example", "/"))
+}
+
+func TestKeys(t *testing.T) {
+	tab := table()
+	require.True(t, tab.NeedsKeys())
+	require.Equal(t, "w", tab.Workspace("k2").Name)
+	require.Nil(t, tab.Workspace(""))
+	require.NotNil(t, tab.Service("s"))
+	require.Nil(t, tab.Service("t"))
+}
+
+func TestPickByWeight(t *testing.T) {
+	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	require.Equal(t, "a", r.Pick(0))
+	require.Equal(t, "a", r.Pick(0.89))
+	require.Equal(t, "b", r.Pick(0.91))
+	require.Empty(t, (&routing.Route{}).Pick(0.5))
+	none := routing.Route{Targets: []routing.Target{{Service: "a"}}}
+	require.Empty(t, none.Pick(0.5))
+}
+
+func TestRepeatable(t *testing.T) {
+	require.True(t, (&routing.Route{Kind: routing.Idempotent}).Repeatable())
+	require.False(t, (&routing.Route{Kind: routing.NonIdempotent, Resumable: true}).Repeatable())
+	require.False(t, (&routing.Route{Kind: routing.Streaming}).Repeatable())
+	require.True(t, (&routing.Route{Kind: routing.Streaming, Resumable: true}).Repeatable())
+}
--- /dev/null
+++ b/core/waitlist/waitlist_test.go
@@ -0,0 +1,66 @@
+package waitlist_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"masticbank.example/core/waitlist"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestOrder(t *testing.T) {
+	var l waitlist.List
+	late := &waitlist.Item{Rank: 2}
+	second := &waitlist.Item{Rank: 1}
+	returned := &waitlist.Item{Rank: 1, Returned: true}
+	urgent := &waitlist.Item{Rank: 0}
+	for _, it := range []*waitlist.Item{late, second, returned, urgent} {
+		l.Add(it)
+	}
+	for _, want := range []*waitlist.Item{urgent, returned, second, late} {
+		require.Same(t, want, l.First())
+		require.True(t, l.Remove(want))
+	}
+	require.Nil(t, l.First())
+	require.False(t, l.Remove(late))
+}
+
+func TestExpired(t *testing.T) {
+	var l waitlist.List
+	a := &waitlist.Item{GiveUp: start}
+	b := &waitlist.Item{GiveUp: start.Add(time.Second)}
+	l.Add(a)
+	l.Add(b)
+	require.Equal(t, []*waitlist.Item{a}, l.Expired(start))
+	require.Same(t, b, l.First())
+	require.Equal(t, 1, l.Len())
+}
+
+// TestMatchesSorting compares with a stable sort by rank and return.
+func TestMatchesSorting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l waitlist.List
+		var naive []*waitlist.Item
+		for range rapid.IntRange(0, 20).Draw(t, "items") {
+			it := &waitlist.Item{Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Returned: rapid.Bool().Draw(t, "returned")}
+			l.Add(it)
+			naive = append(naive, it)
+		}
+		for rank := range 3 {
+			for _, returned := range []bool{true, false} {
+				for _, it := range naive {
+					if it.Rank != rank || it.Returned != returned {
+						continue
+					}
+					require.Same(t, it, l.First())
+					l.Remove(it)
+				}
+			}
+		}
+		require.Zero(t, l.Len())
+	})
+}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -39,6 +39,8 @@
 	Logger   *zap.Logger
 	// OnMembers, if set, is called with the names of all members.
 	OnMembers func([]string)
+	// OnLeaving, if set, is called with the ID of a replica that begins to leave.
+	OnLeaving func(replica string)
 }
 
 // Control runs the connection of one instance to the store. It is safe for
@@ -174,3 +176,16 @@
 	c.opts.Gateway.SetReplicas(c.roster.Usable)
 	c.configured.Store(true)
 }
+
+// Leaving takes another instance's word that a replica is leaving. It counts only
+// while the store does not answer here.
+func (c *Control) Leaving(id string) {
+	c.mu.Lock()
+	e, _, ok := c.roster.Get(id)
+	marked := ok && c.store.away && c.roster.Leave(id, e.Born)
+	if marked {
+		c.log.Info("replica leaves, another instance says", zap.String("replica", id))
+	}
+	c.mu.Unlock()
+	c.publish(marked)
+}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -141,6 +141,9 @@
 		fields = append(fields, zap.Int("from", e.Layers.From), zap.Int("to", e.Layers.To))
 	}
 	c.log.Info("replica changed", fields...)
+	if change == roster.Left && c.opts.OnLeaving != nil {
+		c.opts.OnLeaving(id)
+	}
 }
 
 // expire removes the entries that did not come back after an outage.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Zone string
 	// Retries bounds the repeats for all instances together.
 	Retries RetryBound
+	// OnSilent, if set, is called with a replica that gives no sign of life.
+	OnSilent func(replica string)
 }
 
 // RetryBound is the bound on repeats of one service for all instances: ratio
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -215,7 +215,7 @@
 	s.avoid[first.ID] = true
 	var ee *exchange.Error
 	if errors.As(err, &ee) && !ee.Sent && !errors.Is(err, context.Canceled) {
-		s.pool.block(first.ID, deadBlock, "no connection")
+		s.silent(first.ID, "no connection")
 	}
 }
 
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -231,18 +231,18 @@
 	g.choice = c
 }
 
-// block takes a replica out of new paths for a while.
-func (p *modelPool) block(id string, d time.Duration, why string) {
+// block takes a replica out of new paths for a while. It returns whether it was
+// out of use already.
+func (p *modelPool) block(id string, d time.Duration, why string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if id == "" {
-		return
-	}
-	if !p.fleet.Blocked(id, now) {
+	was := p.fleet.Blocked(id, now)
+	if !was {
 		p.log.Info("replica taken out of use", zap.String("replica", id), zap.String("why", why), zap.Duration("for", d))
 	}
 	p.fleet.Block(id, now.Add(d), why)
+	return was
 }
 
 // idAt returns the ID of the replica with the address, or "".
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -109,18 +109,30 @@
 	return out
 }
 
-// SetForeign takes the work of all other instances on the replicas of a service.
-func (g *Gateway) SetForeign(service string, loads map[string]pipeline.Load) {
-	g.mu.Lock()
-	p := g.models[service]
-	g.mu.Unlock()
-	if p == nil {
-		return
+// SetForeign takes the work of all other instances by replica.
+func (g *Gateway) SetForeign(of func(replica string) pipeline.Load) {
+	for _, p := range g.modelPools() {
+		p.mu.Lock()
+		p.fleet.SetForeign(of)
+		p.pump(time.Now())
+		p.mu.Unlock()
+	}
+}
+
+// suspectBlock is how long a replica is out of use that another instance found
+// silent.
+const suspectBlock = 2 * time.Second
+
+// Suspect takes a replica out of use that another instance found silent.
+func (g *Gateway) Suspect(replica string) {
+	for _, p := range g.modelPools() {
+		p.mu.Lock()
+		_, known := p.fleet.Replica(replica)
+		p.mu.Unlock()
+		if known {
+			p.block(replica, suspectBlock, "silent for another instance")
+		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fleet.SetForeign(loads)
-	p.pump(time.Now())
 }
 
 // SetRetryBound changes the bound on repeats.
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -69,8 +69,7 @@
 		if ctx.Err() != nil || silent < silentLimit {
 			return false
 		}
-		s.pool.block(first.ID, deadBlock, "no report")
-		s.avoid[first.ID] = true
+		s.silent(first.ID, "no report")
 		return true
 	}
 	address, stalled := report.Stalled[s.ID]
@@ -79,8 +78,7 @@
 	}
 	dead := s.pool.idAt(address)
 	if dead != "" {
-		s.pool.block(dead, deadBlock, "requests stall there")
-		s.avoid[dead] = true
+		s.silent(dead, "requests stall there")
 	}
 	if w.repath(ctx, first) {
 		w.timer.Reset(s.grant.choice.FirstToken + firstSuspicion)
@@ -89,6 +87,16 @@
 	return s.route.Repeatable()
 }
 
+// silent takes a replica that gives no sign of life out of use here and at the
+// other instances.
+func (s *stream) silent(id, why string) {
+	s.avoid[id] = true
+	known := s.pool.block(id, deadBlock, why)
+	if !known && s.g.opts.OnSilent != nil {
+		s.g.opts.OnSilent(id)
+	}
+}
+
 // repath moves the running request to a path without the replicas that failed.
 func (w *watch) repath(ctx context.Context, first pipeline.Hop) bool {
 	s := w.s
--- /dev/null
+++ b/node/mesh/mesh.go
@@ -0,0 +1,236 @@
+// Package mesh tells the other entry instances what this one has on the replicas,
+// which replicas it found silent and which are leaving, and hands what they tell
+// to the gateway. Everything may be lost: it only makes choices better.
+package mesh
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/node/peer"
+	"masticbank.example/node/peer/peerpb"
+)
+
+const (
+	// tellPeriod is the shortest time between two messages about load. A usual
+	// request lasts several seconds.
+	tellPeriod = 150 * time.Millisecond
+	// periodForPeer lengthens it with the number of instances, so that what an
+	// instance receives is bounded.
+	periodForPeer = 10 * time.Millisecond
+	// staleAfter is the number of periods after which the load of a silent peer is
+	// dropped.
+	staleAfter = 20
+	// unit is what reserved and reading figures are told in.
+	unit = 1000
+)
+
+// Gateway is the part of the gateway that is needed.
+type Gateway interface {
+	// Loads returns the work of this instance by service and replica.
+	Loads() map[string]map[string]pipeline.Load
+	// SetForeign takes the work of all other instances by replica.
+	SetForeign(func(replica string) pipeline.Load)
+	// Suspect takes a replica that another instance found silent out of use.
+	Suspect(replica string)
+}
+
+// Options configures a Mesh.
+type Options struct {
+	// Member is the unique name of this process.
+	Member string
+	Zone   string
+	// Listen is the address for peers.
+	Listen string
+	// Cluster is what all instances have in common; the key by which peers know
+	// each other is made from it.
+	Cluster string
+	Gateway Gateway
+	// OnLeaving is called with the ID of a replica that a peer saw leaving.
+	OnLeaving func(replica string)
+	Logger    *zap.Logger
+}
+
+// Mesh is safe for concurrent use.
+type Mesh struct {
+	opts Options
+	node *peer.Node
+
+	mu    sync.Mutex
+	peers int
+	loads map[string]*peerLoads
+}
+
+type peerLoads struct {
+	at    time.Time
+	loads []*peerpb.UpstreamLoad
+}
+
+// Start listens for peers.
+func Start(o Options) (*Mesh, error) {
+	key := sha256.Sum256([]byte("masticbank peers of " + o.Cluster))
+	m := &Mesh{opts: o, loads: map[string]*peerLoads{}}
+	node, err := peer.New(peer.Options{
+		ID: o.Member,
+		// The name is new for each process, so that one incarnation is enough. The
+		// time of day would not do: it may step back.
+		Incarnation: 1,
+		Zone:        o.Zone,
+		Listen:      o.Listen,
+		Key:         key[:],
+		Logger:      o.Logger,
+		Handler:     &handler{mesh: m},
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := node.Start(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	m.node = node
+	return m, nil
+}
+
+// SetMembers replaces the set of peers: the names and IP addresses of all
+// members, this one included. All listen on the same port.
+func (m *Mesh) SetMembers(addresses map[string]string) {
+	_, port, err := net.SplitHostPort(m.opts.Listen)
+	if err != nil {
+		m.opts.Logger.Error("address for peers", zap.Error(err))
+		return
+	}
+	var peers []peer.Peer
+	for name, ip := range addresses {
+		peers = append(peers, peer.Peer{ID: name, Address: net.JoinHostPort(ip, port)})
+	}
+	m.mu.Lock()
+	m.peers = len(peers)
+	m.mu.Unlock()
+	m.node.SetPeers(peers)
+}
+
+// Run tells and takes loads until ctx ends.
+func (m *Mesh) Run(ctx context.Context) {
+	for {
+		t := time.NewTimer(m.period())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+			m.tell()
+			m.take(time.Now())
+		}
+	}
+}
+
+func (m *Mesh) period() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(tellPeriod, time.Duration(m.peers)*periodForPeer)
+}
+
+// Close ends the sessions.
+func (m *Mesh) Close(ctx context.Context) error { return trace.Wrap(m.node.Close(ctx)) }
+
+// Silent tells the peers of a replica that gives no sign of life.
+func (m *Mesh) Silent(replica string) {
+	m.broadcast(&peerpb.Suspicion{Upstream: replica})
+}
+
+// Leaving tells the peers of a replica that is to get no new work.
+func (m *Mesh) Leaving(replica string) {
+	m.broadcast(&peerpb.Leaving{Upstream: replica})
+}
+
+// key shortens the ID of a replica.
+func key(replica string) uint32 { return uint32(xxhash.Sum64String(replica)) }
+
+// tell sends the work of this instance.
+func (m *Mesh) tell() {
+	message := &peerpb.UpstreamLoads{}
+	for _, loads := range m.opts.Gateway.Loads() {
+		for id, l := range loads {
+			message.Loads = append(message.Loads, &peerpb.UpstreamLoad{
+				Upstream:  key(id),
+				Sequences: uint32(l.Sequences),
+				Reserved:  uint32(l.Reserved / unit),
+				Reading:   uint32(l.Reading / unit),
+			})
+		}
+	}
+	m.broadcast(message)
+}
+
+// take adds up what the peers told and hands it to the gateway.
+func (m *Mesh) take(now time.Time) {
+	oldest := now.Add(-staleAfter * m.period())
+	sum := map[uint32]pipeline.Load{}
+	m.mu.Lock()
+	for id, p := range m.loads {
+		if p.at.Before(oldest) {
+			delete(m.loads, id)
+			continue
+		}
+		for _, l := range p.loads {
+			s := sum[l.GetUpstream()]
+			s.Sequences += float64(l.GetSequences())
+			s.Reserved += float64(l.GetReserved()) * unit
+			s.Reading += float64(l.GetReading()) * unit
+			sum[l.GetUpstream()] = s
+		}
+	}
+	m.mu.Unlock()
+	m.opts.Gateway.SetForeign(func(replica string) pipeline.Load { return sum[key(replica)] })
+}
+
+func (m *Mesh) broadcast(message proto.Message) {
+	if _, err := m.node.Broadcast(message); err != nil {
+		m.opts.Logger.Error("message to peers", zap.Error(err))
+	}
+}
+
+// handler takes what peers send.
+type handler struct {
+	peer.NopHandler
+	mesh *Mesh
+}
+
+// PeerUp implements peer.Handler.
+func (h *handler) PeerUp(info peer.Info) {
+	h.mesh.opts.Logger.Info("peer connected", zap.String("peer", info.ID), zap.String("zone", info.Zone))
+}
+
+// PeerDown implements peer.Handler. The load of the peer counts until it is
+// stale: its requests go on if only the session broke.
+func (h *handler) PeerDown(info peer.Info) {
+	h.mesh.opts.Logger.Info("peer lost", zap.String("peer", info.ID))
+}
+
+// UpstreamLoads implements peer.Handler.
+func (h *handler) UpstreamLoads(from string, loads *peerpb.UpstreamLoads) {
+	h.mesh.mu.Lock()
+	defer h.mesh.mu.Unlock()
+	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads()}
+}
+
+// Suspicion implements peer.Handler.
+func (h *handler) Suspicion(_ string, s *peerpb.Suspicion) {
+	h.mesh.opts.Gateway.Suspect(s.GetUpstream())
+}
+
+// Leaving implements peer.Handler.
+func (h *handler) Leaving(_ string, l *peerpb.Leaving) {
+	if h.mesh.opts.OnLeaving != nil {
+		h.mesh.opts.OnLeaving(l.GetUpstream())
+	}
+}
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -39,6 +39,8 @@
 	Suspicion(from string, suspicion *peerpb.Suspicion)
 	// Leaving is called when an upstream is to get no new work.
 	Leaving(from string, leaving *peerpb.Leaving)
+	// UpstreamLoads is called for the peer's work on all upstreams.
+	UpstreamLoads(from string, loads *peerpb.UpstreamLoads)
 }
 
 // NopHandler ignores everything. Embed it to implement some methods only.
@@ -69,3 +71,6 @@
 
 // Leaving implements Handler.
 func (NopHandler) Leaving(string, *peerpb.Leaving) {}
+
+// UpstreamLoads implements Handler.
+func (NopHandler) UpstreamLoads(string, *peerpb.UpstreamLoads) {}
--- a/node/peer/queue.go
+++ b/node/peer/queue.go
@@ -14,7 +14,7 @@
 
 // queue holds the messages that wait for one session. Pushing never blocks:
 // a full part loses its oldest message. Heartbeats and configuration states
-// supersede each other, so only the latest is kept. It is safe for concurrent
+// supersede each other, and so do loads, so only the latest is kept. It is safe for concurrent
 // use.
 type queue struct {
 	// ready has a token while the queue may hold a message or is closed.
@@ -25,6 +25,7 @@
 	notices   []*peerpb.Envelope
 	state     *peerpb.Envelope
 	digests   []*peerpb.Envelope
+	loads     *peerpb.Envelope
 	dropped   uint64
 	closed    bool
 }
@@ -51,6 +52,8 @@
 		q.state = message
 	case *peerpb.Envelope_Digest:
 		q.addDigest(message)
+	case *peerpb.Envelope_UpstreamLoads:
+		q.loads = message
 	default:
 		q.notices = q.bounded(q.notices, message, maxQueuedNotices)
 	}
@@ -89,6 +92,8 @@
 		message, q.notices = q.notices[0], q.notices[1:]
 	case q.state != nil:
 		message, q.state = q.state, nil
+	case q.loads != nil:
+		message, q.loads = q.loads, nil
 	case len(q.digests) > 0:
 		message, q.digests = q.digests[0], q.digests[1:]
 	}
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -171,6 +171,8 @@
 		handler.Suspicion(s.remoteID, body.Suspicion)
 	case *peerpb.Envelope_Leaving:
 		handler.Leaving(s.remoteID, body.Leaving)
+	case *peerpb.Envelope_UpstreamLoads:
+		handler.UpstreamLoads(s.remoteID, body.UpstreamLoads)
 	}
 	n.pull(s)
 	return nil
