After a loss the whole zone is balanced; reservations count part of the output

Cause: the layers of a replica that was gone went to its nearest neighbours, whose KV cache then bounded the whole zone (41,000 tokens at a t4 with 7 layers against 88,000 before), so that requests were refused for want of room. Change: core/layout closes the gap first, then moves layers within the zone until each replica holds its share by memory: load first, give up after. A request reserves 0.6 of its expected output, as it holds none of it at first.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"masticbank.example/core/pipeline"
@@ -21,11 +20,14 @@
 	// long before the accelerators are busy.
 	cacheShare = 0.3
 	// leastCacheShare is the part of a replica's memory that is kept for the KV
-	// cache when it takes over layers of a replica that is gone.
+	// cache in any case.
 	leastCacheShare = 0.12
-	// shrinkSlack is the number of layers over its fair share that a replica
-	// keeps before it gives up layers that others hold too.
-	shrinkSlack = 1
+	// stopgapCacheShare is the same while the layers of a replica that is gone are
+	// taken over by as few neighbours as can; after that the island is balanced.
+	stopgapCacheShare = 0.25
+	// worthwhile is the factor by which the room of the weakest layer must grow for
+	// layers to be moved between replicas that work.
+	worthwhile = 1.15
 )
 
 // Node is a replica that takes layers.
@@ -134,7 +136,9 @@
 	}
 	p.fillWithEmpty()
 	p.fillWithNeighbors()
-	p.shrink()
+	if len(p.orders) == 0 && !p.underWay() {
+		p.balance()
+	}
 	return p.orders
 }
 
@@ -298,65 +302,6 @@
 	return out
 }
 
-// fair returns the number of layers that suits the node's memory.
-func (p *plan) fair(n *Node) int {
-	share := float64(p.model.Layers*p.copies) * p.memoryOf(n) / p.memory
-	return max(1, min(most(p.model, n.Kind, leastCacheShare), int(math.Round(share))))
-}
-
-// fillWithEmpty gives layers to empty nodes: the gaps first, then the layers
-// with the least KV cache.
-func (p *plan) fillWithEmpty() {
-	for {
-		n := p.largestEmpty()
-		if n == nil {
-			return
-		}
-		size := p.fair(n)
-		from, to := p.gap()
-		if to > from {
-			size = min(most(p.model, n.Kind, leastCacheShare), max(size, to-from))
-			start := from
-			if size > to-from {
-				// Neighbours that are crowded get rid of the layers beside the gap.
-				start = p.weakest(size, max(0, to-size), from)
-			}
-			p.order(n, start, min(p.model.Layers, start+size), "gap")
-			continue
-		}
-		start := p.weakest(size, 0, p.model.Layers-size)
-		p.order(n, start, start+size, "least room")
-	}
-}
-
-func (p *plan) largestEmpty() *Node {
-	var best *Node
-	for i := range p.nodes {
-		n := &p.nodes[i]
-		if n.empty() && (best == nil || p.memoryOf(n) > p.memoryOf(best)) {
-			best = n
-		}
-	}
-	return best
-}
-
-// weakest returns the start between low and high of the window of layers with
-// the least KV cache.
-func (p *plan) weakest(size, low, high int) int {
-	tokens := p.tokens()
-	best, bestSum := low, math.Inf(1)
-	for start := low; start <= high && start+size <= p.model.Layers; start++ {
-		sum := 0.0
-		for l := start; l < start+size; l++ {
-			sum += tokens[l]
-		}
-		if sum < bestSum {
-			best, bestSum = start, sum
-		}
-	}
-	return best
-}
-
 // fillWithNeighbors closes a gap by nodes that hold the layers beside it: as few
 // as can take it.
 func (p *plan) fillWithNeighbors() {
@@ -371,6 +316,13 @@
 func (p *plan) closeGap(from, to int) bool {
 	left := p.chain(from, -1)
 	right := p.chain(to, 1)
+	return p.closeWith(left, right, from, to, stopgapCacheShare) ||
+		p.closeWith(left, right, from, to, leastCacheShare)
+}
+
+// closeWith closes the gap by the nearest nodes of the chains to its left and
+// right that have the free memory.
+func (p *plan) closeWith(left, right []*Node, from, to int, free float64) bool {
 	for k := 1; k <= max(len(left), len(right)); k++ {
 		l := left[:min(k, len(left))]
 		r := right[:min(k, len(right))]
@@ -387,7 +339,7 @@
 		if len(r) > 0 {
 			_, end = r[len(r)-1].span()
 		}
-		if p.extend(nodes, start, end) {
+		if p.extend(nodes, start, end, free) {
 			return true
 		}
 	}
@@ -427,8 +379,8 @@
 
 // extend shares the layers start..end among the nodes. A node goes on holding
 // what it has, as far as its memory allows, until others hold it too.
-func (p *plan) extend(nodes []*Node, start, end int) bool {
-	sizes, ok := p.sizes(nodes, end-start, leastCacheShare)
+func (p *plan) extend(nodes []*Node, start, end int, free float64) bool {
+	sizes, ok := p.sizes(nodes, end-start, free)
 	if !ok {
 		return false
 	}
@@ -447,34 +399,3 @@
 	}
 	return true
 }
-
-// shrink lets nodes that hold more than their share give up layers at an end
-// that another node holds already.
-func (p *plan) shrink() {
-	held := make([]int, p.model.Layers)
-	for i := range p.nodes {
-		n := &p.nodes[i]
-		if n.ordered() {
-			continue // until the order is done, the range held is uncertain
-		}
-		for l := n.From; l < min(n.To, len(held)); l++ {
-			held[l]++
-		}
-	}
-	for i := range p.nodes {
-		n := &p.nodes[i]
-		if n.ordered() || n.To-n.From <= p.fair(n)+shrinkSlack {
-			continue
-		}
-		from, to := n.From, n.To
-		for to-from > p.fair(n) && held[from] >= p.copies+1 {
-			held[from]--
-			from++
-		}
-		for to-from > p.fair(n) && held[to-1] >= p.copies+1 {
-			held[to-1]--
-			to--
-		}
-		p.order(n, from, to, "held twice")
-	}
-}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -45,8 +45,12 @@
 	Written float64
 }
 
-// tokens returns the largest context that is expected.
-func (d Demand) tokens() float64 { return d.Prompt + d.Output }
+// outputShare is the part of the expected output that is reserved: a request
+// holds none of it at first and all of it at its end.
+const outputShare = 0.6
+
+// tokens returns the context to reserve.
+func (d Demand) tokens() float64 { return d.Prompt + d.Output*outputShare }
 
 // load is the work on one replica.
 type load struct {
