Crossings cost more on busy pipes; silent replicas leave the layout at once

A dead replica stayed in the layout until its entry lapsed, 3.6 s later. Rejections came from replicas that had given layers up and kept their weights until the requests passing through had ended: 9 of 558 showed more than 0.75 of the room in use. Change: pipe use is averaged, told between instances, and raises the cost; a replica that requests stall at is left out of the layout until two heartbeats show that it lives; room of given-up layers counts 6 s later; layers are moved between working replicas only where a quarter of the memory stays free and the weakest layer gains 1.3 times.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -112,14 +112,17 @@
 	// duties that it held before.
 	i.member = s.Instance + "@" + s.IP + "@" + uuid.NewString()
 	i.gateway = gateway.New(gateway.Options{
-		Codec:    platform.Codec{},
-		Control:  i.replicas,
-		Client:   i.client,
-		Logger:   i.log,
-		Metrics:  i.metrics,
-		Zone:     s.Zone,
-		Retries:  retryBound(s),
-		OnSilent: func(replica string) { i.mesh.Silent(replica) },
+		Codec:   platform.Codec{},
+		Control: i.replicas,
+		Client:  i.client,
+		Logger:  i.log,
+		Metrics: i.metrics,
+		Zone:    s.Zone,
+		Retries: retryBound(s),
+		OnSilent: func(replica string) {
+			i.mesh.Silent(replica)
+			i.control.Suspect(replica)
+		},
 	})
 	var err error
 	i.mesh, err = mesh.Start(mesh.Options{
@@ -129,6 +132,7 @@
 		Cluster:   s.Store.Address,
 		Gateway:   i.gateway,
 		OnLeaving: func(replica string) { i.control.Leaving(replica) },
+		OnSilent:  func(replica string) { i.control.Suspect(replica) },
 		Logger:    i.log,
 	})
 	if err != nil {
--- a/core/layout/balance.go
+++ b/core/layout/balance.go
@@ -194,7 +194,7 @@
 // toward returns what the node holds with as much of its target beside it as its
 // memory allows. Nothing is given up for it.
 func (p *plan) toward(n, t *Node) (from, to int) {
-	spare := max(0, most(p.model, n.Kind, leastCacheShare)-(n.To-n.From))
+	spare := max(0, most(p.model, n.Kind, balanceCacheShare)-(n.To-n.From))
 	if t.To > n.To {
 		return n.From, min(t.To, n.To+spare)
 	}
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -24,7 +24,11 @@
 	leastCacheShare = 0.18
 	// worthwhile is the factor by which the room of the weakest layer must grow for
 	// layers to be moved between replicas that work.
-	worthwhile = 1.15
+	worthwhile = 1.3
+	// balanceCacheShare is the part of a replica's memory that is kept for the KV
+	// cache while layers are moved between replicas that work: until the requests
+	// that pass through have ended, a replica keeps what it gives up.
+	balanceCacheShare = 0.25
 )
 
 // Node is a replica that takes layers.
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -10,8 +10,8 @@
 	// hopMS is the delay of a hop within a zone, for each token. Published link
 	// delays between zones are of the same size.
 	hopMS = 0.2
-	// crossHopMS is charged for each token that goes to another zone, beyond
-	// hopMS. The pipes between zones are shared by all requests: trials on the
+	// crossHopMS is charged for each token that goes to another zone over an idle
+	// pipe, beyond hopMS. The pipes between zones are shared by all requests: trials on the
 	// users' bench gave the best service at 3 ms.
 	crossHopMS = 3.0
 	// fullAt is the part of the KV cache that may be reserved; what is left
@@ -47,7 +47,7 @@
 // work grows with layers times replicas that hold each.
 func (f *Fleet) Choose(now time.Time, d Demand, c Constraint) (Choice, bool) {
 	for range maxDetours {
-		s := &search{fleet: f, now: now, demand: d, limit: c}
+		s := &search{fleet: f, now: now, demand: d, limit: c, cross: map[Pipe]float64{}}
 		choice, ok := s.run()
 		if !ok {
 			return Choice{}, false
@@ -94,6 +94,17 @@
 	// layerCost and usable are by member index.
 	layerCost []float64
 	usable    []bool
+	cross     map[Pipe]float64
+}
+
+func (s *search) crossHop(a, b string) float64 {
+	k := PipeBetween(a, b)
+	cost, ok := s.cross[k]
+	if !ok {
+		cost = s.fleet.crossHop(s.now, a, b)
+		s.cross[k] = cost
+	}
+	return cost
 }
 
 // state is the best way to run the layers so far with member m at the last one.
@@ -133,6 +144,7 @@
 	s.layerCost = make([]float64, n)
 	s.usable = make([]bool, n)
 	for i, m := range f.ordered {
+		m.free(s.now)
 		held := float64(m.To - m.From)
 		used := m.reserved + m.foreign + s.demand.tokens()*held
 		free := m.room*fullAt - used
@@ -211,7 +223,7 @@
 	for zone, z := range zones {
 		hop := hopMS
 		if zone != m.Zone {
-			hop += crossHopMS
+			hop += s.crossHop(zone, m.Zone)
 		}
 		cost := z.cost + hop*s.demand.tokensOnWire()
 		if cost < best.cost && z.index != m.index {
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -10,6 +10,8 @@
 	Address string
 	Zone    string
 	Kind    string
+	// Born tells a restart of the replica.
+	Born int64
 	// From and To bound the layers that serve requests: From <= layer < To.
 	From, To int
 }
@@ -54,8 +56,11 @@
 
 // load is the work on one replica.
 type load struct {
-	// room is the KV cache in tokens times layers.
-	room float64
+	// room is the KV cache in tokens times layers. nextRoom takes its place at
+	// roomAt, if that is set.
+	room     float64
+	nextRoom float64
+	roomAt   time.Time
 	// reserved is the KV cache of requests of this instance, in tokens times
 	// layers; foreign that of other instances.
 	reserved, foreign float64
@@ -80,6 +85,7 @@
 	// atLayer lists the usable replicas that hold each layer.
 	atLayer [][]*member
 	ordered []*member
+	pipes   map[Pipe]*pipeLoad
 }
 
 type member struct {
@@ -91,7 +97,7 @@
 
 // NewFleet returns a fleet without replicas.
 func NewFleet(m *Model) *Fleet {
-	return &Fleet{model: m, replicas: map[string]*member{}}
+	return &Fleet{model: m, replicas: map[string]*member{}, pipes: map[Pipe]*pipeLoad{}}
 }
 
 // Model returns the figures in use.
@@ -106,20 +112,43 @@
 	f.index()
 }
 
+// releaseDelay is how long a replica that gave up layers keeps their weights, until
+// the requests that pass through them have ended: about a usual request.
+const releaseDelay = 6 * time.Second
+
+// setRoom puts less room in force at once and more room when it is free.
+func (m *member) setRoom(now time.Time, room float64, fresh bool) {
+	if fresh || room <= m.room {
+		m.room, m.roomAt = room, time.Time{}
+		return
+	}
+	if room != m.nextRoom || m.roomAt.IsZero() {
+		m.nextRoom, m.roomAt = room, now.Add(releaseDelay)
+	}
+}
+
+// free puts room in force whose time has come.
+func (m *member) free(now time.Time) {
+	if !m.roomAt.IsZero() && !now.Before(m.roomAt) {
+		m.room, m.roomAt = m.nextRoom, time.Time{}
+	}
+}
+
 // Set replaces the list of replicas. The load on replicas that stay is kept.
-func (f *Fleet) Set(list []Replica) {
+func (f *Fleet) Set(now time.Time, list []Replica) {
 	for _, m := range f.replicas {
 		m.seen = false
 	}
 	for _, r := range list {
 		m := f.replicas[r.ID]
+		fresh := m == nil || m.Born != r.Born
 		if m == nil {
 			m = &member{load: load{pace: 1}}
 			f.replicas[r.ID] = m
 		}
 		m.Replica = r
 		m.seen = true
-		m.room = f.model.Room(r.Kind, r.To-r.From)
+		m.setRoom(now, f.model.Room(r.Kind, r.To-r.From), fresh)
 	}
 	for id, m := range f.replicas {
 		if !m.seen && m.sequences == 0 {
@@ -205,7 +234,10 @@
 }
 
 // Reserve adds the load of a request on its path.
-func (f *Fleet) Reserve(p Path, d Demand) { f.shift(p, d, 1) }
+func (f *Fleet) Reserve(now time.Time, p Path, d Demand) {
+	f.shift(p, d, 1)
+	f.sendPrompt(now, p, d)
+}
 
 // Release takes away what Reserve added.
 func (f *Fleet) Release(p Path, d Demand) { f.shift(p, d, -1) }
@@ -276,8 +308,12 @@
 	return out
 }
 
-// SetForeign replaces the load of all other instances together.
-func (f *Fleet) SetForeign(of func(id string) Load) {
+// SetForeign replaces the load of all other instances together: by replica, and
+// by pipe in prompt tokens a second.
+func (f *Fleet) SetForeign(of func(id string) Load, pipe func(Pipe) float64) {
+	for k, l := range f.pipes {
+		l.foreign = pipe(k)
+	}
 	for id, m := range f.replicas {
 		l := of(id)
 		m.foreign, m.foreignSequences, m.foreignReading = l.Reserved, l.Sequences, l.Reading
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -58,7 +58,9 @@
 	listed  bool
 	duty    dutyState
 	placed  map[string]placement
-	store   dependency
+	// suspects holds the heartbeat number at which a replica was found silent.
+	suspects map[string]suspicion
+	store    dependency
 	// malformed holds the keys that were reported as unreadable.
 	malformed map[string]string
 	// joinedAt is when a replica joined last.
@@ -79,6 +81,12 @@
 	fenced int64
 }
 
+// suspicion is the last heartbeat before a replica was found silent.
+type suspicion struct {
+	born, heartbeat int64
+	until           time.Time
+}
+
 // dependency notes whether the store answers.
 type dependency struct {
 	away  bool
@@ -92,6 +100,7 @@
 		log:       o.Logger,
 		roster:    roster.New(),
 		placed:    map[string]placement{},
+		suspects:  map[string]suspicion{},
 		malformed: map[string]string{},
 		retire:    make(chan struct{}),
 	}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -21,6 +21,15 @@
 	layoutInterval = 200 * time.Millisecond
 	// orderPatience is how long an order without an answer counts as under way.
 	orderPatience = 1500 * time.Millisecond
+	// conflictPatience is the time until a replica that is busy with an earlier order
+	// gets another one; it waits for requests that pass through what it gives up.
+	conflictPatience = 3 * time.Second
+	// suspicionTime is how long a silent replica is left out of the layout if its
+	// entry stays: a little longer than the platform keeps entries of dead ones.
+	suspicionTime = 5 * time.Second
+	// aliveBeats is the number of heartbeats after which a silent replica is taken to
+	// be alive; one may have been on its way.
+	aliveBeats = 2
 	// settleTime is how long no replica must have joined before a fleet without
 	// layers is laid out. Entries are read within replicaInterval of each other.
 	settleTime = 1200 * time.Millisecond
@@ -151,6 +160,33 @@
 	}
 }
 
+// Suspect leaves a silent replica out of the layout before its entry lapses.
+func (c *Control) Suspect(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, _, ok := c.roster.Get(id)
+	if !ok {
+		return
+	}
+	if _, known := c.suspects[id]; !known {
+		c.log.Info("replica left out of the layout", zap.String("replica", id), zap.Int64("heartbeat", e.Sequence))
+	}
+	c.suspects[id] = suspicion{born: e.Born, heartbeat: e.Sequence, until: time.Now().Add(suspicionTime)}
+}
+
+// suspected tells whether a replica is left out. The caller holds the lock.
+func (c *Control) suspected(now time.Time, e roster.Entry) bool {
+	s, ok := c.suspects[e.ID]
+	if !ok {
+		return false
+	}
+	if s.born != e.Born || e.Sequence >= s.heartbeat+aliveBeats || now.After(s.until) {
+		delete(c.suspects, e.ID)
+		return false
+	}
+	return true
+}
+
 // stillJoining tells whether a fleet without layers is growing yet, so that a
 // layout would soon be wrong.
 func (c *Control) stillJoining(now time.Time, nodes []layout.Node) bool {
@@ -172,6 +208,9 @@
 	entries := map[string]roster.Entry{}
 	var out []layout.Node
 	for _, e := range c.roster.Usable(service) {
+		if c.suspected(now, e) {
+			continue
+		}
 		entries[e.ID] = e
 		n := layout.Node{ID: e.ID, Zone: e.Zone, Kind: e.Kind}
 		if e.Layers != nil {
@@ -219,7 +258,11 @@
 		c.placed[o.ID] = p
 	case gateway.OrderFenced:
 		c.duty.fenced = max(c.duty.fenced, token)
-	case gateway.OrderConflict, gateway.OrderOtherReplica, gateway.OrderUnknownRequest:
+	case gateway.OrderConflict:
+		p := c.placed[o.ID]
+		p.until = time.Now().Add(conflictPatience)
+		c.placed[o.ID] = p
+	case gateway.OrderOtherReplica, gateway.OrderUnknownRequest:
 	}
 }
 
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -87,15 +87,17 @@
 			continue
 		}
 		list = append(list, pipeline.Replica{
-			ID: e.ID, Address: e.Address, Zone: e.Zone, Kind: e.Kind, From: e.Layers.From, To: e.Layers.To,
+			ID: e.ID, Address: e.Address, Zone: e.Zone, Kind: e.Kind, Born: e.Born,
+			From: e.Layers.From, To: e.Layers.To,
 		})
 		if was, ok := p.born[e.ID]; ok && was != e.Born {
 			p.fleet.Unblock(e.ID)
 		}
 		p.born[e.ID] = e.Born
 	}
-	p.fleet.Set(list)
-	p.pump(time.Now())
+	now := time.Now()
+	p.fleet.Set(now, list)
+	p.pump(now)
 }
 
 // covered tells whether a path through all layers exists.
@@ -162,7 +164,7 @@
 }
 
 func (p *modelPool) reserve(choice pipeline.Choice, d pipeline.Demand) *grant {
-	p.fleet.Reserve(choice.Path, d)
+	p.fleet.Reserve(time.Now(), choice.Path, d)
 	p.fleet.Reading(choice.Path, d, 1)
 	return &grant{pool: p, demand: d, choice: choice, reading: true}
 }
@@ -227,7 +229,7 @@
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet.Reserve(c.Path, g.demand)
+	p.fleet.Reserve(time.Now(), c.Path, g.demand)
 	if g.reading {
 		p.fleet.Reading(c.Path, g.demand, 1)
 		p.fleet.Reading(g.choice.Path, g.demand, -1)
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -109,11 +109,24 @@
 	return out
 }
 
-// SetForeign takes the work of all other instances by replica.
-func (g *Gateway) SetForeign(of func(replica string) pipeline.Load) {
+// Pipes returns what this instance sends between zones, in prompt tokens a second.
+func (g *Gateway) Pipes() map[pipeline.Pipe]float64 {
+	out := map[pipeline.Pipe]float64{}
 	for _, p := range g.modelPools() {
 		p.mu.Lock()
-		p.fleet.SetForeign(of)
+		for k, rate := range p.fleet.OwnPipes(time.Now()) {
+			out[k] += rate
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// SetForeign takes the work of all other instances by replica and by pipe.
+func (g *Gateway) SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64) {
+	for _, p := range g.modelPools() {
+		p.mu.Lock()
+		p.fleet.SetForeign(of, pipe)
 		p.pump(time.Now())
 		p.mu.Unlock()
 	}
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -115,6 +115,7 @@
 			return false
 		case res.Status == OrderTaken:
 			s.grant.confirm(choice)
+			s.repaths++
 			return true
 		case res.Status == OrderConflict && res.Part != "":
 			id := s.pool.idAt(res.Part)
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -38,8 +38,11 @@
 type Gateway interface {
 	// Loads returns the work of this instance by service and replica.
 	Loads() map[string]map[string]pipeline.Load
-	// SetForeign takes the work of all other instances by replica.
-	SetForeign(func(replica string) pipeline.Load)
+	// Pipes returns what this instance sends between zones, in prompt tokens a
+	// second.
+	Pipes() map[pipeline.Pipe]float64
+	// SetForeign takes the work of all other instances by replica and by pipe.
+	SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64)
 	// Suspect takes a replica that another instance found silent out of use.
 	Suspect(replica string)
 }
@@ -57,7 +60,9 @@
 	Gateway Gateway
 	// OnLeaving is called with the ID of a replica that a peer saw leaving.
 	OnLeaving func(replica string)
-	Logger    *zap.Logger
+	// OnSilent is called with the ID of a replica that a peer found silent.
+	OnSilent func(replica string)
+	Logger   *zap.Logger
 }
 
 // Mesh is safe for concurrent use.
@@ -73,6 +78,7 @@
 type peerLoads struct {
 	at    time.Time
 	loads []*peerpb.UpstreamLoad
+	pipes []*peerpb.PipeLoad
 }
 
 // Start listens for peers.
@@ -155,6 +161,8 @@
 // key shortens the ID of a replica.
 func key(replica string) uint32 { return uint32(xxhash.Sum64String(replica)) }
 
+func pipeKey(p pipeline.Pipe) uint32 { return key(p.A + " " + p.B) }
+
 // tell sends the work of this instance.
 func (m *Mesh) tell() {
 	message := &peerpb.UpstreamLoads{}
@@ -168,6 +176,9 @@
 			})
 		}
 	}
+	for pipe, rate := range m.opts.Gateway.Pipes() {
+		message.Pipes = append(message.Pipes, &peerpb.PipeLoad{Pipe: pipeKey(pipe), TokensPerSecond: uint32(rate)})
+	}
 	m.broadcast(message)
 }
 
@@ -175,6 +186,7 @@
 func (m *Mesh) take(now time.Time) {
 	oldest := now.Add(-staleAfter * m.period())
 	sum := map[uint32]pipeline.Load{}
+	pipes := map[uint32]float64{}
 	m.mu.Lock()
 	for id, p := range m.loads {
 		if p.at.Before(oldest) {
@@ -188,9 +200,15 @@
 			s.Reading += float64(l.GetReading()) * unit
 			sum[l.GetUpstream()] = s
 		}
+		for _, l := range p.pipes {
+			pipes[l.GetPipe()] += float64(l.GetTokensPerSecond())
+		}
 	}
 	m.mu.Unlock()
-	m.opts.Gateway.SetForeign(func(replica string) pipeline.Load { return sum[key(replica)] })
+	m.opts.Gateway.SetForeign(
+		func(replica string) pipeline.Load { return sum[key(replica)] },
+		func(pipe pipeline.Pipe) float64 { return pipes[pipeKey(pipe)] },
+	)
 }
 
 func (m *Mesh) broadcast(message proto.Message) {
@@ -220,12 +238,15 @@
 func (h *handler) UpstreamLoads(from string, loads *peerpb.UpstreamLoads) {
 	h.mesh.mu.Lock()
 	defer h.mesh.mu.Unlock()
-	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads()}
+	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), pipes: loads.GetPipes()}
 }
 
 // Suspicion implements peer.Handler.
 func (h *handler) Suspicion(_ string, s *peerpb.Suspicion) {
 	h.mesh.opts.Gateway.Suspect(s.GetUpstream())
+	if h.mesh.opts.OnSilent != nil {
+		h.mesh.opts.OnSilent(s.GetUpstream())
+	}
 }
 
 // Leaving implements peer.Handler.
