One instance reads the replicas' reports for all; repathed prompts count as load

Change: the instance with the duty reads each report once a second and tells the others pace and room; replicas 6 times slower are left out of the layout.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -146,15 +146,16 @@
 	for i, m := range f.ordered {
 		m.free(s.now)
 		held := float64(m.To - m.From)
-		used := m.reserved + m.foreign + s.demand.tokens()*held
-		free := m.room*fullAt - used
+		room, used := m.limits(s.now)
+		used += s.demand.tokens() * held
+		free := room*fullAt - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.limit.Avoid[m.ID] &&
 			(s.limit.IgnoreRoom || free >= 0) && (f.model.Slots == 0 || m.first < f.model.Slots)
 		if m.ID == s.limit.First {
 			s.usable[i] = !s.limit.Avoid[m.ID]
 		}
 		if s.usable[i] {
-			s.layerCost[i] = s.costOfLayer(m, used)
+			s.layerCost[i] = s.costOfLayer(m, used, room)
 		}
 	}
 }
@@ -162,7 +163,7 @@
 // costOfLayer estimates the milliseconds that the request spends on one layer
 // of the replica: reading behind the prompts that wait, and writing in a batch
 // with the sequences that are there.
-func (s *search) costOfLayer(m *member, used float64) float64 {
+func (s *search) costOfLayer(m *member, used, room float64) float64 {
 	model := s.fleet.model
 	kind := model.Kinds[m.Kind]
 	read := (s.demand.Prompt*float64(max(1, m.To-m.From)) + m.reading + m.foreignReading) / float64(max(1, m.To-m.From))
@@ -172,8 +173,8 @@
 	stepMS := (model.StepMS + model.PerSequenceMS*sequences + model.PerContextMS*context) * kind.StepFactor
 	share := 1 / float64(model.Layers)
 	crowd := 1.0
-	if m.room > 0 {
-		u := min(1, used/m.room)
+	if room > 0 {
+		u := min(1, used/room)
 		crowd += crowdWeight * u * u
 	}
 	return (readMS + stepMS*s.demand.Output) * share * m.pace * crowd
@@ -283,17 +284,27 @@
 
 // firstToken adds up the time to read the prompt along the path.
 func (s *search) firstToken(p Path) time.Duration {
-	f := s.fleet
 	ms := 0.0
-	for _, h := range p {
-		m := f.replicas[h.ID]
-		kind := f.model.Kinds[m.Kind]
-		work := s.demand.Prompt*float64(h.To-h.From) + m.reading + m.foreignReading
-		ms += work / f.model.ReadPerMS * kind.ReadFactor / float64(f.model.Layers) * m.pace
+	for i, h := range p {
+		ms += s.fleet.readMS(h, s.demand)
+		if i > 0 && h.Zone != p[i-1].Zone {
+			ms += s.fleet.pipeMS(s.now, h.Zone, p[i-1].Zone, s.demand)
+		}
 	}
 	return time.Duration(ms * float64(time.Millisecond))
 }
 
+// readMS is the time until a part has read the tokens of a request behind those
+// that wait there.
+func (f *Fleet) readMS(h Hop, d Demand) float64 {
+	m := f.replicas[h.ID]
+	if m == nil {
+		return 0
+	}
+	work := (d.Prompt+d.Written)*float64(h.To-h.From) + m.reading + m.foreignReading
+	return work / f.model.ReadPerMS * f.model.Kinds[m.Kind].ReadFactor / float64(f.model.Layers) * m.pace
+}
+
 func sortMembers(list []*member) {
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 }
--- a/core/pipeline/pipe.go
+++ b/core/pipeline/pipe.go
@@ -93,3 +93,15 @@
 	use := min(pipeFull, bits/(f.model.PipeMbps*bytesPerMB))
 	return crossHopMS / ((1 - use) * (1 - use))
 }
+
+// pipeMS is the time until the tokens of a request have passed a pipe behind those
+// that wait for it.
+func (f *Fleet) pipeMS(now time.Time, a, b string, d Demand) float64 {
+	if f.model.PipeMbps <= 0 {
+		return 0
+	}
+	l := f.pipe(a, b)
+	perToken := f.model.ActivationBytes * bitsPerByte / (f.model.PipeMbps * bytesPerMB) // seconds
+	waiting := max(0, (l.rate(now)+l.foreign)*perToken-1) * pipeMemory.Seconds()
+	return (waiting + (d.Prompt+d.Written)*perToken) * float64(time.Second/time.Millisecond)
+}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -71,7 +71,9 @@
 	// first counts the requests of this instance that enter the path here.
 	first int
 	// pace over 1 means that the replica is slower than its kind.
-	pace float64
+	pace       float64
+	observed   Observed
+	observedAt time.Time
 	// blockedUntil takes the replica out of use.
 	blockedUntil time.Time
 	why          string
@@ -320,9 +322,58 @@
 	}
 }
 
-// SetPace tells how much slower than its kind a replica is; 1 is normal.
-func (f *Fleet) SetPace(id string, pace float64) {
-	if m := f.replicas[id]; m != nil && pace > 0 {
-		m.pace = pace
+// Observed is what a replica reported of itself.
+type Observed struct {
+	// Pace is the time of a step as a multiple of the usual one; 0 if unknown.
+	Pace float64
+	// Used and Room are the KV cache in tokens times layers.
+	Used, Room float64
+}
+
+// observedFor is how long a report counts.
+const observedFor = 3 * time.Second
+
+// Observe takes the report of a replica.
+func (f *Fleet) Observe(now time.Time, id string, o Observed) {
+	m := f.replicas[id]
+	if m == nil {
+		return
+	}
+	m.observed, m.observedAt = o, now
+	m.pace = 1
+	if o.Pace > 0 {
+		m.pace = o.Pace
+	}
+}
+
+// limits returns the room of a replica and what is used of it, by reservations
+// and by its own report.
+func (m *member) limits(now time.Time) (room, used float64) {
+	room, used = m.room, m.reserved+m.foreign
+	if m.observedAt.IsZero() || now.Sub(m.observedAt) > observedFor {
+		m.pace = 1
+		return room, used
+	}
+	if m.observed.Room > 0 {
+		room = min(room, m.observed.Room)
+	}
+	return room, used
+}
+
+// Replicas returns the listed replicas, sorted by ID.
+func (f *Fleet) Replicas() []Replica {
+	out := make([]Replica, 0, len(f.ordered))
+	for _, m := range f.ordered {
+		out = append(out, m.Replica)
+	}
+	return out
+}
+
+// Pace returns the step time of a replica as a multiple of the usual one.
+func (f *Fleet) Pace(now time.Time, id string) float64 {
+	m := f.replicas[id]
+	if m == nil || m.observedAt.IsZero() || now.Sub(m.observedAt) > observedFor {
+		return 1
 	}
+	return m.pace
 }
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -118,6 +118,14 @@
 	return c.duty.Generation, true
 }
 
+// Duty tells whether this instance held the duty by the last word of the group,
+// which may be old.
+func (c *Control) Duty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.duty.Duty
+}
+
 // placement is an order under way.
 type placement struct {
 	from, to int
@@ -208,7 +216,7 @@
 	entries := map[string]roster.Entry{}
 	var out []layout.Node
 	for _, e := range c.roster.Usable(service) {
-		if c.suspected(now, e) {
+		if c.suspected(now, e) || c.opts.Gateway.Slow(e) {
 			continue
 		}
 		entries[e.ID] = e
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -208,8 +208,7 @@
 // path returns the present path.
 func (g *grant) path() pipeline.Path { return g.choice.Path }
 
-// move reserves another path with the same first part, or returns false. The old
-// path is given back when the new one is confirmed.
+// move chooses another path with the same first part, or returns false.
 func (g *grant) move(avoid map[string]bool) (pipeline.Choice, bool) {
 	p := g.pool
 	p.mu.Lock()
@@ -231,9 +230,11 @@
 	defer p.mu.Unlock()
 	p.fleet.Reserve(time.Now(), c.Path, g.demand)
 	if g.reading {
-		p.fleet.Reading(c.Path, g.demand, 1)
 		p.fleet.Reading(g.choice.Path, g.demand, -1)
 	}
+	// The parts that are new read all tokens; the next event ends that.
+	p.fleet.Reading(c.Path, g.demand, 1)
+	g.reading = true
 	p.fleet.Release(g.choice.Path, g.demand)
 	g.choice = c
 }
@@ -285,10 +286,19 @@
 	p.mu.Unlock()
 	s.report, s.err = p.control.Report(context.WithoutCancel(ctx), r)
 	close(s.done)
-	if s.err == nil && s.report.Pace > 0 {
-		p.mu.Lock()
-		p.fleet.SetPace(r.ID, s.report.Pace)
-		p.mu.Unlock()
+	if s.err == nil {
+		p.observe(r.ID, s.report.observed())
 	}
 	return s.report, s.err
 }
+
+func (r *Report) observed() pipeline.Observed {
+	return pipeline.Observed{Pace: r.Pace, Used: r.CacheUsed, Room: r.CacheRoom}
+}
+
+// observe takes what a replica reported of itself.
+func (p *modelPool) observe(id string, o pipeline.Observed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.Observe(time.Now(), id, o)
+}
--- /dev/null
+++ b/node/gateway/survey.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
+)
+
+// surveyInterval is the time between two reports that one instance reads from each
+// replica for all instances. Replicas report with a lag of 0.2 s.
+const surveyInterval = time.Second
+
+// Survey reads the reports of all replicas that hold layers until ctx ends, while
+// wanted returns true, and tells the result.
+func (g *Gateway) Survey(ctx context.Context, wanted func() bool, tell func(map[string]pipeline.Observed)) {
+	ticker := time.NewTicker(surveyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if wanted() {
+				tell(g.survey(ctx))
+			}
+		}
+	}
+}
+
+// survey asks all replicas at the same time.
+func (g *Gateway) survey(ctx context.Context) map[string]pipeline.Observed {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	out := map[string]pipeline.Observed{}
+	for _, p := range g.modelPools() {
+		for _, r := range p.listed() {
+			wg.Go(func() {
+				report, err := g.opts.Control.Report(ctx, r)
+				if err != nil {
+					g.log.Info("no report", zap.String("replica", r.ID), zap.Error(err))
+					return
+				}
+				o := report.observed()
+				p.observe(r.ID, o)
+				mu.Lock()
+				defer mu.Unlock()
+				out[r.ID] = o
+			})
+		}
+	}
+	wg.Wait()
+	return out
+}
+
+// listed returns the replicas that hold layers.
+func (p *modelPool) listed() []Replica {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Replica
+	for _, r := range p.fleet.Replicas() {
+		out = append(out, Replica{ID: r.ID, Address: r.Address})
+	}
+	return out
+}
+
+// Observe takes what another instance has read, by replica; replicas that it does
+// not know are left out.
+func (g *Gateway) Observe(of func(replica string) (pipeline.Observed, bool)) {
+	now := time.Now()
+	for _, p := range g.modelPools() {
+		p.mu.Lock()
+		for _, r := range p.fleet.Replicas() {
+			if o, ok := of(r.ID); ok {
+				p.fleet.Observe(now, r.ID, o)
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
+// Slow tells whether a replica is so slow that others should hold its layers.
+func (g *Gateway) Slow(e roster.Entry) bool {
+	g.mu.Lock()
+	p := g.models[e.Service]
+	g.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.Pace(time.Now(), e.ID) >= slowPace
+}
+
+// slowPace is the multiple of the usual step time from which a replica is left out
+// of the layout: every request of its zone waits for it.
+const slowPace = 6
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -15,11 +15,11 @@
 	firstSuspicion = 500 * time.Millisecond
 	// gapSuspicion is the shortest gap between two events after which it is asked;
 	// callers leave after a gap of 2 s.
-	gapSuspicion = 350 * time.Millisecond
+	gapSuspicion = 280 * time.Millisecond
 	// gapFactor times the usual gap of the stream is another lower bound.
 	gapFactor = 4
 	// askAgain is the time between two questions; a report is 0.2 s old.
-	askAgain = 200 * time.Millisecond
+	askAgain = 130 * time.Millisecond
 	// silentLimit is the gap after which a stream whose first replica does not
 	// answer reports is taken to be lost.
 	silentLimit = 900 * time.Millisecond
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -32,6 +32,8 @@
 	staleAfter = 20
 	// unit is what reserved and reading figures are told in.
 	unit = 1000
+	// paceUnit is what a pace of 1 is told as.
+	paceUnit = 100
 )
 
 // Gateway is the part of the gateway that is needed.
@@ -43,6 +45,8 @@
 	Pipes() map[pipeline.Pipe]float64
 	// SetForeign takes the work of all other instances by replica and by pipe.
 	SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64)
+	// Observe takes what another instance has read from the replicas.
+	Observe(of func(replica string) (pipeline.Observed, bool))
 	// Suspect takes a replica that another instance found silent out of use.
 	Suspect(replica string)
 }
@@ -158,6 +162,20 @@
 	m.broadcast(&peerpb.Leaving{Upstream: replica})
 }
 
+// Observed tells the peers what replicas reported.
+func (m *Mesh) Observed(states map[string]pipeline.Observed) {
+	message := &peerpb.UpstreamStates{}
+	for id, o := range states {
+		message.States = append(message.States, &peerpb.UpstreamState{
+			Upstream: key(id),
+			Pace:     uint32(o.Pace * paceUnit),
+			Used:     uint32(o.Used / unit),
+			Room:     uint32(o.Room / unit),
+		})
+	}
+	m.broadcast(message)
+}
+
 // key shortens the ID of a replica.
 func key(replica string) uint32 { return uint32(xxhash.Sum64String(replica)) }
 
@@ -241,6 +259,22 @@
 	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), pipes: loads.GetPipes()}
 }
 
+// UpstreamStates implements peer.Handler.
+func (h *handler) UpstreamStates(_ string, m *peerpb.UpstreamStates) {
+	states := make(map[uint32]pipeline.Observed, len(m.GetStates()))
+	for _, s := range m.GetStates() {
+		states[s.GetUpstream()] = pipeline.Observed{
+			Pace: float64(s.GetPace()) / paceUnit,
+			Used: float64(s.GetUsed()) * unit,
+			Room: float64(s.GetRoom()) * unit,
+		}
+	}
+	h.mesh.opts.Gateway.Observe(func(replica string) (pipeline.Observed, bool) {
+		o, ok := states[key(replica)]
+		return o, ok
+	})
+}
+
 // Suspicion implements peer.Handler.
 func (h *handler) Suspicion(_ string, s *peerpb.Suspicion) {
 	h.mesh.opts.Gateway.Suspect(s.GetUpstream())
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -41,6 +41,8 @@
 	Leaving(from string, leaving *peerpb.Leaving)
 	// UpstreamLoads is called for the peer's work on all upstreams.
 	UpstreamLoads(from string, loads *peerpb.UpstreamLoads)
+	// UpstreamStates is called for what the peer has read from upstreams.
+	UpstreamStates(from string, states *peerpb.UpstreamStates)
 }
 
 // NopHandler ignores everything. Embed it to implement some methods only.
@@ -74,3 +76,6 @@
 
 // UpstreamLoads implements Handler.
 func (NopHandler) UpstreamLoads(string, *peerpb.UpstreamLoads) {}
+
+// UpstreamStates implements Handler.
+func (NopHandler) UpstreamStates(string, *peerpb.UpstreamStates) {}
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -255,6 +255,8 @@
 		envelope.Body = &peerpb.Envelope_Leaving{Leaving: m}
 	case *peerpb.UpstreamLoads:
 		envelope.Body = &peerpb.Envelope_UpstreamLoads{UpstreamLoads: m}
+	case *peerpb.UpstreamStates:
+		envelope.Body = &peerpb.Envelope_UpstreamStates{UpstreamStates: m}
 	default:
 		return nil, trace.BadParameter("peer: %T is not a message for peers", message)
 	}
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -173,6 +173,8 @@
 		handler.Leaving(s.remoteID, body.Leaving)
 	case *peerpb.Envelope_UpstreamLoads:
 		handler.UpstreamLoads(s.remoteID, body.UpstreamLoads)
+	case *peerpb.Envelope_UpstreamStates:
+		handler.UpstreamStates(s.remoteID, body.UpstreamStates)
 	}
 	n.pull(s)
 	return nil
