--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,6 +69,9 @@
 	MetricsPort int
 	Version     string
 	Logger      *zap.Logger
+	// DrainNotice is how long new requests are expected after Stop; 0 means the
+	// time in which the platform notices that an instance is not ready.
+	DrainNotice time.Duration
 }
 
 // Instance is a running entry instance.
@@ -89,11 +93,18 @@
 	leaving  atomic.Bool
 	cancel   context.CancelFunc
 	group    *errgroup.Group
+
+	// stop runs stopOnce, whose result is stopped.
+	stop    sync.Once
+	stopped error
 }
 
 // Start assembles and starts an instance.
 func Start(o Options) (*Instance, error) {
 	s := o.Settings
+	if o.DrainNotice <= 0 {
+		o.DrainNotice = drainNotice
+	}
 	i := &Instance{
 		opts:     o,
 		log:      o.Logger.With(zap.String("instance", s.Instance)),
@@ -265,7 +276,13 @@
 
 // Stop reports not ready, serves until no more requests are expected and those
 // in progress are answered, and ends the instance within the platform's time.
+// Later calls return the result of the first.
 func (i *Instance) Stop() error {
+	i.stop.Do(func() { i.stopped = i.stopOnce() })
+	return i.stopped
+}
+
+func (i *Instance) stopOnce() error {
 	start := time.Now()
 	s := i.settings.Load()
 	end := start.Add(s.Bounds.Shutdown - stopMargin)
@@ -273,16 +290,35 @@
 	i.leaving.Store(true)
 	i.control.Retire()
 	i.callers.Drain()
-	i.gateway.Drain(start.Add(drainNotice))
-	i.waitIdle(start.Add(drainNotice), end)
+	notice := start.Add(i.opts.DrainNotice)
+	i.gateway.Drain(notice)
+	i.waitIdle(notice, end)
 	ctx, cancel := context.WithDeadline(context.Background(), end.Add(stopMargin/2))
 	defer cancel()
-	err := i.callers.Shutdown(ctx)
-	i.cancel()
+	err := trace.NewAggregate(i.callers.Shutdown(ctx), i.close(ctx))
 	i.log.Info("stopped", zap.Duration("took", time.Since(start)), zap.Int("in_flight", i.metrics.InFlight()), zap.Error(err))
 	return trace.Wrap(err)
 }
 
+// close ends what serves no callers.
+func (i *Instance) close(ctx context.Context) error {
+	i.cancel()
+	errs := []error{i.group.Wait(), i.mesh.Close(ctx), i.ready.Shutdown(ctx)}
+	if i.metric != nil {
+		errs = append(errs, i.metric.Shutdown(ctx))
+	}
+	i.client.Close()
+	i.replicas.Close()
+	i.store.Close()
+	return trace.NewAggregate(errs...)
+}
+
+// CallersAddr returns the address that callers connect to.
+func (i *Instance) CallersAddr() string { return i.callers.Addr() }
+
+// ReadyAddr returns the address that is asked for readiness.
+func (i *Instance) ReadyAddr() string { return i.ready.Addr() }
+
 // waitIdle waits until no request is in progress after notice, or until end.
 func (i *Instance) waitIdle(notice, end time.Time) {
 	ticker := time.NewTicker(drainPoll)
--- /dev/null
+++ b/cmd/internal/entry/entry_test.go
@@ -0,0 +1,371 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"masticbank.example/cmd/internal/entry"
+	"masticbank.example/platform"
+	"masticbank.example/platform/platformtest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits for something that is to happen; it is no expectation of
+// speed.
+const patience = 20 * time.Second
+
+// world is a store, replicas and one instance.
+type world struct {
+	t        *testing.T
+	store    *platformtest.Store
+	instance *entry.Instance
+	client   *http.Client
+	born     int64
+	beats    map[string]int64
+	requests int
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: platformtest.NewStore(), born: 1000, beats: map[string]int64{}, client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(w.store.Close)
+	t.Cleanup(w.client.CloseIdleConnections)
+	return w
+}
+
+func (w *world) config(version int, extra string) {
+	w.store.Put(platform.OperatorTopic, "config", fmt.Appendf(nil, `{"version":%d,"routes":[
+	{"name":"chat","host":"h.example","pathPrefix":"/chat/","routeKind":"streaming","timeoutMs":20000,"targetLatencyMs":500,"maxAttempts":2,"resumable":true,"service":"llm"},
+	{"name":"order","host":"h.example","pathPrefix":"/order/","routeKind":"non_idempotent","timeoutMs":5000,"maxAttempts":1,"service":"plain"},
+	{"name":"look","host":"h.example","pathPrefix":"/look/","routeKind":"idempotent","timeoutMs":5000,"maxAttempts":2,"service":"plain"},
+	{"name":"open","host":"h.example","pathPrefix":"/open/","routeKind":"idempotent","timeoutMs":5000,"maxAttempts":2,"service":"plain","public":true}%s],
+	"services":[{"name":"plain"},{"name":"llm","engine":{"slots":8,"kvTokenBytes":1000,"models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":100000,
+	"usual":{"prompt":10,"answer":10},"layers":4,"layerMb":100,"actBytes":10,"pipeMbps":1000,"kinds":[{"name":"k","mb":1000,"pace":1,"readX":1}]}}],
+	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+	"tenants":[{"name":"w1","apiKeys":["key1"]}]}`, version, extra))
+}
+
+func (w *world) put(r *platformtest.Replica, service, state string, layers ...int) {
+	w.beats[r.ID]++
+	e := r.Entry(service, "z", state, w.born, w.beats[r.ID])
+	if len(layers) == 2 {
+		e["routeKind"] = "k"
+		e["layers"] = map[string]int{"from": layers[0], "target": layers[1], "version": 1}
+	}
+	w.store.PutJSON(platform.ReplicaTopic, r.ID, e)
+}
+
+func (w *world) replica(id string) *platformtest.Replica {
+	r := platformtest.NewReplica(id, 6)
+	w.t.Cleanup(r.Close)
+	return r
+}
+
+// start runs the instance until the test ends.
+func (w *world) start() {
+	w.instance = w.launch()
+	w.t.Cleanup(func() { require.NoError(w.t, w.instance.Stop()) })
+	w.eventually(func() bool {
+		resp, err := w.client.Get("http://" + w.instance.ReadyAddr() + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, "ready")
+}
+
+func (w *world) launch() *entry.Instance {
+	i, err := entry.Start(entry.Options{
+		Settings: &platform.Settings{
+			Instance: "edge-1", Zone: "z", IP: "127.0.0.1", CallersAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0",
+			MaxDescriptors: 4100, Heartbeat: time.Second,
+			Store: platform.StoreSettings{Address: w.store.Address()},
+			Bounds: platform.Bounds{
+				Shutdown: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second, Stall: 2500 * time.Millisecond,
+			},
+		},
+		Logger:      zap.NewNop(),
+		DrainNotice: 50 * time.Millisecond,
+	})
+	require.NoError(w.t, err)
+	return i
+}
+
+func (w *world) eventually(ok func() bool, what string) {
+	w.t.Helper()
+	require.Eventually(w.t, ok, patience, 10*time.Millisecond, what)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) send(method, path, key, body string) answer {
+	w.requests++
+	req, err := http.NewRequest(method, "http://"+w.instance.CallersAddr()+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", fmt.Sprintf("id-%d", w.requests))
+	req.Header.Set("Deadline-Ms", "15000")
+	req.Header.Set("Token-Usage", "10,20")
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// wholeStream is what a caller gets of a stream of six events.
+func wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= 6; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+func TestPlainRequests(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a := w.replica("i-a")
+	w.put(a, "plain", "ready")
+	w.start()
+
+	got := w.send("POST", "/order/7?x=%2F", "key1", "two boards")
+	require.NoError(t, got.err)
+	require.Equal(t, 200, got.status)
+	require.Equal(t, "answer of i-a", got.body)
+	require.Equal(t, "signed by i-a", got.header.Get("Response-Signature"))
+	run := a.Runs()[0]
+	require.Equal(t, "/order/7?x=%2F", run.Target)
+	require.Equal(t, "two boards", run.Body)
+	require.Equal(t, "w1", run.Header.Get("Tenant"))
+	require.Equal(t, "i-a", run.Header.Get("Expect-Instance"))
+	require.Empty(t, run.Header.Get("Authorization"))
+
+	require.Equal(t, 401, w.send("GET", "/look/1", "", "").status)
+	require.Equal(t, 401, w.send("GET", "/look/1", "key9", "").status)
+	require.Equal(t, 404, w.send("GET", "/nowhere/", "key1", "").status)
+	require.Equal(t, 200, w.send("GET", "/open/1", "", "").status)
+	require.Len(t, a.Runs(), 2)
+}
+
+func TestOrdersRunOnce(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a, b := w.replica("i-a"), w.replica("i-b")
+	w.put(a, "plain", "ready")
+	w.put(b, "plain", "ready")
+	w.start()
+
+	a.Set(platformtest.Behavior{Lose: true})
+	b.Set(platformtest.Behavior{Lose: true})
+	got := w.send("POST", "/order/1", "key1", "x")
+	require.Equal(t, 502, got.status, "the order may have run")
+	require.Equal(t, 1, len(a.Runs())+len(b.Runs()))
+
+	a.Set(platformtest.Behavior{Reject: true})
+	b.Set(platformtest.Behavior{})
+	require.Equal(t, 200, w.send("POST", "/order/2", "key1", "x").status, "one that was rejected goes to another replica")
+
+	b.Set(platformtest.Behavior{Reject: true})
+	got = w.send("POST", "/order/3", "key1", "x")
+	require.Equal(t, 503, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+
+	a.Set(platformtest.Behavior{OtherID: true})
+	got = w.send("POST", "/order/4", "key1", "x")
+	require.Equal(t, 502, got.status, "an answer to another request is no answer")
+}
+
+func TestLookupsAreRepeated(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a, b := w.replica("i-a"), w.replica("i-b")
+	w.put(a, "plain", "ready")
+	w.put(b, "plain", "ready")
+	w.start()
+	a.Set(platformtest.Behavior{Lose: true})
+	for range 4 {
+		require.Equal(t, 200, w.send("GET", "/look/1", "key1", "").status)
+	}
+	a.Set(platformtest.Behavior{Status: 500})
+	b.Set(platformtest.Behavior{Status: 500})
+	got := w.send("GET", "/look/1", "key1", "")
+	require.Equal(t, 500, got.status, "the replica's own failure is passed on")
+	require.NotEmpty(t, got.header.Get("Response-Signature"))
+}
+
+func TestStreams(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	first, second := w.replica("i-1"), w.replica("i-2")
+	w.put(first, "llm", "ready", 0, 2)
+	w.put(second, "llm", "ready", 2, 4)
+	w.start()
+	got := w.send("POST", "/chat/1", "key1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, 200, got.status)
+	require.Equal(t, wholeStream(), got.body)
+	run := first.Runs()[0]
+	require.Equal(t, first.Address()+"=0-2,"+second.Address()+"=2-4", run.Header.Get("Hop-Count"))
+	require.Empty(t, second.Runs())
+}
+
+func TestBrokenStreamsGoOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a, b := w.replica("i-a"), w.replica("i-b")
+	w.put(a, "llm", "ready", 0, 4)
+	w.put(b, "llm", "ready", 0, 4)
+	w.start()
+	for i, set := range []platformtest.Behavior{{BreakAfter: 3}, {Lose: true}, {Reject: true}} {
+		a.Set(set)
+		b.Set(platformtest.Behavior{})
+		for range 3 {
+			got := w.send("POST", "/chat/1", "key1", "prompt")
+			require.NoError(t, got.err, "case %d", i)
+			require.Equal(t, wholeStream(), got.body, "case %d", i)
+		}
+	}
+	a.Set(platformtest.Behavior{BreakAfter: 2})
+	b.Set(platformtest.Behavior{BreakAfter: 2})
+	got := w.send("POST", "/chat/1", "key1", "prompt")
+	require.Error(t, got.err, "a stream that cannot go on must not look complete")
+}
+
+func TestStalledStreamsAreMovedToAnotherPath(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	first, dead, spare := w.replica("i-1"), w.replica("i-2"), w.replica("i-3")
+	w.put(first, "llm", "ready", 0, 2)
+	w.put(dead, "llm", "ready", 2, 4)
+	w.start()
+	w.put(spare, "llm", "ready", 2, 4)
+	w.eventually(func() bool {
+		return w.send("POST", "/chat/1", "key1", "prompt").status == 200 && w.store.Calls("/-/log-read") > 3
+	}, "the spare is read")
+	first.Set(platformtest.Behavior{StallAfter: 2, SilentPart: dead.Address()})
+	got := w.send("POST", "/chat/1", "key1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream(), got.body)
+	found := false
+	for _, o := range first.Orders() {
+		found = found || (strings.Contains(o, "repath") && strings.Contains(o, spare.Address()+"=2-4"))
+	}
+	require.True(t, found, "orders: %v", first.Orders())
+}
+
+func TestLayersAreOrdered(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a := w.replica("i-a")
+	e := a.Entry("llm", "z", "ready", w.born, 1)
+	e["routeKind"], e["layers"] = "k", nil
+	w.store.PutJSON(platform.ReplicaTopic, a.ID, e)
+	w.start()
+	w.eventually(func() bool { return len(a.Orders()) > 0 }, "an order")
+	require.Contains(t, a.Orders()[0], `"from":0`)
+	require.Contains(t, a.Orders()[0], `"target":4`)
+}
+
+func TestConfigurationChanges(t *testing.T) {
+	w := newWorld(t)
+	w.config(5, "")
+	a := w.replica("i-a")
+	w.put(a, "plain", "ready")
+	w.start()
+	require.Equal(t, 404, w.send("GET", "/new/", "key1", "").status)
+	extra := `,{"name":"new","host":"h.example","pathPrefix":"/new/","routeKind":"idempotent","timeoutMs":5000,"maxAttempts":2,"service":"plain"}`
+	w.config(9, extra)
+	w.eventually(func() bool { return w.send("GET", "/new/", "key1", "").status == 200 }, "the new route")
+	w.config(7, "")
+	w.store.Put(platform.OperatorTopic, "config", []byte("{"))
+	w.config(11, extra+`,{"name":"last","host":"h.example","pathPrefix":"/last/","routeKind":"idempotent","service":"plain"}`)
+	w.eventually(func() bool {
+		require.Equal(t, 200, w.send("GET", "/new/", "key1", "").status, "an older or unreadable version changes nothing")
+		return w.send("GET", "/last/", "key1", "").status == 200
+	}, "the last route")
+}
+
+func TestLeavingReplicasGetNothingNew(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a, b := w.replica("i-a"), w.replica("i-b")
+	w.put(a, "plain", "ready")
+	w.put(b, "plain", "ready")
+	w.start()
+	w.put(a, "plain", "draining")
+	w.eventually(func() bool {
+		before := len(a.Runs())
+		for range 6 {
+			w.send("GET", "/look/1", "key1", "")
+		}
+		return len(a.Runs()) == before
+	}, "nothing new for the replica that leaves")
+}
+
+func TestServesWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a := w.replica("i-a")
+	w.put(a, "plain", "ready")
+	w.start()
+	w.store.Fail(503)
+	calls := w.store.Calls("/-/log-read")
+	w.eventually(func() bool { return w.store.Calls("/-/log-read") > calls+4 }, "failed reads")
+	require.Equal(t, 200, w.send("GET", "/look/1", "key1", "").status)
+	w.store.Fail(0)
+}
+
+func TestStreamsEndBeforeTheInstanceStops(t *testing.T) {
+	w := newWorld(t)
+	w.config(1, "")
+	a := w.replica("i-a")
+	w.put(a, "llm", "ready", 0, 4)
+	w.start()
+	a.Set(platformtest.Behavior{StallAfter: 2, SilentPart: "127.0.0.1:9"})
+	req, err := http.NewRequest("POST", "http://"+w.instance.CallersAddr()+"/chat/1", strings.NewReader("prompt"))
+	require.NoError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", "stopping")
+	req.Header.Set("Authorization", "Token key1")
+	resp, err := w.client.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	lines := bufio.NewReader(resp.Body)
+	head, err := lines.ReadString('\n')
+	require.NoError(t, err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.instance.Stop() }()
+	w.eventually(func() bool {
+		ready, err := w.client.Get("http://" + w.instance.ReadyAddr() + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer ready.Body.Close()
+		return ready.StatusCode == http.StatusServiceUnavailable
+	}, "not ready")
+	rest, err := io.ReadAll(lines)
+	require.NoError(t, err)
+	require.Equal(t, wholeStream(), head+string(rest))
+	require.NoError(t, <-stopped)
+}
