Duty and layout while the store is away; parts that reject are avoided for longer

After a power loss of all instances replicas still ran the old requests, and no reservation showed it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 PROTOC_GEN_GO_VERSION := v1.36.12
 
-MODULES := core node standin cmd
+MODULES := core node platform standin cmd
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 RAPID_SEED := 20261204
 FUZZ_TIME := 3s
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -135,6 +135,16 @@
 			i.control.Suspect(replica)
 		},
 	})
+	i.control = control.New(control.Options{
+		Configs:   platform.ConfigSource{Store: i.store},
+		Replicas:  platform.ReplicaSource{Store: i.store},
+		Group:     platform.Group{Store: i.store, Member: i.member},
+		Orders:    i.replicas,
+		Gateway:   i.gateway,
+		Logger:    i.log,
+		OnMembers: i.setMembers,
+		OnLeaving: func(replica string) { i.mesh.Leaving(replica) },
+	})
 	var err error
 	i.mesh, err = mesh.Start(mesh.Options{
 		Member:    i.member,
@@ -144,21 +154,13 @@
 		Gateway:   i.gateway,
 		OnLeaving: func(replica string) { i.control.Leaving(replica) },
 		OnSilent:  func(replica string) { i.control.Suspect(replica) },
+		Duty:      func() int64 { return i.control.DutyGeneration() },
+		OnDuty:    func(generation int64) { i.control.OtherDuty(generation) },
 		Logger:    i.log,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	i.control = control.New(control.Options{
-		Configs:   platform.ConfigSource{Store: i.store},
-		Replicas:  platform.ReplicaSource{Store: i.store},
-		Group:     platform.Group{Store: i.store, Member: i.member},
-		Orders:    i.replicas,
-		Gateway:   i.gateway,
-		Logger:    i.log,
-		OnMembers: i.setMembers,
-		OnLeaving: i.mesh.Leaving,
-	})
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.group, ctx = errgroup.WithContext(ctx)
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -66,10 +66,14 @@
 
 // Plan returns the orders that bring the fleet nearer to a layout in which each
 // island runs all layers. It returns none when nothing is to be done.
-func Plan(m *pipeline.Model, nodes []Node) []Order {
+//
+// calm tells that the fleet has not changed for a while. Only then are layers moved
+// between replicas that work: a replica that gives layers up takes no other order
+// until the requests that pass through them have ended.
+func Plan(m *pipeline.Model, nodes []Node, calm bool) []Order {
 	var out []Order
 	for _, island := range islands(m, nodes) {
-		out = append(out, planIsland(m, island)...)
+		out = append(out, planIsland(m, island, calm)...)
 	}
 	return out
 }
@@ -126,7 +130,7 @@
 	return max(1, capacity(m, island, cacheShare)/m.Layers)
 }
 
-func planIsland(m *pipeline.Model, island []Node) []Order {
+func planIsland(m *pipeline.Model, island []Node, calm bool) []Order {
 	p := &plan{model: m, nodes: island, copies: copies(m, island), donors: map[string]bool{}}
 	for _, n := range island {
 		p.memory += m.Kinds[n.Kind].MemoryMB
@@ -138,7 +142,7 @@
 	p.fillWithEmpty()
 	p.fillWithNeighbors()
 	p.fillWithDonors()
-	if len(p.orders) == 0 && !p.underWay() {
+	if calm && len(p.orders) == 0 && !p.underWay() {
 		p.balance()
 	}
 	return p.orders
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -52,13 +52,13 @@
 // settle plans until nothing is left to do.
 func settle(t require.TestingT, m *pipeline.Model, nodes []layout.Node) int {
 	for round := range 60 {
-		orders := layout.Plan(m, nodes)
+		orders := layout.Plan(m, nodes, true)
 		if len(orders) == 0 {
 			return round
 		}
 		carryOut(nodes, orders)
 	}
-	require.Fail(t, "the layout does not settle", "%v", layout.Plan(m, nodes))
+	require.Fail(t, "the layout does not settle", "%v", layout.Plan(m, nodes, true))
 	return 0
 }
 
@@ -102,18 +102,18 @@
 func TestFreshZonesHoldWholeModels(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	carryOut(nodes, layout.Plan(m, nodes))
+	carryOut(nodes, layout.Plan(m, nodes, true))
 	requireFits(t, m, nodes)
 	for _, z := range []string{"quito", "ambato"} {
 		requireCovered(t, m, nodes, z)
 	}
-	require.Empty(t, layout.Plan(m, nodes), "a fresh layout is left alone")
+	require.Empty(t, layout.Plan(m, nodes, true), "a fresh layout is left alone")
 }
 
 func TestFreshLayoutFollowsMemory(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	carryOut(nodes, layout.Plan(m, nodes))
+	carryOut(nodes, layout.Plan(m, nodes, true))
 	for _, n := range nodes {
 		room := m.Room(n.Kind, n.To-n.From) / float64(n.To-n.From)
 		require.Greater(t, room, 50_000.0, "tokens that fit beside the layers of %s", n.ID)
@@ -145,7 +145,7 @@
 		settle(t, m, nodes)
 		nodes = without(nodes, lost.ID)
 		for range rounds {
-			carryOut(nodes, layout.Plan(m, nodes))
+			carryOut(nodes, layout.Plan(m, nodes, true))
 		}
 		requireCovered(t, m, nodes, lost.Zone)
 		settle(t, m, nodes)
@@ -200,7 +200,7 @@
 func TestUnknownKindsGetNoOrders(t *testing.T) {
 	m := model()
 	nodes := append(fleet(), layout.Node{ID: "x", Zone: "quito", Kind: "unknown"})
-	for _, o := range layout.Plan(m, nodes) {
+	for _, o := range layout.Plan(m, nodes, true) {
 		require.NotEqual(t, "x", o.ID)
 	}
 }
@@ -208,12 +208,12 @@
 func TestOrdersUnderWayAreNotRepeated(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	for _, o := range layout.Plan(m, nodes) {
+	for _, o := range layout.Plan(m, nodes, true) {
 		for i := range nodes {
 			if nodes[i].ID == o.ID {
 				nodes[i].WantFrom, nodes[i].WantTo = o.From, o.To
 			}
 		}
 	}
-	require.Empty(t, layout.Plan(m, nodes))
+	require.Empty(t, layout.Plan(m, nodes, true))
 }
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -146,7 +146,7 @@
 	for i, m := range f.ordered {
 		m.free(s.now)
 		held := float64(m.To - m.From)
-		room, used := m.limits(s.now)
+		room, used := f.limits(s.now, m)
 		used += s.demand.tokens() * held
 		free := room*fullAt - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.limit.Avoid[m.ID] &&
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -88,6 +88,9 @@
 	atLayer [][]*member
 	ordered []*member
 	pipes   map[Pipe]*pipeLoad
+	// orphansUntil is the time until which replicas may run requests of processes
+	// that are gone, which no reservation shows.
+	orphansUntil time.Time
 }
 
 type member struct {
@@ -102,6 +105,14 @@
 	return &Fleet{model: m, replicas: map[string]*member{}, pipes: map[Pipe]*pipeLoad{}}
 }
 
+// orphanTime is how long replicas go on with the requests of a process that lost
+// power: about a long request.
+const orphanTime = 8 * time.Second
+
+// ExpectOrphans makes the use that replicas report count for a while after the
+// start of the process. Later the reservations are better: reports lag.
+func (f *Fleet) ExpectOrphans(now time.Time) { f.orphansUntil = now.Add(orphanTime) }
+
 // Model returns the figures in use.
 func (f *Fleet) Model() *Model { return f.model }
 
@@ -148,6 +159,9 @@
 			m = &member{load: load{pace: 1}}
 			f.replicas[r.ID] = m
 		}
+		if from, to, ok := f.Layers(now, r.ID); ok && !fresh {
+			r.From, r.To = from, to
+		}
 		m.Replica = r
 		m.seen = true
 		m.setRoom(now, f.model.Room(r.Kind, r.To-r.From), fresh)
@@ -328,6 +342,9 @@
 	Pace float64
 	// Used and Room are the KV cache in tokens times layers.
 	Used, Room float64
+	// From and To bound the layers held, if HasLayers.
+	From, To  int
+	HasLayers bool
 }
 
 // observedFor is how long a report counts.
@@ -344,11 +361,29 @@
 	if o.Pace > 0 {
 		m.pace = o.Pace
 	}
+	if o.HasLayers && (o.From != m.From || o.To != m.To) {
+		m.From, m.To = o.From, o.To
+		m.setRoom(now, f.model.Room(m.Kind, m.To-m.From), false)
+		f.index()
+	}
+}
+
+// Layers returns the layers that a replica reported lately.
+func (f *Fleet) Layers(now time.Time, id string) (from, to int, ok bool) {
+	m := f.replicas[id]
+	if m == nil || !m.observed.HasLayers || now.Sub(m.observedAt) > layersFor {
+		return 0, 0, false
+	}
+	return m.observed.From, m.observed.To, true
 }
 
+// layersFor is how long the layers of a report count more than those of an entry,
+// which is read less often and while the store is away not at all.
+const layersFor = 1500 * time.Millisecond
+
 // limits returns the room of a replica and what is used of it, by reservations
 // and by its own report.
-func (m *member) limits(now time.Time) (room, used float64) {
+func (f *Fleet) limits(now time.Time, m *member) (room, used float64) {
 	room, used = m.room, m.reserved+m.foreign
 	if m.observedAt.IsZero() || now.Sub(m.observedAt) > observedFor {
 		m.pace = 1
@@ -357,6 +392,9 @@
 	if m.observed.Room > 0 {
 		room = min(room, m.observed.Room)
 	}
+	if now.Before(f.orphansUntil) {
+		used = max(used, m.observed.Used)
+	}
 	return room, used
 }
 
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -238,3 +238,39 @@
 	require.True(t, ok)
 	require.True(t, later.Path.Uses("b2"))
 }
+
+func TestReportedUseCountsAfterAStart(t *testing.T) {
+	m := model(4)
+	f := pipeline.NewFleet(m)
+	f.ExpectOrphans(start)
+	f.Set(start, []pipeline.Replica{replica("a", "z", "small", 0, 4)})
+	f.Observe(start, "a", pipeline.Observed{Pace: 1, Used: m.Room("small", 4), Room: m.Room("small", 4)})
+	d := pipeline.Demand{Prompt: 100}
+	_, ok := f.Choose(start.Add(time.Second), d, pipeline.Constraint{})
+	require.False(t, ok, "requests of a process that is gone fill the replica")
+	later := start.Add(20 * time.Second)
+	f.Observe(later, "a", pipeline.Observed{Pace: 1, Used: m.Room("small", 4), Room: m.Room("small", 4)})
+	_, ok = f.Choose(later, d, pipeline.Constraint{})
+	require.True(t, ok, "later the reservations tell")
+}
+
+func TestReportsTellLayersAndPace(t *testing.T) {
+	f := pipeline.NewFleet(model(8))
+	f.Set(start, []pipeline.Replica{
+		replica("a", "z", "large", 0, 8), replica("b", "z", "large", 0, 4), replica("c", "z", "large", 4, 8),
+	})
+	f.Observe(start, "a", pipeline.Observed{Pace: 12})
+	require.Equal(t, 12.0, f.Pace(start, "a"))
+	c, ok := f.Choose(start, pipeline.Demand{Prompt: 10, Output: 10}, pipeline.Constraint{})
+	require.True(t, ok)
+	require.False(t, c.Path.Uses("a"))
+	f.Observe(start, "c", pipeline.Observed{Pace: 1, From: 5, To: 8, HasLayers: true})
+	c, ok = f.Choose(start, pipeline.Demand{Prompt: 10, Output: 10}, pipeline.Constraint{})
+	require.True(t, ok)
+	require.True(t, c.Path.Uses("a"), "nobody else holds layer 4")
+	f.Set(start, []pipeline.Replica{replica("a", "z", "large", 0, 8), replica("b", "z", "large", 0, 4), replica("c", "z", "large", 4, 8)})
+	from, _, ok := f.Layers(start, "c")
+	require.True(t, ok)
+	require.Equal(t, 5, from, "a report is newer than an entry")
+	require.Equal(t, 1.0, f.Pace(start.Add(time.Minute), "a"), "old reports do not count")
+}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -55,7 +55,6 @@
 	mu      sync.Mutex
 	version int64
 	roster  *roster.Roster
-	listed  bool
 	duty    dutyState
 	placed  map[string]placement
 	// suspects holds the heartbeat number at which a replica was found silent.
@@ -63,8 +62,9 @@
 	store    dependency
 	// malformed holds the keys that were reported as unreadable.
 	malformed map[string]string
-	// joinedAt is when a replica joined last.
-	joinedAt time.Time
+	// joinedAt is when a replica joined last, changedAt when one joined, left or fell
+	// silent.
+	joinedAt, changedAt time.Time
 
 	retired    atomic.Bool
 	retire     chan struct{}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -17,6 +17,9 @@
 	// dutyMargin is the part of memberTTL after the last join was sent at which an
 	// instance stops to act on it.
 	dutyMargin = 700 * time.Millisecond
+	// awayDuty is how long the duty goes on while the store does not answer. Outages
+	// last some seconds; after more than that the view of the fleet is too old.
+	awayDuty = 12 * time.Second
 	// layoutInterval is the time between two looks at the layout.
 	layoutInterval = 200 * time.Millisecond
 	// orderPatience is how long an order without an answer counts as under way.
@@ -33,6 +36,9 @@
 	// settleTime is how long no replica must have joined before a fleet without
 	// layers is laid out. Entries are read within replicaInterval of each other.
 	settleTime = 1200 * time.Millisecond
+	// calmTime is how long no replica must have joined, left or fallen silent for
+	// layers to be moved between replicas that work.
+	calmTime = 2500 * time.Millisecond
 	// loadSlack is added to the expected time of a load before it is ordered again.
 	loadSlack = 3 * time.Second
 )
@@ -108,16 +114,41 @@
 	return true
 }
 
-// fence returns the token for orders, or false without the duty.
+// fence returns the token for orders, or false without the duty. While the store
+// does not answer, nobody can take the duty over through it, and the last holder
+// goes on for awayDuty: replicas refuse its token once they have seen a higher one,
+// and a peer that holds the duty tells so.
 func (c *Control) fence(now time.Time) (int64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.duty.Duty || !now.Before(c.duty.until) || c.duty.Generation <= c.duty.fenced {
+	until := c.duty.until
+	if c.store.away {
+		until = until.Add(awayDuty)
+	}
+	if !c.duty.Duty || !now.Before(until) || c.duty.Generation <= c.duty.fenced {
 		return 0, false
 	}
 	return c.duty.Generation, true
 }
 
+// OtherDuty takes a peer's word that it holds the duty. A later generation ends
+// this instance's.
+func (c *Control) OtherDuty(generation int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.duty.Duty && generation > c.duty.Generation {
+		c.log.Info("another instance holds the duty", zap.Int64("generation", generation), zap.Int64("own", c.duty.Generation))
+		c.duty.Duty = false
+	}
+}
+
+// DutyGeneration returns the generation under which this instance may give orders,
+// or 0.
+func (c *Control) DutyGeneration() int64 {
+	token, _ := c.fence(time.Now())
+	return token
+}
+
 // Duty tells whether this instance held the duty by the last word of the group,
 // which may be old.
 func (c *Control) Duty() bool {
@@ -163,7 +194,7 @@
 		if c.stillJoining(time.Now(), nodes) {
 			continue
 		}
-		orders := layout.Plan(s.Model, nodes)
+		orders := layout.Plan(s.Model, nodes, c.calm(time.Now()))
 		c.send(ctx, s.Model, entries, orders, token)
 	}
 }
@@ -177,6 +208,7 @@
 		return
 	}
 	if _, known := c.suspects[id]; !known {
+		c.changedAt = time.Now()
 		c.log.Info("replica left out of the layout", zap.String("replica", id), zap.Int64("heartbeat", e.Sequence))
 	}
 	c.suspects[id] = suspicion{born: e.Born, heartbeat: e.Sequence, until: time.Now().Add(suspicionTime)}
@@ -208,6 +240,13 @@
 	return now.Sub(c.joinedAt) < settleTime
 }
 
+// calm tells whether no replica has joined or left for a while.
+func (c *Control) calm(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.changedAt) >= calmTime
+}
+
 // nodes returns the replicas that take layers.
 func (c *Control) nodes(service string) ([]layout.Node, map[string]roster.Entry) {
 	c.mu.Lock()
@@ -224,6 +263,9 @@
 		if e.Layers != nil {
 			n.From, n.To = e.Layers.From, e.Layers.To
 		}
+		if from, to, ok := c.opts.Gateway.Layers(service, e.ID); ok && e.Layers != nil {
+			n.From, n.To = from, to
+		}
 		if p, ok := c.placed[e.ID]; ok {
 			if p.born != e.Born || now.After(p.until) || (p.from == n.From && p.to == n.To) {
 				delete(c.placed, e.ID)
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -151,8 +151,12 @@
 		fields = append(fields, zap.Int("from", e.Layers.From), zap.Int("to", e.Layers.To))
 	}
 	c.log.Info("replica changed", fields...)
+	now := time.Now()
 	if change == roster.Joined {
-		c.joinedAt = time.Now()
+		c.joinedAt = now
+	}
+	if change != roster.Updated {
+		c.changedAt = now
 	}
 	if change == roster.Left && c.opts.OnLeaving != nil {
 		c.opts.OnLeaving(id)
--- /dev/null
+++ b/node/gateway/events_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWholeEvents(t *testing.T) {
+	br := bufio.NewReaderSize(strings.NewReader("id: 3\ndata: a\n\nweight-versions: 2\nid:4\r\ndata: b\r\n\r\ndata: c\n\n"), 16)
+	ev := nextEvent(br)
+	require.Equal(t, event{id: 3, data: []byte("id: 3\ndata: a\n\n")}, ev)
+	ev = nextEvent(br)
+	require.Equal(t, int64(4), ev.id)
+	require.Equal(t, "weight-versions: 2\nid:4\r\ndata: b\r\n\r\n", string(ev.data))
+	ev = nextEvent(br)
+	require.Equal(t, int64(-1), ev.id)
+	require.ErrorIs(t, nextEvent(br).err, io.EOF)
+}
+
+func TestStreamsThatEndWithinAnEventAreBroken(t *testing.T) {
+	for _, text := range []string{"id: 1\ndata: a\n", "id: 1\ndata: a", "i"} {
+		ev := nextEvent(bufio.NewReader(strings.NewReader(text)))
+		require.ErrorIs(t, ev.err, io.ErrUnexpectedEOF, text)
+	}
+}
+
+func TestLargeEventsAreRefused(t *testing.T) {
+	ev := nextEvent(bufio.NewReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes) + "\n\n")))
+	require.ErrorIs(t, ev.err, errEventTooLarge)
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -28,6 +28,17 @@
 	// rejectedBlock keeps new paths off a part that rejected a request: it is full,
 	// leaving, or gave up layers, which its entry shows within a read interval.
 	rejectedBlock = 300 * time.Millisecond
+	// maxRejectedBlock bounds that time, which doubles maxDoublings times at most
+	// while the part serves nothing: its entry may be old while the store is away.
+	maxRejectedBlock = 1200 * time.Millisecond
+	maxDoublings     = 2
+	// rejectionsTold is the number of rejections in a row from which other instances
+	// are told; toldBlock is how long they keep off the part after each message.
+	rejectionsTold = 2
+	toldBlock      = 400 * time.Millisecond
+	// unreachedBlock keeps new paths off a replica that could not be connected to. A
+	// single lost packet has the same effect, so that nobody else is told.
+	unreachedBlock = time.Second
 	// deadBlock keeps new paths off a part that is silent, about as long as the
 	// entry of a dead replica stays listed.
 	deadBlock = 4 * time.Second
@@ -219,7 +230,7 @@
 	s.avoid[first.ID] = true
 	var ee *exchange.Error
 	if errors.As(err, &ee) && !ee.Sent && !errors.Is(err, context.Canceled) {
-		s.silent(first.ID, "no connection")
+		s.pool.block(first.ID, unreachedBlock, "no connection")
 	}
 }
 
@@ -234,7 +245,7 @@
 	s.g.log.Info("part rejected a request", zap.String("request", s.ID), zap.String("part", id),
 		zap.Bool("first", id == first.ID), zap.Int("from", state.From), zap.Int("to", state.To),
 		zap.Float64("room", state.Room), zap.Float64("own", state.Own.Reserved), zap.Float64("foreign", state.Foreign.Reserved))
-	s.pool.block(id, rejectedBlock, "rejected a request")
+	s.pool.rejected(id)
 }
 
 // failed passes on an answer that is no stream, unless another replica is tried.
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -33,6 +33,8 @@
 	waiting waitlist.List
 	waiters map[*waitlist.Item]*waiter
 	reports map[string]*sharedReport
+	// rejections counts how often a part rejected requests without serving one.
+	rejections map[string]int
 }
 
 // waiter is a request that waits for a path.
@@ -59,14 +61,18 @@
 }
 
 func newModelPool(s *routing.Service, control ReplicaControl, log *zap.Logger) *modelPool {
+	fleet := pipeline.NewFleet(s.Model)
+	fleet.ExpectOrphans(time.Now())
 	return &modelPool{
 		name:    s.Name,
 		control: control,
 		log:     log.With(zap.String("service", s.Name)),
-		fleet:   pipeline.NewFleet(s.Model),
+		fleet:   fleet,
 		born:    map[string]int64{},
 		waiters: map[*waitlist.Item]*waiter{},
 		reports: map[string]*sharedReport{},
+
+		rejections: map[string]int{},
 	}
 }
 
@@ -92,6 +98,7 @@
 		})
 		if was, ok := p.born[e.ID]; ok && was != e.Born {
 			p.fleet.Unblock(e.ID)
+			delete(p.rejections, e.ID)
 		}
 		p.born[e.ID] = e.Born
 	}
@@ -184,6 +191,9 @@
 		g.pool.fleet.Reading(g.choice.Path, g.demand, -1)
 		g.reading = false
 	}
+	for _, h := range g.choice.Path {
+		delete(g.pool.rejections, h.ID)
+	}
 }
 
 // release gives the room back.
@@ -260,6 +270,29 @@
 	return p.fleet.State(id)
 }
 
+// rejected takes a part that rejected a request out of new paths for a time that
+// doubles while it serves nothing.
+func (p *modelPool) rejected(id string) {
+	p.mu.Lock()
+	n := p.rejections[id]
+	p.rejections[id] = n + 1
+	p.mu.Unlock()
+	p.block(id, min(maxRejectedBlock, rejectedBlock<<min(n, maxDoublings)), "rejected a request")
+}
+
+// rejecting returns the parts that have rejected requests again and again.
+func (p *modelPool) rejecting(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for id, n := range p.rejections {
+		if n >= rejectionsTold && p.fleet.Blocked(id, now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // idAt returns the ID of the replica with the address, or "".
 func (p *modelPool) idAt(address string) string {
 	p.mu.Lock()
@@ -293,7 +326,9 @@
 }
 
 func (r *Report) observed() pipeline.Observed {
-	return pipeline.Observed{Pace: r.Pace, Used: r.CacheUsed, Room: r.CacheRoom}
+	return pipeline.Observed{
+		Pace: r.Pace, Used: r.CacheUsed, Room: r.CacheRoom, From: r.From, To: r.To, HasLayers: r.HasLayers,
+	}
 }
 
 // observe takes what a replica reported of itself.
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -95,6 +95,10 @@
 	CacheUsed, CacheRoom float64
 	// Pace over 1 means that the replica is slow.
 	Pace float64
+	// From and To bound the layers held; both are 0 if the replica holds none.
+	From, To int
+	// HasLayers is false if the report does not tell.
+	HasLayers bool
 	// Stalled holds, by request ID, the address of the part that is silent.
 	Stalled map[string]string
 }
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -109,6 +109,40 @@
 	return out
 }
 
+// Rejecting returns the replicas that have rejected requests again and again.
+func (g *Gateway) Rejecting() []string {
+	var out []string
+	for _, p := range g.modelPools() {
+		out = append(out, p.rejecting(time.Now())...)
+	}
+	return out
+}
+
+// KeepOff takes the replicas out of use that reject the requests of another
+// instance.
+func (g *Gateway) KeepOff(rejecting func(replica string) bool) {
+	for _, p := range g.modelPools() {
+		for _, r := range p.listed() {
+			if rejecting(r.ID) {
+				p.block(r.ID, toldBlock, "rejects the requests of another instance")
+			}
+		}
+	}
+}
+
+// Layers returns the layers that a replica reported lately.
+func (g *Gateway) Layers(service, replica string) (from, to int, ok bool) {
+	g.mu.Lock()
+	p := g.models[service]
+	g.mu.Unlock()
+	if p == nil {
+		return 0, 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.Layers(time.Now(), replica)
+}
+
 // Pipes returns what this instance sends between zones, in prompt tokens a second.
 func (g *Gateway) Pipes() map[pipeline.Pipe]float64 {
 	out := map[pipeline.Pipe]float64{}
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -20,18 +20,25 @@
 func (g *Gateway) Survey(ctx context.Context, wanted func() bool, tell func(map[string]pipeline.Observed)) {
 	ticker := time.NewTicker(surveyInterval)
 	defer ticker.Stop()
+	begun := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			if wanted() {
+		case now := <-ticker.C:
+			// After a start all instances look for themselves: peers and the duty may
+			// not be there yet.
+			if wanted() || now.Sub(begun) < ownSurveys {
 				tell(g.survey(ctx))
 			}
 		}
 	}
 }
 
+// ownSurveys is the time after a start in which an instance reads reports in any
+// case.
+const ownSurveys = 3 * time.Second
+
 // survey asks all replicas at the same time.
 func (g *Gateway) survey(ctx context.Context) map[string]pipeline.Observed {
 	var wg sync.WaitGroup
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -20,9 +20,11 @@
 	gapFactor = 4
 	// askAgain is the time between two questions; a report is 0.2 s old.
 	askAgain = 130 * time.Millisecond
-	// silentLimit is the gap after which a stream whose first replica does not
-	// answer reports is taken to be lost.
-	silentLimit = 900 * time.Millisecond
+	// silentReports is the number of reports in a row that a first replica must not
+	// answer to be taken for dead: one may be lost on the way.
+	silentReports = 2
+	// longestUsualGap bounds what a slow stream's usual gap adds to gapSuspicion.
+	longestUsualGap = 900 * time.Millisecond
 	// maxRepaths bounds the changes of path that are tried for one failure.
 	maxRepaths = 3
 )
@@ -34,6 +36,8 @@
 	// gap is a moving mean of the time between events.
 	gap   time.Duration
 	since time.Time
+	// unanswered counts reports without an answer in a row.
+	unanswered int
 }
 
 func (s *stream) newWatch() *watch {
@@ -54,7 +58,7 @@
 		w.gap = gap
 	}
 	w.gap += time.Duration(float64(gap-w.gap) * gapWeight)
-	w.timer.Reset(max(gapSuspicion, min(gapFactor*w.gap, silentLimit)))
+	w.timer.Reset(max(gapSuspicion, min(gapFactor*w.gap, longestUsualGap)))
 }
 
 // check asks the first replica about a stream that makes no progress and moves
@@ -64,14 +68,15 @@
 	w.timer.Reset(askAgain)
 	first := s.grant.path()[0]
 	report, err := s.pool.report(ctx, Replica{ID: first.ID, Address: first.Address})
-	silent := time.Since(s.lastAt)
 	if err != nil {
-		if ctx.Err() != nil || silent < silentLimit {
+		w.unanswered++
+		if ctx.Err() != nil || w.unanswered < silentReports {
 			return false
 		}
 		s.silent(first.ID, "no report")
 		return true
 	}
+	w.unanswered = 0
 	address, stalled := report.Stalled[s.ID]
 	if !stalled {
 		return false
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/sha256"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,10 @@
 	Pipes() map[pipeline.Pipe]float64
 	// SetForeign takes the work of all other instances by replica and by pipe.
 	SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64)
+	// Rejecting returns the replicas that reject requests again and again.
+	Rejecting() []string
+	// KeepOff takes replicas out of use that reject another instance's requests.
+	KeepOff(rejecting func(replica string) bool)
 	// Observe takes what another instance has read from the replicas.
 	Observe(of func(replica string) (pipeline.Observed, bool))
 	// Suspect takes a replica that another instance found silent out of use.
@@ -66,7 +71,11 @@
 	OnLeaving func(replica string)
 	// OnSilent is called with the ID of a replica that a peer found silent.
 	OnSilent func(replica string)
-	Logger   *zap.Logger
+	// Duty returns the generation under which this instance holds the duty, or 0.
+	Duty func() int64
+	// OnDuty is called with the generation under which a peer holds it.
+	OnDuty func(generation int64)
+	Logger *zap.Logger
 }
 
 // Mesh is safe for concurrent use.
@@ -171,6 +180,10 @@
 			Pace:     uint32(o.Pace * paceUnit),
 			Used:     uint32(o.Used / unit),
 			Room:     uint32(o.Room / unit),
+
+			HasLayers:  o.HasLayers,
+			LayersFrom: uint32(o.From),
+			LayersTo:   uint32(o.To),
 		})
 	}
 	m.broadcast(message)
@@ -194,6 +207,12 @@
 			})
 		}
 	}
+	for _, id := range m.opts.Gateway.Rejecting() {
+		message.Rejecting = append(message.Rejecting, key(id))
+	}
+	if m.opts.Duty != nil {
+		message.DutyGeneration = uint64(m.opts.Duty())
+	}
 	for pipe, rate := range m.opts.Gateway.Pipes() {
 		message.Pipes = append(message.Pipes, &peerpb.PipeLoad{Pipe: pipeKey(pipe), TokensPerSecond: uint32(rate)})
 	}
@@ -254,6 +273,12 @@
 
 // UpstreamLoads implements peer.Handler.
 func (h *handler) UpstreamLoads(from string, loads *peerpb.UpstreamLoads) {
+	if n := loads.GetDutyGeneration(); n > 0 && h.mesh.opts.OnDuty != nil {
+		h.mesh.opts.OnDuty(int64(n))
+	}
+	if keys := loads.GetRejecting(); len(keys) > 0 {
+		h.mesh.opts.Gateway.KeepOff(func(replica string) bool { return slices.Contains(keys, key(replica)) })
+	}
 	h.mesh.mu.Lock()
 	defer h.mesh.mu.Unlock()
 	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), pipes: loads.GetPipes()}
@@ -267,6 +292,10 @@
 			Pace: float64(s.GetPace()) / paceUnit,
 			Used: float64(s.GetUsed()) * unit,
 			Room: float64(s.GetRoom()) * unit,
+
+			HasLayers: s.GetHasLayers(),
+			From:      int(s.GetLayersFrom()),
+			To:        int(s.GetLayersTo()),
 		}
 	}
 	h.mesh.opts.Gateway.Observe(func(replica string) (pipeline.Observed, bool) {
--- /dev/null
+++ b/node/mesh/mesh_test.go
@@ -0,0 +1,181 @@
+package mesh_test
+
+import (
+	"context"
+	"maps"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/node/mesh"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// patience bounds waits for what is to happen.
+const patience = 20 * time.Second
+
+// fake is the gateway of one instance.
+type fake struct {
+	mu        sync.Mutex
+	own       map[string]pipeline.Load
+	pipes     map[pipeline.Pipe]float64
+	rejecting []string
+	foreign   func(string) pipeline.Load
+	pipe      func(pipeline.Pipe) float64
+	suspects  map[string]bool
+	avoided   map[string]bool
+	observed  map[string]pipeline.Observed
+}
+
+func (f *fake) Loads() map[string]map[string]pipeline.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return map[string]map[string]pipeline.Load{"s": maps.Clone(f.own)}
+}
+
+func (f *fake) Pipes() map[pipeline.Pipe]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.pipes)
+}
+
+func (f *fake) Rejecting() []string { return f.rejecting }
+
+func (f *fake) SetForeign(of func(string) pipeline.Load, pipe func(pipeline.Pipe) float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.foreign, f.pipe = of, pipe
+}
+
+func (f *fake) KeepOff(rejecting func(string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range []string{"r1", "r2"} {
+		if rejecting(id) {
+			f.avoided[id] = true
+		}
+	}
+}
+
+func (f *fake) Observe(of func(string) (pipeline.Observed, bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range []string{"r1", "r2"} {
+		if o, ok := of(id); ok {
+			f.observed[id] = o
+		}
+	}
+}
+
+func (f *fake) Suspect(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspects[id] = true
+}
+
+func (f *fake) see(check func() bool) func() bool {
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return check()
+	}
+}
+
+func newFake() *fake {
+	return &fake{
+		own: map[string]pipeline.Load{}, pipes: map[pipeline.Pipe]float64{}, suspects: map[string]bool{},
+		avoided: map[string]bool{}, observed: map[string]pipeline.Observed{},
+	}
+}
+
+// start runs a mesh on an address of its own, as the port is the same everywhere.
+func start(t *testing.T, name, address string, f *fake, o mesh.Options) *mesh.Mesh {
+	o.Member, o.Zone, o.Listen, o.Cluster, o.Gateway, o.Logger = name, "z", address, "cluster", f, zap.NewNop()
+	m, err := mesh.Start(o)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		require.NoError(t, m.Close(context.Background()))
+	})
+	return m
+}
+
+// freePort returns a port that is free on both addresses.
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return port
+}
+
+func TestInstancesTellEachOther(t *testing.T) {
+	port := freePort(t)
+	a, b := newFake(), newFake()
+	var mu sync.Mutex
+	var leaving, silent string
+	var duty int64
+	ma := start(t, "a", net.JoinHostPort("127.0.0.1", port), a, mesh.Options{Duty: func() int64 { return 42 }})
+	mb := start(t, "b", net.JoinHostPort("127.0.0.2", port), b, mesh.Options{
+		OnLeaving: func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			leaving = id
+		},
+		OnSilent: func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			silent = id
+		},
+		OnDuty: func(generation int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			duty = generation
+		},
+	})
+	members := map[string]string{"a": "127.0.0.1", "b": "127.0.0.2"}
+	ma.SetMembers(members)
+	mb.SetMembers(members)
+	a.mu.Lock()
+	a.own["r1"] = pipeline.Load{Reserved: 12_000, Sequences: 3, Reading: 5_000}
+	a.pipes[pipeline.PipeBetween("x", "y")] = 700
+	a.rejecting = []string{"r2"}
+	a.mu.Unlock()
+
+	require.Eventually(t, b.see(func() bool {
+		return b.foreign != nil && b.foreign("r1") == pipeline.Load{Reserved: 12_000, Sequences: 3, Reading: 5_000} &&
+			b.pipe(pipeline.PipeBetween("y", "x")) == 700 && b.avoided["r2"] && !b.avoided["r1"]
+	}), patience, time.Millisecond)
+
+	a.mu.Lock()
+	a.own = map[string]pipeline.Load{}
+	a.mu.Unlock()
+	require.Eventually(t, b.see(func() bool { return b.foreign("r1") == pipeline.Load{} }), patience, time.Millisecond)
+
+	require.Eventually(t, func() bool {
+		ma.Silent("r1")
+		ma.Leaving("r2")
+		ma.Observed(map[string]pipeline.Observed{"r1": {Pace: 1.5, Used: 3000, Room: 9000, HasLayers: true, From: 2, To: 7}})
+		mu.Lock()
+		told := leaving == "r2" && silent == "r1" && duty == 42
+		mu.Unlock()
+		return told && b.see(func() bool {
+			return b.suspects["r1"] && b.observed["r1"] == pipeline.Observed{Pace: 1.5, Used: 3000, Room: 9000, HasLayers: true, From: 2, To: 7}
+		})()
+	}, patience, time.Millisecond)
+}
