--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -38,7 +38,7 @@
 	// up to FirstTo.
 	First   string
 	FirstTo int
-	// IgnoreRoom allows replicas without KV room.
+	// IgnoreRoom allows replicas without KV room and those that rejected requests.
 	IgnoreRoom bool
 }
 
@@ -47,7 +47,7 @@
 // work grows with layers times replicas that hold each.
 func (f *Fleet) Choose(now time.Time, d Demand, c Constraint) (Choice, bool) {
 	for range maxDetours {
-		s := &search{fleet: f, now: now, demand: d, limit: c, cross: map[Pipe]float64{}}
+		s := &search{fleet: f, now: now, demand: d, limit: c}
 		choice, ok := s.run()
 		if !ok {
 			return Choice{}, false
@@ -94,17 +94,19 @@
 	// layerCost and usable are by member index.
 	layerCost []float64
 	usable    []bool
-	cross     map[Pipe]float64
+	// cross holds the cost of a hop between two zones by their indexes, below 0 if
+	// it was not needed yet.
+	cross []float64
 }
 
-func (s *search) crossHop(a, b string) float64 {
-	k := PipeBetween(a, b)
-	cost, ok := s.cross[k]
-	if !ok {
-		cost = s.fleet.crossHop(s.now, a, b)
-		s.cross[k] = cost
+// crossHop returns the cost of a hop between two different zones.
+func (s *search) crossHop(a, b int) float64 {
+	zones := s.fleet.zones
+	at := a*len(zones) + b
+	if s.cross[at] < 0 {
+		s.cross[at] = s.fleet.crossHop(s.now, zones[a], zones[b])
 	}
-	return cost
+	return s.cross[at]
 }
 
 // state is the best way to run the layers so far with member m at the last one.
@@ -125,12 +127,12 @@
 	for i := range table {
 		table[i] = state{cost: math.Inf(1), prev: -1}
 	}
-	zones := zoneBest{}
+	zones := make([]bestState, len(f.zones))
 	for l := range layers {
 		for _, m := range f.atLayer[l] {
 			s.step(table, l, m, zones)
 		}
-		zones = s.best(table, l)
+		s.best(zones, table, l)
 	}
 	return s.collect(table)
 }
@@ -143,6 +145,10 @@
 	n := len(f.ordered)
 	s.layerCost = make([]float64, n)
 	s.usable = make([]bool, n)
+	s.cross = make([]float64, len(f.zones)*len(f.zones))
+	for i := range s.cross {
+		s.cross[i] = -1
+	}
 	for i, m := range f.ordered {
 		m.free(s.now)
 		held := float64(m.To - m.From)
@@ -150,7 +156,7 @@
 		used += s.demand.tokens() * held
 		free := room*fullAt - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.limit.Avoid[m.ID] &&
-			(s.limit.IgnoreRoom || free >= 0) && (f.model.Slots == 0 || m.first < f.model.Slots)
+			(s.limit.IgnoreRoom || (free >= 0 && !s.now.Before(m.restUntil))) && (f.model.Slots == 0 || m.first < f.model.Slots)
 		if m.ID == s.limit.First {
 			s.usable[i] = !s.limit.Avoid[m.ID]
 		}
@@ -180,15 +186,13 @@
 	return (readMS + stepMS*s.demand.Output) * share * m.pace * crowd
 }
 
-// zoneBest holds the cheapest state of the last layer in each zone.
-type zoneBest map[string]bestState
-
+// bestState is the cheapest state of the last layer in a zone.
 type bestState struct {
 	cost  float64
 	index int
 }
 
-func (s *search) step(table []state, layer int, m *member, zones zoneBest) {
+func (s *search) step(table []state, layer int, m *member, zones []bestState) {
 	if !s.usable[m.index] {
 		return
 	}
@@ -212,7 +216,7 @@
 
 // enter finds the cheapest way to reach a replica at a layer: from itself, or by
 // a hop from the best state of each zone.
-func (s *search) enter(table []state, layer int, m *member, zones zoneBest) state {
+func (s *search) enter(table []state, layer int, m *member, zones []bestState) state {
 	n := len(s.fleet.ordered)
 	best := state{cost: math.Inf(1), prev: -1}
 	if m.From < layer && m.ID != s.limit.First {
@@ -222,12 +226,15 @@
 		return best // the first replica appears once
 	}
 	for zone, z := range zones {
+		if z.cost >= best.cost || z.index == m.index {
+			continue
+		}
 		hop := hopMS
-		if zone != m.Zone {
-			hop += s.crossHop(zone, m.Zone)
+		if zone != m.zone {
+			hop += s.crossHop(zone, m.zone)
 		}
 		cost := z.cost + hop*s.demand.tokensOnWire()
-		if cost < best.cost && z.index != m.index {
+		if cost < best.cost {
 			best = state{cost: cost, prev: z.index}
 		}
 	}
@@ -237,19 +244,16 @@
 // tokensOnWire is the number of tokens that wait for a hop one after another.
 func (d Demand) tokensOnWire() float64 { return max(1, d.Output) }
 
-func (s *search) best(table []state, layer int) zoneBest {
+func (s *search) best(zones []bestState, table []state, layer int) {
 	n := len(s.fleet.ordered)
-	zones := zoneBest{}
+	for i := range zones {
+		zones[i] = bestState{cost: math.Inf(1), index: -1}
+	}
 	for _, m := range s.fleet.atLayer[layer] {
-		st := table[layer*n+m.index]
-		if math.IsInf(st.cost, 1) {
-			continue
-		}
-		if z, ok := zones[m.Zone]; !ok || st.cost < z.cost {
-			zones[m.Zone] = bestState{cost: st.cost, index: m.index}
+		if st := table[layer*n+m.index]; st.cost < zones[m.zone].cost {
+			zones[m.zone] = bestState{cost: st.cost, index: m.index}
 		}
 	}
-	return zones
 }
 
 func (s *search) collect(table []state) (Choice, bool) {
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -74,9 +74,8 @@
 	pace       float64
 	observed   Observed
 	observedAt time.Time
-	// blockedUntil takes the replica out of use.
-	blockedUntil time.Time
-	why          string
+	// blockedUntil takes the replica out of use, restUntil out of new paths only.
+	blockedUntil, restUntil time.Time
 }
 
 // Fleet holds the replicas of one model and their load. It is not safe for
@@ -87,7 +86,9 @@
 	// atLayer lists the usable replicas that hold each layer.
 	atLayer [][]*member
 	ordered []*member
-	pipes   map[Pipe]*pipeLoad
+	// zones holds the names of the zones; members know theirs by index.
+	zones []string
+	pipes map[Pipe]*pipeLoad
 	// orphansUntil is the time until which replicas may run requests of processes
 	// that are gone, which no reservation shows.
 	orphansUntil time.Time
@@ -97,6 +98,7 @@
 	Replica
 	load
 	index int
+	zone  int
 	seen  bool
 }
 
@@ -177,6 +179,8 @@
 func (f *Fleet) index() {
 	f.atLayer = make([][]*member, f.model.Layers)
 	f.ordered = f.ordered[:0]
+	f.zones = f.zones[:0]
+	zones := map[string]int{}
 	for _, m := range f.replicas {
 		if !m.seen {
 			continue
@@ -186,31 +190,45 @@
 	sortMembers(f.ordered)
 	for i, m := range f.ordered {
 		m.index = i
+		zone, ok := zones[m.Zone]
+		if !ok {
+			zone = len(f.zones)
+			zones[m.Zone] = zone
+			f.zones = append(f.zones, m.Zone)
+		}
+		m.zone = zone
 		for l := max(0, m.From); l < min(m.To, f.model.Layers); l++ {
 			f.atLayer[l] = append(f.atLayer[l], m)
 		}
 	}
 }
 
-// Block takes a replica out of new paths until a time.
-func (f *Fleet) Block(id string, until time.Time, why string) {
+// Block takes a replica out of use until a time: it gives no sign of life.
+func (f *Fleet) Block(id string, until time.Time) {
 	if m := f.replicas[id]; m != nil && until.After(m.blockedUntil) {
 		m.blockedUntil = until
-		m.why = why
+	}
+}
+
+// Rest keeps new paths off a replica that rejects requests until a time. Running
+// requests may still be moved there.
+func (f *Fleet) Rest(id string, until time.Time) {
+	if m := f.replicas[id]; m != nil && until.After(m.restUntil) {
+		m.restUntil = until
 	}
 }
 
 // Unblock puts a replica back into use.
 func (f *Fleet) Unblock(id string) {
 	if m := f.replicas[id]; m != nil {
-		m.blockedUntil = time.Time{}
+		m.blockedUntil, m.restUntil = time.Time{}, time.Time{}
 	}
 }
 
-// Blocked tells whether the replica is out of use at now.
+// Blocked tells whether new paths keep off the replica at now.
 func (f *Fleet) Blocked(id string, now time.Time) bool {
 	m := f.replicas[id]
-	return m == nil || !m.seen || now.Before(m.blockedUntil)
+	return m == nil || !m.seen || now.Before(m.blockedUntil) || now.Before(m.restUntil)
 }
 
 // IDAt returns the ID of the listed replica with the address, or "".
