--- a/node/control/control.go
+++ b/node/control/control.go
@@ -28,6 +28,8 @@
 	retryInterval = 250 * time.Millisecond
 	// memberTTL is how long the group keeps a member that it does not hear.
 	memberTTL = 3 * time.Second
+	// memberInterval is the shortest time between two reads of the member list.
+	memberInterval = 2500 * time.Millisecond
 	// joinInterval is the time between two joins, three within memberTTL.
 	joinInterval = time.Second
 )
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -29,6 +29,7 @@
 	left       bool
 	answer     gateway.OrderResult
 	orders     []int64 // fencing tokens
+	told       []int64 // generations that joins named
 }
 
 var errAway = errors.New("away")
@@ -81,9 +82,10 @@
 	return nil, nil, 0, r.check()
 }
 
-func (w *world) Join(context.Context, time.Duration, int64) (Membership, error) {
+func (w *world) Join(_ context.Context, _ time.Duration, generation int64) (Membership, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.told = append(w.told, generation)
 	return Membership{Generation: w.generation, Duty: w.duty}, w.check()
 }
 
@@ -237,3 +239,15 @@
 	require.False(t, c.suspected(now, e))
 	require.False(t, c.suspected(now, roster.Entry{ID: "r", Born: 1, Sequence: 4}))
 }
+
+// TestJoinsNameTheLastGeneration changes the generation: until a member names it,
+// the store does not hand what the member gave up to another one.
+func TestJoinsNameTheLastGeneration(t *testing.T) {
+	w := newWorld()
+	run(t, w, func(*Control, *gateway.Gateway) {
+		time.Sleep(500 * time.Millisecond)
+		w.set(func() { w.generation = 8 })
+		time.Sleep(2 * time.Second)
+		w.set(func() { require.Equal(t, []int64{0, 7, 8}, w.told) })
+	})
+}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -45,7 +45,10 @@
 
 // keepMembership stays in the group until ctx ends, and leaves it then.
 func (c *Control) keepMembership(ctx context.Context) error {
-	var generation int64
+	// generation is the last one received, which tells the store that this member
+	// knows of what it gave up; listed is that of the member list, read at read.
+	var generation, listed int64
+	var read time.Time
 	for ctx.Err() == nil && !c.retired.Load() {
 		sent := time.Now()
 		m, err := c.opts.Group.Join(ctx, memberTTL, generation)
@@ -54,10 +57,12 @@
 			continue
 		}
 		c.answered("membership")
+		generation = m.Generation
 		c.setDuty(sent, m)
-		// The generation grows with each change of the members.
-		if m.Generation != generation && c.readMembers(ctx) {
-			generation = m.Generation
+		// The generation grows with each change of the members. Many change at once
+		// when the whole system starts.
+		if m.Generation != listed && sent.Sub(read) >= memberInterval && c.readMembers(ctx) {
+			listed, read = m.Generation, sent
 		}
 		c.rest(ctx, joinInterval-time.Since(sent))
 	}
