--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -115,15 +115,8 @@
 
 func (w *world) send(method, path, key, body string) answer {
 	w.requests++
-	req, err := http.NewRequest(method, "http://"+w.instance.CallersAddr()+path, strings.NewReader(body))
+	req, err := platformtest.NewRequest(w.instance.CallersAddr(), method, path, fmt.Sprintf("id-%d", w.requests), key, body)
 	require.NoError(w.t, err)
-	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", fmt.Sprintf("id-%d", w.requests))
-	req.Header.Set("Deadline-Ms", "15000")
-	req.Header.Set("Token-Usage", "10,20")
-	if key != "" {
-		req.Header.Set("Authorization", "Token "+key)
-	}
 	resp, err := w.client.Do(req)
 	if err != nil {
 		return answer{err: err}
@@ -153,13 +146,13 @@
 	require.NoError(t, got.err)
 	require.Equal(t, 200, got.status)
 	require.Equal(t, "answer of i-a", got.body)
-	require.Equal(t, "signed by i-a", got.header.Get("Response-Signature"))
+	require.Equal(t, "signed by i-a", platformtest.Signature(got.header))
 	run := a.Runs()[0]
 	require.Equal(t, "/order/7?x=%2F", run.Target)
 	require.Equal(t, "two boards", run.Body)
-	require.Equal(t, "w1", run.Header.Get("Tenant"))
-	require.Equal(t, "i-a", run.Header.Get("Expect-Instance"))
-	require.Empty(t, run.Header.Get("Authorization"))
+	require.Equal(t, "w1", run.Workspace())
+	require.Equal(t, "i-a", run.Replica())
+	require.False(t, run.HasKey())
 
 	require.Equal(t, 401, w.send("GET", "/look/1", "", "").status)
 	require.Equal(t, 401, w.send("GET", "/look/1", "key9", "").status)
@@ -211,7 +204,7 @@
 	b.Set(platformtest.Behavior{Status: 500})
 	got := w.send("GET", "/look/1", "key1", "")
 	require.Equal(t, 500, got.status, "the replica's own failure is passed on")
-	require.NotEmpty(t, got.header.Get("Response-Signature"))
+	require.NotEmpty(t, platformtest.Signature(got.header))
 }
 
 func TestStreams(t *testing.T) {
@@ -226,7 +219,7 @@
 	require.Equal(t, 200, got.status)
 	require.Equal(t, wholeStream(), got.body)
 	run := first.Runs()[0]
-	require.Equal(t, first.Address()+"=0-2,"+second.Address()+"=2-4", run.Header.Get("Hop-Count"))
+	require.Equal(t, first.Address()+"=0-2,"+second.Address()+"=2-4", run.Path())
 	require.Empty(t, second.Runs())
 }
 
@@ -343,11 +336,8 @@
 	w.put(a, "llm", "ready", 0, 4)
 	w.start()
 	a.Set(platformtest.Behavior{StallAfter: 2, SilentPart: "127.0.0.1:9"})
-	req, err := http.NewRequest("POST", "http://"+w.instance.CallersAddr()+"/chat/1", strings.NewReader("prompt"))
+	req, err := platformtest.NewRequest(w.instance.CallersAddr(), "POST", "/chat/1", "stopping", "key1", "prompt")
 	require.NoError(t, err)
-	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", "stopping")
-	req.Header.Set("Authorization", "Token key1")
 	resp, err := w.client.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
