Streams are not moved to parts that reject

Cause: parts that reject requests for want of memory preempt others when a running stream is moved there.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -38,7 +38,7 @@
 	// up to FirstTo.
 	First   string
 	FirstTo int
-	// IgnoreRoom allows replicas without KV room and those that rejected requests.
+	// IgnoreRoom allows replicas without KV room.
 	IgnoreRoom bool
 }
 
@@ -156,7 +156,7 @@
 		used += s.demand.tokens() * held
 		free := room*fullAt - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.limit.Avoid[m.ID] &&
-			(s.limit.IgnoreRoom || (free >= 0 && !s.now.Before(m.restUntil))) && (f.model.Slots == 0 || m.first < f.model.Slots)
+			(s.limit.IgnoreRoom || free >= 0) && (f.model.Slots == 0 || m.first < f.model.Slots)
 		if m.ID == s.limit.First {
 			s.usable[i] = !s.limit.Avoid[m.ID]
 		}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -74,8 +74,8 @@
 	pace       float64
 	observed   Observed
 	observedAt time.Time
-	// blockedUntil takes the replica out of use, restUntil out of new paths only.
-	blockedUntil, restUntil time.Time
+	// blockedUntil takes the replica out of use.
+	blockedUntil time.Time
 }
 
 // Fleet holds the replicas of one model and their load. It is not safe for
@@ -203,32 +203,24 @@
 	}
 }
 
-// Block takes a replica out of use until a time: it gives no sign of life.
+// Block takes a replica out of use until a time.
 func (f *Fleet) Block(id string, until time.Time) {
 	if m := f.replicas[id]; m != nil && until.After(m.blockedUntil) {
 		m.blockedUntil = until
 	}
 }
 
-// Rest keeps new paths off a replica that rejects requests until a time. Running
-// requests may still be moved there.
-func (f *Fleet) Rest(id string, until time.Time) {
-	if m := f.replicas[id]; m != nil && until.After(m.restUntil) {
-		m.restUntil = until
-	}
-}
-
 // Unblock puts a replica back into use.
 func (f *Fleet) Unblock(id string) {
 	if m := f.replicas[id]; m != nil {
-		m.blockedUntil, m.restUntil = time.Time{}, time.Time{}
+		m.blockedUntil = time.Time{}
 	}
 }
 
-// Blocked tells whether new paths keep off the replica at now.
+// Blocked tells whether the replica is out of use at now.
 func (f *Fleet) Blocked(id string, now time.Time) bool {
 	m := f.replicas[id]
-	return m == nil || !m.seen || now.Before(m.blockedUntil) || now.Before(m.restUntil)
+	return m == nil || !m.seen || now.Before(m.blockedUntil)
 }
 
 // IDAt returns the ID of the listed replica with the address, or "".
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -124,7 +124,7 @@
 	for _, p := range g.modelPools() {
 		for _, r := range p.listed() {
 			if rejecting(r.ID) {
-				p.rest(r.ID, toldBlock, "rejects the requests of another instance")
+				p.block(r.ID, toldBlock, "rejects the requests of another instance")
 			}
 		}
 	}
