Unsigned successes are no answers; the operator's bound on bodies holds; unused parts go

Cause: read-through of the adapter. A success without the signature of a replica was passed on; the operator's limit on bodies was decoded and not used; fields of reports and answers, the count of connections and the written tokens of a demand had no reader. Change: such answers count as lost, larger bodies get 413; the rest is removed. Both tests fail without the change.

--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -187,6 +187,15 @@
 	a.Set(platformtest.Behavior{OtherID: true})
 	got = w.send("POST", "/order/4", "key1", "x")
 	require.Equal(t, 502, got.status, "an answer to another request is no answer")
+
+	a.Set(platformtest.Behavior{Unsigned: true})
+	got = w.send("POST", "/order/5", "key1", "x")
+	require.Equal(t, 502, got.status, "a success without a signature is no answer")
+
+	runs := len(a.Runs())
+	got = w.send("POST", "/order/6", "key1", strings.Repeat("x", 70_000))
+	require.Equal(t, 413, got.status)
+	require.Len(t, a.Runs(), runs)
 }
 
 func TestLookupsAreRepeated(t *testing.T) {
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -305,7 +305,7 @@
 	if m == nil {
 		return 0
 	}
-	work := (d.Prompt+d.Written)*float64(h.To-h.From) + m.reading + m.foreignReading
+	work := d.Prompt*float64(h.To-h.From) + m.reading + m.foreignReading
 	return work / f.model.ReadPerMS * f.model.Kinds[m.Kind].ReadFactor / float64(f.model.Layers) * m.pace
 }
 
--- a/core/pipeline/pipe.go
+++ b/core/pipeline/pipe.go
@@ -65,7 +65,7 @@
 		}
 		l := f.pipe(p[i].Zone, p[i-1].Zone)
 		l.decay(now)
-		l.sum += d.Prompt + d.Written
+		l.sum += d.Prompt
 	}
 }
 
@@ -103,5 +103,5 @@
 	l := f.pipe(a, b)
 	perToken := f.model.ActivationBytes * bitsPerByte / (f.model.PipeMbps * bytesPerMB) // seconds
 	waiting := max(0, (l.rate(now)+l.foreign)*perToken-1) * pipeMemory.Seconds()
-	return (waiting + (d.Prompt+d.Written)*perToken) * float64(time.Second/time.Millisecond)
+	return (waiting + d.Prompt*perToken) * float64(time.Second/time.Millisecond)
 }
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -43,8 +43,6 @@
 	Prompt float64
 	// Output is the expected number of tokens to write.
 	Output float64
-	// Written is the number of output tokens known already.
-	Written float64
 }
 
 // outputShare is the part of the expected output that is reserved: a request
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -71,8 +71,6 @@
 	opts Options
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// open counts connections by address, idle ones included.
-	open map[string]int
 }
 
 // Options configures a Client.
@@ -111,7 +109,7 @@
 
 // New returns a client without connections.
 func New(o Options) *Client {
-	return &Client{opts: o, idle: map[string][]*conn{}, open: map[string]int{}}
+	return &Client{opts: o, idle: map[string][]*conn{}}
 }
 
 // Do sends a request to address (IP:port) and returns when the head of the answer
@@ -299,28 +297,10 @@
 		nc.Close()
 		return nil, trace.Wrap(err, "connection to %s", address)
 	}
-	c.mu.Lock()
-	c.open[address]++
-	c.mu.Unlock()
 	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
-func (c *Client) drop(cn *conn) {
-	cn.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open[cn.address]--
-	if c.open[cn.address] <= 0 {
-		delete(c.open, cn.address)
-	}
-}
-
-// Forget closes the idle connections to an address.
-func (c *Client) Forget(address string) {
-	for cn := c.take(address); cn != nil; cn = c.take(address) {
-		c.drop(cn)
-	}
-}
+func (c *Client) drop(cn *conn) { cn.Close() }
 
 // Prune closes the connections that were idle for too long.
 func (c *Client) Prune() {
@@ -360,13 +340,6 @@
 	}
 }
 
-// Open returns the number of connections to an address.
-func (c *Client) Open(address string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open[address]
-}
-
 func timedOut(ctx context.Context, err error) bool {
 	return ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
 }
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -111,7 +111,6 @@
 		require.Equal(t, "GET http://x//a?b=%2F HTTP/1.1\r\nHost: h.example\r\nX-A: 1\r\n", <-s.heads)
 	}
 	require.Len(t, s.accepted, 1)
-	require.Equal(t, 1, c.Open(s.address()))
 }
 
 // TestExtraBytesAreNotTheNextAnswer sends a second answer after the first: the
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -127,6 +127,10 @@
 		g.refuse(c, http.StatusBadRequest, "body", 0)
 		return
 	}
+	if limit := g.table.Load().Limits().BodyBytes; limit > 0 && len(body) > limit {
+		g.refuse(c, http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		return
+	}
 	c.body = body
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -184,6 +184,9 @@
 		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
 		s.rejected(info, first)
 		return forward.Rejected, err
+	case unsigned(resp.Status, info):
+		resp.Discard()
+		return forward.Lost, errUnsigned
 	case resp.Status != http.StatusOK:
 		return s.failed(resp)
 	}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -115,8 +115,15 @@
 var (
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errTooLarge     = errors.New("the answer is too large")
+	errUnsigned     = errors.New("the answer is not signed by a replica")
 )
 
+// unsigned tells whether an answer claims success without the signature that every
+// replica gives with what it ran.
+func unsigned(status int, a Answer) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices && !a.Signed
+}
+
 func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh bool, pool *plainPool) (forward.Outcome, *plainAnswer, error) {
 	resp, err := g.opts.Client.Do(ctx, replica.Address, g.request(c, Send{Replica: replica.ID, Rank: -1}, fresh))
 	if err != nil {
@@ -136,6 +143,10 @@
 	if err != nil {
 		return forward.Lost, nil, err
 	}
+	if unsigned(resp.Status, info) {
+		resp.Discard()
+		return forward.Lost, nil, errUnsigned
+	}
 	if len(body) > maxAnswerBytes {
 		resp.Discard()
 		return forward.Lost, nil, errTooLarge
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -55,13 +55,11 @@
 	Signed bool
 	// NotRun is the replica's word that the request did not run.
 	NotRun bool
-	// Replica is the ID of the replica that answered, or "".
-	Replica string
 	// FailingPart is the address of the replica at fault on a path, or "".
 	FailingPart string
-	// Running, Waiting and Slots are counts of requests, if HasLoad.
-	Running, Waiting, Slots int
-	HasLoad                 bool
+	// Running and Waiting are counts of requests, if HasLoad.
+	Running, Waiting int
+	HasLoad          bool
 }
 
 // Codec translates headers.
@@ -86,11 +84,6 @@
 
 // Report is the state of a replica some hundred milliseconds ago.
 type Report struct {
-	// Busy is true while an order is carried out.
-	Busy bool
-	// Orders counts the orders accepted since the replica's start.
-	Orders           int64
-	Waiting, Running int
 	// CacheUsed and CacheRoom are in tokens times layers.
 	CacheUsed, CacheRoom float64
 	// Pace over 1 means that the replica is slow.
