One instance reads the replicas' entries for all; versions also come from peers

Change: the instance with the duty reads each 0.4 s and passes on what changed, with the offsets it read from and to; the others read themselves after a gap or a second of silence (core/roster.Feed). Instances announce the version in force; who lacks it 0.4 s later asks a peer for the content. Polls take 6 s with two peers and more, 1.5 s without, and begin anew when the store answers again.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"masticbank.example/core/roster"
 	"masticbank.example/node/control"
 	"masticbank.example/node/exchange"
 	"masticbank.example/node/gateway"
@@ -154,6 +155,9 @@
 		LeastTTL:  s.Store.LeastMembership,
 		OnMembers: i.setMembers,
 		OnLeaving: func(replica string) { i.mesh.Leaving(replica) },
+		OnConfig:  func(version int64, content []byte) { i.mesh.SetConfig(version, content) },
+		OnUpdates: func(u roster.Updates) { i.mesh.Updates(u) },
+		Peers:     func() int { return i.mesh.Peers() },
 	})
 	var err error
 	i.mesh, err = mesh.Start(mesh.Options{
@@ -164,6 +168,8 @@
 		Gateway:   i.gateway,
 		OnLeaving: func(replica string) { i.control.Leaving(replica) },
 		OnSilent:  func(replica string) { i.control.Suspect(replica) },
+		OnConfig:  func(content []byte) { i.control.TakeConfig(content) },
+		OnUpdates: func(u roster.Updates) { i.control.TakeUpdates(u) },
 		Duty:      func() int64 { return i.control.DutyGeneration() },
 		OnDuty:    func(generation int64) { i.control.OtherDuty(generation) },
 		Logger:    i.log,
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -44,6 +44,21 @@
 	Sequence int64
 }
 
+// Update is one change in the platform's list of replicas.
+type Update struct {
+	ID string
+	// Offset is the place of the change in the list's history.
+	Offset int64
+	// Entry is nil when the entry was removed.
+	Entry *Entry
+}
+
+// Updates are the changes from one offset of the history up to another.
+type Updates struct {
+	From, To int64
+	List     []Update
+}
+
 // restoreGrace is the time after an outage of the store within which entries
 // that lapsed meanwhile come back, as the platform states (about 2 s), and a
 // margin for the next read.
@@ -173,6 +188,14 @@
 	return Left
 }
 
+// Apply takes one update, read at now.
+func (r *Roster) Apply(now time.Time, u Update) Change {
+	if u.Entry == nil {
+		return r.Remove(now, u.ID)
+	}
+	return r.Put(*u.Entry)
+}
+
 // Replace takes a full list, read at now: entries that are missing in it are
 // removed. It returns the IDs whose state changed.
 func (r *Roster) Replace(now time.Time, list []Entry) map[string]Change {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -15,13 +15,25 @@
 )
 
 const (
-	// configWait is the longest wait for a new configuration in one call. It is below
-	// the 2 s within which a version must be in force, so that a poll that misses one,
-	// or whose connection has gone silent, does not make it late.
-	configWait = 1500 * time.Millisecond
+	// configWait is the longest wait for a new configuration in one call. A poll that
+	// misses one, or whose connection has gone silent, does not make it late: peers
+	// tell which version they have.
+	configWait = 6 * time.Second
+	// configWaitAlone is the same without peers. It is below the 2 s within which a
+	// version must be in force.
+	configWaitAlone = 1500 * time.Millisecond
+	// peersEnough is the number of peers from which on they are relied on for the
+	// configuration: one may have missed a version itself.
+	peersEnough = 2
 	// replicaInterval is the time between two reads of the replicas' entries. A
 	// replica that leaves must get nothing new within 2 s.
 	replicaInterval = 800 * time.Millisecond
+	// dutyInterval is the same for the instance that reads for the others.
+	dutyInterval = 400 * time.Millisecond
+	// passedPatience is how long an instance does not read after another one has
+	// passed on what it read. Together with the way of the message it is below the 2 s
+	// within which a replica that leaves must get nothing new.
+	passedPatience = time.Second
 	// orderedInterval is the same while this instance waits for replicas to load
 	// layers; loading a few layers takes some hundred milliseconds.
 	orderedInterval = 250 * time.Millisecond
@@ -49,6 +61,13 @@
 	OnMembers func([]string)
 	// OnLeaving, if set, is called with the ID of a replica that begins to leave.
 	OnLeaving func(replica string)
+	// OnConfig, if set, is called with each configuration that is put in force.
+	OnConfig func(version int64, content []byte)
+	// OnUpdates, if set, is called with what this instance reads of the replicas while
+	// it has the duty, heartbeats left out.
+	OnUpdates func(roster.Updates)
+	// Peers, if set, returns the number of instances that this one is connected to.
+	Peers func() int
 }
 
 // Control runs the connection of one instance to the store. It is safe for
@@ -60,6 +79,9 @@
 	mu      sync.Mutex
 	version int64
 	roster  *roster.Roster
+	feed    roster.Feed
+	// endPoll ends the wait for a configuration that is under way.
+	endPoll context.CancelFunc
 	duty    dutyState
 	placed  map[string]placement
 	// suspects holds the heartbeat number at which a replica was found silent.
@@ -138,6 +160,9 @@
 	c.log.Info("store answers again", zap.String("call", call), zap.Duration("away", now.Sub(c.store.since)))
 	c.store = dependency{}
 	c.roster.StoreBack(now)
+	if c.endPoll != nil {
+		c.endPoll()
+	}
 }
 
 // failed notes that the store did not answer, and waits a little.
@@ -181,22 +206,31 @@
 // maxMalformed bounds the unreadable keys that are remembered.
 const maxMalformed = 256
 
-// apply puts a configuration in force if it is newer than the present one.
-func (c *Control) apply(cfg *routing.Config) {
+// apply puts a configuration in force if it is newer than the present one. Source is
+// where it came from.
+func (c *Control) apply(p *Published, source string) {
+	if c.putInForce(p.Config, source) && c.opts.OnConfig != nil {
+		c.opts.OnConfig(p.Config.Version, p.Content)
+	}
+}
+
+func (c *Control) putInForce(cfg *routing.Config, source string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cfg.Version <= c.version {
 		if cfg.Version < c.version {
-			c.log.Warn("older configuration ignored", zap.Int64("version", cfg.Version), zap.Int64("in_force", c.version))
+			c.log.Warn("older configuration ignored", zap.Int64("version", cfg.Version), zap.Int64("in_force", c.version),
+				zap.String("source", source))
 		}
-		return
+		return false
 	}
-	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version),
+	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version), zap.String("source", source),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))
 	c.version = cfg.Version
 	c.opts.Gateway.Configure(routing.NewTable(cfg))
 	c.opts.Gateway.SetReplicas(c.roster.Usable)
 	c.configured.Store(true)
+	return true
 }
 
 // Leaving takes another instance's word that a replica is leaving. It counts only
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -27,6 +28,9 @@
 	duty       bool
 	generation int64
 	left       bool
+	history    []roster.Update
+	// reads counts the reads of the history.
+	reads int
 	answer     gateway.OrderResult
 	orders     []int64 // fencing tokens
 	told       []int64 // generations that joins named
@@ -55,17 +59,31 @@
 
 type configs struct{ *world }
 
-func (c configs) Newest(context.Context) (*routing.Config, int64, error) {
+func (c configs) Newest(context.Context) (*Published, int64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.config, 0, c.check()
+	return &Published{Config: c.config}, 0, c.check()
 }
 
-func (c configs) Next(ctx context.Context, cursor int64, wait time.Duration) ([]*routing.Config, []*Malformed, int64, error) {
+// Next answers when the wait is over, so that each version is missed by one poll.
+func (c configs) Next(ctx context.Context, cursor int64, wait time.Duration) ([]*Published, []*Malformed, int64, error) {
 	sleep(ctx, wait)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return []*routing.Config{c.config}, nil, cursor, c.check()
+	return []*Published{{Config: c.config}}, nil, cursor, errors.Join(c.check(), ctx.Err())
+}
+
+// Decode takes a version in decimal digits.
+func (c configs) Decode(content []byte) (*Published, error) {
+	version, err := strconv.ParseInt(string(content), 10, 64)
+	if err != nil {
+		return nil, &Malformed{Key: "config", Err: err}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cfg := *c.config
+	cfg.Version = version
+	return &Published{Config: &cfg, Content: content}, nil
 }
 
 type replicas struct{ *world }
@@ -76,10 +94,13 @@
 	return r.entries, nil, 0, r.check()
 }
 
-func (r replicas) Next(context.Context, int64) ([]ReplicaChange, []*Malformed, int64, error) {
+func (r replicas) Next(_ context.Context, cursor int64) (roster.Updates, []*Malformed, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return nil, nil, 0, r.check()
+	r.reads++
+	u := roster.Updates{From: cursor, To: int64(len(r.history))}
+	u.List = r.history[min(cursor, u.To):]
+	return u, nil, r.check()
 }
 
 func (w *world) Join(_ context.Context, _ time.Duration, generation int64) (Membership, error) {
@@ -126,9 +147,14 @@
 
 // run starts a control in a bubble of virtual time and calls f.
 func run(t *testing.T, w *world, f func(c *Control, g *gateway.Gateway)) {
+	runWith(t, w, Options{}, f)
+}
+
+func runWith(t *testing.T, w *world, o Options, f func(c *Control, g *gateway.Gateway)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gateway.New(gateway.Options{Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: gateway.NewMetrics(), Control: w})
-		c := New(Options{Configs: configs{w}, Replicas: replicas{w}, Group: w, Orders: w, Gateway: g, Logger: zap.NewNop()})
+		o.Configs, o.Replicas, o.Group, o.Orders, o.Gateway, o.Logger = configs{w}, replicas{w}, w, w, g, zap.NewNop()
+		c := New(o)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error)
 		go func() { done <- c.Run(ctx) }()
@@ -265,3 +291,112 @@
 		require.Equal(t, int64(4), g.Table().Version())
 	})
 }
+
+// TestPeersBringAVersion has a poll that has just begun and misses a version, which a
+// peer has in force.
+func TestPeersBringAVersion(t *testing.T) {
+	w := newWorld()
+	var told []int64
+	o := Options{
+		Peers:    func() int { return peersEnough },
+		OnConfig: func(version int64, _ []byte) { told = append(told, version) },
+	}
+	runWith(t, w, o, func(c *Control, g *gateway.Gateway) {
+		time.Sleep(100 * time.Millisecond)
+		c.TakeConfig([]byte("5"))
+		require.Equal(t, int64(5), g.Table().Version())
+		c.TakeConfig([]byte("4"))
+		c.TakeConfig([]byte("unreadable"))
+		require.Equal(t, int64(5), g.Table().Version(), "an older version changes nothing")
+		require.Equal(t, []int64{3, 5}, told)
+	})
+}
+
+// TestPollEndsWhenTheStoreIsBack lets the store go away during a long poll, whose
+// connection may be lost with it.
+func TestPollEndsWhenTheStoreIsBack(t *testing.T) {
+	w := newWorld()
+	runWith(t, w, Options{Peers: func() int { return peersEnough }}, func(_ *Control, g *gateway.Gateway) {
+		time.Sleep(100 * time.Millisecond)
+		w.set(func() { w.away = true })
+		time.Sleep(2 * time.Second)
+		newer := *w.config
+		newer.Version = 4
+		w.set(func() { w.away, w.config = false, &newer })
+		time.Sleep(configWait + time.Second)
+		require.Equal(t, int64(4), g.Table().Version())
+	})
+}
+
+// entryAt returns an update of the replica r.
+func entryAt(offset, heartbeat int64, state roster.State) roster.Update {
+	return roster.Update{ID: "r", Offset: offset, Entry: &roster.Entry{
+		ID: "r", Service: "s", Address: "10.0.0.1:80", Zone: "z", Kind: "k", Born: 1, Sequence: heartbeat, State: state,
+	}}
+}
+
+// drop empties a channel and returns how much was in it.
+func drop(ch chan roster.Updates) int {
+	n := len(ch)
+	for range n {
+		<-ch
+	}
+	return n
+}
+
+// TestOneReadsForAll has an instance with the duty that passes on what it reads:
+// heartbeats only move the offset.
+func TestOneReadsForAll(t *testing.T) {
+	w := newWorld()
+	passed := make(chan roster.Updates, 100)
+	runWith(t, w, Options{OnUpdates: func(u roster.Updates) { passed <- u }}, func(*Control, *gateway.Gateway) {
+		time.Sleep(2 * time.Second)
+		drop(passed)
+		w.set(func() { w.history = append(w.history, entryAt(0, 2, roster.Ready), entryAt(1, 3, roster.Draining)) })
+		time.Sleep(dutyInterval + 100*time.Millisecond)
+		require.Equal(t, roster.Updates{From: 0, To: 2, List: w.history[1:]}, <-passed)
+		drop(passed)
+		time.Sleep(2 * time.Second)
+		require.GreaterOrEqual(t, drop(passed), 4, "that there is nothing new is told too")
+	})
+}
+
+func (c *Control) leaves(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, leaving, _ := c.roster.Get(id)
+	return leaving
+}
+
+func (c *Control) knows(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _, ok := c.roster.Get(id)
+	return ok
+}
+
+// TestOthersDoNotRead has an instance without the duty: it reads when nothing has
+// been passed on for a second, so that a replica that leaves gets nothing new after
+// 2 s in any case.
+func TestOthersDoNotRead(t *testing.T) {
+	w := newWorld()
+	w.duty = false
+	run(t, w, func(c *Control, g *gateway.Gateway) {
+		time.Sleep(2 * time.Second)
+		w.set(func() { w.reads = 0 })
+		for range 10 {
+			c.TakeUpdates(roster.Updates{})
+			time.Sleep(dutyInterval)
+		}
+		w.set(func() { require.LessOrEqual(t, w.reads, 1, "the read that was due when the other one began") })
+		c.TakeUpdates(roster.Updates{To: 1, List: []roster.Update{entryAt(0, 2, roster.Draining)}})
+		require.True(t, c.leaves("r"))
+		w.set(func() {
+			w.reads = 0
+			w.history = append(w.history, entryAt(0, 2, roster.Draining), roster.Update{ID: "r", Offset: 1})
+		})
+		time.Sleep(passedPatience + replicaInterval)
+		require.False(t, c.knows("r"), "the silence of the other one is no reason to miss a change")
+		w.set(func() { require.Positive(t, w.reads) })
+	})
+}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -34,7 +34,7 @@
 }
 
 func (c *Control) readConfig(ctx context.Context) (int64, error) {
-	cfg, cursor, err := c.opts.Configs.Newest(ctx)
+	p, cursor, err := c.opts.Configs.Newest(ctx)
 	var m *Malformed
 	if errors.As(err, &m) {
 		c.reportMalformed([]*Malformed{m})
@@ -43,38 +43,69 @@
 	if err != nil {
 		return -1, err
 	}
-	if cfg != nil {
-		c.apply(cfg)
+	if p != nil {
+		c.apply(p, "store")
 	}
 	return cursor, nil
 }
 
+// nextConfig waits for configurations. The wait is given up when the store answers
+// again after an outage, as the call may have been lost in it.
 func (c *Control) nextConfig(ctx context.Context, cursor int64) (int64, error) {
-	list, malformed, next, err := c.opts.Configs.Next(ctx, cursor, configWait)
+	pollCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.endPoll = cancel
+	c.mu.Unlock()
+	list, malformed, next, err := c.opts.Configs.Next(pollCtx, cursor, c.configWait())
+	if err != nil && pollCtx.Err() != nil && ctx.Err() == nil {
+		return cursor, nil
+	}
 	if err != nil {
 		return cursor, err
 	}
 	c.reportMalformed(malformed)
-	for _, cfg := range list {
-		c.apply(cfg)
+	for _, p := range list {
+		c.apply(p, "store")
 	}
 	return next, nil
 }
 
-// followReplicas reads the replicas' entries until ctx ends.
+// configWait is short for an instance that has no peers to tell it of a version that
+// its poll misses.
+func (c *Control) configWait() time.Duration {
+	if c.opts.Peers != nil && c.opts.Peers() >= peersEnough {
+		return configWait
+	}
+	return configWaitAlone
+}
+
+// TakeConfig takes a configuration that another instance has in force.
+func (c *Control) TakeConfig(content []byte) {
+	p, err := c.opts.Configs.Decode(content)
+	if err != nil {
+		c.log.Warn("configuration of another instance not read", zap.Error(err))
+		return
+	}
+	c.apply(p, "peer")
+}
+
+// followReplicas reads the replicas' entries until ctx ends. While the instance with
+// the duty passes on what it reads, this one does not read.
 func (c *Control) followReplicas(ctx context.Context) error {
-	cursor := int64(-1)
 	for ctx.Err() == nil {
-		var err error
-		if cursor < 0 {
-			cursor, err = c.readReplicas(ctx)
-		} else {
-			cursor, err = c.nextReplicas(ctx, cursor)
+		if left := c.passedOn(time.Now()); left > 0 {
+			c.expire()
+			sleep(ctx, left)
+			continue
 		}
+		err := c.readReplicas(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			c.log.Info("history of the replicas is gone, reading all entries")
-			cursor = -1
+			c.mu.Lock()
+			c.feed.Lose()
+			c.mu.Unlock()
 			continue
 		case err != nil:
 			c.failed(ctx, "replicas", err)
@@ -88,23 +119,46 @@
 	return nil
 }
 
-// readInterval is shorter while orders of this instance are under way.
+// passedOn returns how long this instance may leave reading to the one with the duty.
+func (c *Control) passedOn(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.duty.Duty {
+		return 0
+	}
+	return c.feed.Due(now, passedPatience)
+}
+
+// readInterval is shorter for the instance that reads for the others, and while
+// orders of this instance are under way.
 func (c *Control) readInterval() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.placed) > 0 {
+	switch {
+	case len(c.placed) > 0:
 		return orderedInterval
+	case c.duty.Duty:
+		return dutyInterval
+	default:
+		return replicaInterval
 	}
-	return replicaInterval
 }
 
-func (c *Control) readReplicas(ctx context.Context) (int64, error) {
+// readReplicas reads all entries, or what has changed since the last time.
+func (c *Control) readReplicas(ctx context.Context) error {
+	c.mu.Lock()
+	cursor, known := c.feed.Next()
+	c.mu.Unlock()
+	if known {
+		return c.nextReplicas(ctx, cursor)
+	}
 	list, malformed, cursor, err := c.opts.Replicas.Newest(ctx)
 	if err != nil {
-		return -1, err
+		return err
 	}
 	c.reportMalformed(malformed)
 	c.mu.Lock()
+	c.feed.Start(cursor)
 	changes := c.roster.Replace(time.Now(), list)
 	for id, change := range changes {
 		c.logChange(id, change)
@@ -112,32 +166,51 @@
 	c.mu.Unlock()
 	c.loaded.Store(true)
 	c.publish(len(changes) > 0)
-	return cursor, nil
+	return nil
 }
 
-func (c *Control) nextReplicas(ctx context.Context, cursor int64) (int64, error) {
-	changes, malformed, next, err := c.opts.Replicas.Next(ctx, cursor)
+func (c *Control) nextReplicas(ctx context.Context, cursor int64) error {
+	updates, malformed, err := c.opts.Replicas.Next(ctx, cursor)
 	if err != nil {
-		return cursor, err
+		return err
 	}
 	c.reportMalformed(malformed)
 	c.mu.Lock()
-	changed := false
-	for _, ch := range changes {
-		var change roster.Change
-		if ch.Entry == nil {
-			change = c.roster.Remove(time.Now(), ch.ID)
-		} else {
-			change = c.roster.Put(*ch.Entry)
+	changed := c.update(c.feed.Read(updates))
+	duty := c.duty.Duty
+	c.mu.Unlock()
+	c.publish(len(changed) > 0)
+	if duty && c.opts.OnUpdates != nil {
+		updates.List = changed
+		c.opts.OnUpdates(updates)
+	}
+	return nil
+}
+
+// update puts updates into the roster and returns those that are more than a
+// heartbeat. The caller holds the lock.
+func (c *Control) update(list []roster.Update) []roster.Update {
+	var changed []roster.Update
+	now := time.Now()
+	for _, u := range list {
+		change := c.roster.Apply(now, u)
+		if change == roster.Same && u.Entry != nil {
+			continue
 		}
+		changed = append(changed, u)
 		if change != roster.Same {
-			changed = true
-			c.logChange(ch.ID, change)
+			c.logChange(u.ID, change)
 		}
 	}
+	return changed
+}
+
+// TakeUpdates takes what the instance with the duty has read.
+func (c *Control) TakeUpdates(u roster.Updates) {
+	c.mu.Lock()
+	changed := c.update(c.feed.Passed(time.Now(), u))
 	c.mu.Unlock()
-	c.publish(changed)
-	return next, nil
+	c.publish(len(changed) > 0)
 }
 
 // logChange writes one line about a replica. The caller holds the lock.
--- a/node/control/port.go
+++ b/node/control/port.go
@@ -16,14 +16,24 @@
 // whole state has to be read.
 var ErrHistoryGone = errors.New("the history since the cursor is gone")
 
+// Published is a configuration of the operator.
+type Published struct {
+	Config *routing.Config
+	// Content is the configuration as the operator wrote it.
+	Content []byte
+}
+
 // ConfigSource tells the operator's configurations in order.
 type ConfigSource interface {
 	// Newest returns the newest configuration, nil if there is none, and a cursor.
 	// A malformed one is an error of the type *Malformed.
-	Newest(ctx context.Context) (*routing.Config, int64, error)
+	Newest(ctx context.Context) (*Published, int64, error)
 	// Next waits up to wait for configurations after the cursor. Malformed ones are
 	// returned beside the good ones.
-	Next(ctx context.Context, cursor int64, wait time.Duration) ([]*routing.Config, []*Malformed, int64, error)
+	Next(ctx context.Context, cursor int64, wait time.Duration) ([]*Published, []*Malformed, int64, error)
+	// Decode reads what another instance passed on. The error has the type
+	// *Malformed.
+	Decode(content []byte) (*Published, error)
 }
 
 // Malformed is a record that cannot be read.
@@ -38,20 +48,13 @@
 // Unwrap returns the cause.
 func (m *Malformed) Unwrap() error { return m.Err }
 
-// ReplicaChange is one change of an entry.
-type ReplicaChange struct {
-	ID string
-	// Entry is nil when the entry was removed.
-	Entry *roster.Entry
-}
-
 // ReplicaSource tells the replicas' entries.
 type ReplicaSource interface {
 	// Newest returns all entries and a cursor. Malformed entries are returned
 	// beside the good ones.
 	Newest(ctx context.Context) ([]roster.Entry, []*Malformed, int64, error)
-	// Next returns the changes after the cursor.
-	Next(ctx context.Context, cursor int64) ([]ReplicaChange, []*Malformed, int64, error)
+	// Next returns the changes from the cursor on.
+	Next(ctx context.Context, cursor int64) (roster.Updates, []*Malformed, error)
 }
 
 // Membership is what the group tells a member.
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -1,6 +1,7 @@
 // Package mesh tells the other entry instances what this one has on the replicas,
-// which replicas it found silent and which are leaving, and hands what they tell
-// to the gateway. Everything may be lost: it only makes choices better.
+// which replicas it found silent, which are leaving, and what it read from the
+// platform's store, and hands on what they tell. Everything may be lost: choices get
+// worse, and instances read the store themselves.
 package mesh
 
 import (
@@ -17,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
 )
@@ -31,6 +33,9 @@
 	// staleAfter is the number of periods after which the load of a silent peer is
 	// dropped.
 	staleAfter = 20
+	// pullDelay is how long a version that a peer has in force may take to come from
+	// the store. It usually comes within milliseconds.
+	pullDelay = 400 * time.Millisecond
 	// unit is what reserved and reading figures are told in.
 	unit = 1000
 	// paceUnit is what a pace of 1 is told as.
@@ -73,6 +78,10 @@
 	OnSilent func(replica string)
 	// Duty returns the generation under which this instance holds the duty, or 0.
 	Duty func() int64
+	// OnConfig is called with a configuration that a peer has in force.
+	OnConfig func(content []byte)
+	// OnUpdates is called with what the peer with the duty has read of the replicas.
+	OnUpdates func(roster.Updates)
 	// OnDuty is called with the generation under which a peer holds it.
 	OnDuty func(generation int64)
 	Logger *zap.Logger
@@ -108,6 +117,7 @@
 		Key:         key[:],
 		Logger:      o.Logger,
 		Handler:     &handler{mesh: m},
+		PullDelay:   pullDelay,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -171,6 +181,15 @@
 	m.broadcast(&peerpb.Leaving{Upstream: replica})
 }
 
+// SetConfig tells the peers which version is in force here; those that do not get it
+// from the store ask for the content.
+func (m *Mesh) SetConfig(version int64, content []byte) {
+	m.node.SetConfigState(&peerpb.ConfigState{Revision: uint64(version), Content: content})
+}
+
+// Peers returns the number of instances that this one is connected to.
+func (m *Mesh) Peers() int { return m.node.Sessions() }
+
 // Observed tells the peers what replicas reported.
 func (m *Mesh) Observed(states map[string]pipeline.Observed) {
 	message := &peerpb.UpstreamStates{}
@@ -312,6 +331,20 @@
 	}
 }
 
+// ConfigState implements peer.Handler.
+func (h *handler) ConfigState(_ string, state *peerpb.ConfigState) {
+	if h.mesh.opts.OnConfig != nil {
+		h.mesh.opts.OnConfig(state.GetContent())
+	}
+}
+
+// UpstreamChanges implements peer.Handler.
+func (h *handler) UpstreamChanges(_ string, m *peerpb.UpstreamChanges) {
+	if h.mesh.opts.OnUpdates != nil {
+		h.mesh.opts.OnUpdates(decodeUpdates(m))
+	}
+}
+
 // Leaving implements peer.Handler.
 func (h *handler) Leaving(_ string, l *peerpb.Leaving) {
 	if h.mesh.opts.OnLeaving != nil {
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/roster"
 	"masticbank.example/node/mesh"
 )
 
@@ -179,3 +180,41 @@
 		})()
 	}, patience, time.Millisecond)
 }
+
+// pair starts two meshes that know each other.
+func pair(t *testing.T, oa, ob mesh.Options) (a, b *mesh.Mesh) {
+	port := freePort(t)
+	a = start(t, "a", net.JoinHostPort("127.0.0.1", port), newFake(), oa)
+	b = start(t, "b", net.JoinHostPort("127.0.0.2", port), newFake(), ob)
+	members := map[string]string{"a": "127.0.0.1", "b": "127.0.0.2"}
+	a.SetMembers(members)
+	b.SetMembers(members)
+	return a, b
+}
+
+func TestConfigurationComesFromAPeer(t *testing.T) {
+	content := make(chan string, 10)
+	a, b := pair(t, mesh.Options{}, mesh.Options{OnConfig: func(c []byte) { content <- string(c) }})
+	b.SetConfig(3, []byte("three"))
+	a.SetConfig(4, []byte("four"))
+	require.Equal(t, "four", <-content)
+	require.Equal(t, 1, a.Peers())
+}
+
+func TestUpdatesArePassedOn(t *testing.T) {
+	got := make(chan roster.Updates, 1000)
+	a, _ := pair(t, mesh.Options{}, mesh.Options{OnUpdates: func(u roster.Updates) { got <- u }})
+	require.Eventually(t, func() bool { return a.Peers() == 1 }, patience, time.Millisecond)
+	u := roster.Updates{From: 3, To: 9, List: []roster.Update{
+		{ID: "gone", Offset: 4},
+		{ID: "plain", Offset: 5, Entry: &roster.Entry{
+			ID: "plain", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 6, State: roster.Draining, Born: 1764800000000, Sequence: 7,
+		}},
+		{ID: "model", Offset: 8, Entry: &roster.Entry{
+			ID: "model", Service: "m", Address: "10.0.0.2:80", Zone: "z", Kind: "l4", Slots: 192, Born: 1, Sequence: 2,
+			Layers: &roster.Layers{From: 3, To: 9, Version: 1},
+		}},
+	}}
+	a.Updates(u)
+	require.Equal(t, u, <-got)
+}
--- /dev/null
+++ b/node/mesh/updates.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"masticbank.example/core/roster"
+	"masticbank.example/node/peer/peerpb"
+)
+
+// Updates passes on what this instance read in the platform's list of replicas.
+func (m *Mesh) Updates(u roster.Updates) { m.broadcast(encodeUpdates(u)) }
+
+func encodeUpdates(u roster.Updates) *peerpb.UpstreamChanges {
+	out := &peerpb.UpstreamChanges{FromOffset: uint64(u.From), ToOffset: uint64(u.To)}
+	for _, one := range u.List {
+		out.Changes = append(out.Changes, &peerpb.UpstreamChange{
+			Upstream: one.ID,
+			Offset:   uint64(one.Offset),
+			Entry:    encodeEntry(one.Entry),
+		})
+	}
+	return out
+}
+
+func encodeEntry(e *roster.Entry) *peerpb.UpstreamEntry {
+	if e == nil {
+		return nil
+	}
+	out := &peerpb.UpstreamEntry{
+		Service:  e.Service,
+		Address:  e.Address,
+		Zone:     e.Zone,
+		Kind:     e.Kind,
+		Slots:    uint32(e.Slots),
+		Draining: e.State == roster.Draining,
+		Born:     e.Born,
+		Sequence: e.Sequence,
+	}
+	if l := e.Layers; l != nil {
+		out.Layers = &peerpb.UpstreamLayers{From: uint32(l.From), To: uint32(l.To), Version: l.Version}
+	}
+	return out
+}
+
+func decodeUpdates(m *peerpb.UpstreamChanges) roster.Updates {
+	out := roster.Updates{From: int64(m.GetFromOffset()), To: int64(m.GetToOffset())}
+	for _, one := range m.GetChanges() {
+		out.List = append(out.List, roster.Update{
+			ID:     one.GetUpstream(),
+			Offset: int64(one.GetOffset()),
+			Entry:  decodeEntry(one.GetUpstream(), one.GetEntry()),
+		})
+	}
+	return out
+}
+
+func decodeEntry(id string, m *peerpb.UpstreamEntry) *roster.Entry {
+	if m == nil {
+		return nil
+	}
+	e := &roster.Entry{
+		ID:       id,
+		Service:  m.GetService(),
+		Address:  m.GetAddress(),
+		Zone:     m.GetZone(),
+		Kind:     m.GetKind(),
+		Slots:    int(m.GetSlots()),
+		Born:     m.GetBorn(),
+		Sequence: m.GetSequence(),
+	}
+	if m.GetDraining() {
+		e.State = roster.Draining
+	}
+	if l := m.GetLayers(); l != nil {
+		e.Layers = &roster.Layers{From: int(l.GetFrom()), To: int(l.GetTo()), Version: l.GetVersion()}
+	}
+	return e
+}
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -43,6 +43,8 @@
 	UpstreamLoads(from string, loads *peerpb.UpstreamLoads)
 	// UpstreamStates is called for what the peer has read from upstreams.
 	UpstreamStates(from string, states *peerpb.UpstreamStates)
+	// UpstreamChanges is called for what the peer read in the platform's list.
+	UpstreamChanges(from string, changes *peerpb.UpstreamChanges)
 }
 
 // NopHandler ignores everything. Embed it to implement some methods only.
@@ -79,3 +81,6 @@
 
 // UpstreamStates implements Handler.
 func (NopHandler) UpstreamStates(string, *peerpb.UpstreamStates) {}
+
+// UpstreamChanges implements Handler.
+func (NopHandler) UpstreamChanges(string, *peerpb.UpstreamChanges) {}
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -138,6 +139,7 @@
 	same := state.GetRevision() == n.config.GetRevision()
 	if higher || (same && state.GetAsOfOffset() > n.config.GetAsOfOffset()) {
 		n.config = state
+		n.pulls.behindSince = time.Time{}
 	}
 	n.mu.Unlock()
 	if higher {
@@ -145,6 +147,13 @@
 	}
 }
 
+// Sessions returns the number of peers with a session.
+func (n *Node) Sessions() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.sessions())
+}
+
 // Broadcast queues message, such as *peerpb.Digest or *peerpb.Poison, for every
 // peer with a session and returns their number. It never blocks.
 func (n *Node) Broadcast(message proto.Message) (int, error) {
@@ -257,6 +266,8 @@
 		envelope.Body = &peerpb.Envelope_UpstreamLoads{UpstreamLoads: m}
 	case *peerpb.UpstreamStates:
 		envelope.Body = &peerpb.Envelope_UpstreamStates{UpstreamStates: m}
+	case *peerpb.UpstreamChanges:
+		envelope.Body = &peerpb.Envelope_UpstreamChanges{UpstreamChanges: m}
 	default:
 		return nil, trace.BadParameter("peer: %T is not a message for peers", message)
 	}
--- a/node/peer/options.go
+++ b/node/peer/options.go
@@ -61,6 +61,9 @@
 	MaxMessageBytes int
 	// MaxSessions bounds the sessions, including those under handshake.
 	MaxSessions int
+	// PullDelay is how long a configuration that a peer has in force may take to
+	// arrive in another way before the peer is asked for it.
+	PullDelay time.Duration
 }
 
 func (o *Options) setDefaults() {
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -175,6 +175,8 @@
 		handler.UpstreamLoads(s.remoteID, body.UpstreamLoads)
 	case *peerpb.Envelope_UpstreamStates:
 		handler.UpstreamStates(s.remoteID, body.UpstreamStates)
+	case *peerpb.Envelope_UpstreamChanges:
+		handler.UpstreamChanges(s.remoteID, body.UpstreamChanges)
 	}
 	n.pull(s)
 	return nil
--- a/node/peer/state.go
+++ b/node/peer/state.go
@@ -20,6 +20,9 @@
 	revision uint64
 	askedAt  time.Time
 	received uint64
+	// behindSince is when a peer was first heard to have a higher revision than the
+	// one in force here; zero when that one has changed since.
+	behindSince time.Time
 }
 
 // due tells whether revision is to be asked for at now, and notes that it is.
@@ -36,13 +39,22 @@
 	return true
 }
 
+// waited tells whether this instance has been behind for delay.
+func (p *pullState) waited(now time.Time, delay time.Duration) bool {
+	if p.behindSince.IsZero() {
+		p.behindSince = now
+	}
+	return now.Sub(p.behindSince) >= delay
+}
+
 // pull asks the peer of s for its configuration if that is newer than the one in
 // force here.
 func (n *Node) pull(s *session) {
 	info, _ := s.snapshot()
 	n.mu.Lock()
 	have := n.config.GetRevision()
-	due := info.Revision > have && n.pulls.due(info.Revision, time.Now())
+	now := time.Now()
+	due := info.Revision > have && n.pulls.waited(now, n.options.PullDelay) && n.pulls.due(info.Revision, now)
 	n.mu.Unlock()
 	if !due {
 		return
