A part that leaves is not asked again and again; reads wait for a join in outages

A part that rejects is left out for a time that doubles, but every event of an older stream through it set that time back, so that it was asked each 300 ms by each instance and the retry budget was spent. Seen on the way: two instances that both found a part rejecting kept telling each other so for good.

During an outage of the store only joins, which have a tenth of the price, are repeated each 250 ms; other calls follow the first answer, or each second.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -306,6 +306,14 @@
 	Own, Foreign Load
 }
 
+// Use returns the share of the KV cache that is reserved.
+func (s State) Use() float64 {
+	if s.Room <= 0 {
+		return 1
+	}
+	return (s.Own.Reserved + s.Foreign.Reserved) / s.Room
+}
+
 // State returns what is known of a replica; the zero value if it is not listed.
 func (f *Fleet) State(id string) State {
 	m := f.replicas[id]
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -37,8 +37,12 @@
 	// orderedInterval is the same while this instance waits for replicas to load
 	// layers; loading a few layers takes some hundred milliseconds.
 	orderedInterval = 250 * time.Millisecond
-	// retryInterval is the time between two calls while the store does not answer.
+	// retryInterval is the time between two joins while the store does not answer. A
+	// join has a tenth of the price of other calls.
 	retryInterval = 250 * time.Millisecond
+	// readRetryInterval is the time until another call is tried again if no join has
+	// been answered before. Outages may concern some calls only.
+	readRetryInterval = time.Second
 	// memberTTL is how long the group keeps a member that it does not hear.
 	memberTTL = 3 * time.Second
 	// memberInterval is the shortest time between two reads of the member list.
@@ -87,6 +91,8 @@
 	// suspects holds the heartbeat number at which a replica was found silent.
 	suspects map[string]suspicion
 	store    dependency
+	// back is closed when the store answers again; nil while it answers.
+	back chan struct{}
 	// malformed holds the keys that were reported as unreadable.
 	malformed map[string]string
 	// joinedAt is when a replica joined last, changedAt when one joined, left or fell
@@ -114,6 +120,9 @@
 	until           time.Time
 }
 
+// membershipCall names joins in the log.
+const membershipCall = "membership"
+
 // dependency notes whether the store answers.
 type dependency struct {
 	away  bool
@@ -159,13 +168,16 @@
 	now := time.Now()
 	c.log.Info("store answers again", zap.String("call", call), zap.Duration("away", now.Sub(c.store.since)))
 	c.store = dependency{}
+	close(c.back)
+	c.back = nil
 	c.roster.StoreBack(now)
 	if c.endPoll != nil {
 		c.endPoll()
 	}
 }
 
-// failed notes that the store did not answer, and waits a little.
+// failed notes that the store did not answer, and waits until the call is to be made
+// again. Joins find out when the store answers again; the other calls wait for that.
 func (c *Control) failed(ctx context.Context, call string, err error) {
 	if ctx.Err() != nil {
 		return
@@ -173,11 +185,23 @@
 	c.mu.Lock()
 	if !c.store.away {
 		c.store = dependency{away: true, since: time.Now()}
+		c.back = make(chan struct{})
 		c.log.Warn("store does not answer", zap.String("call", call), zap.Error(err))
 	}
 	c.roster.StoreAway()
+	back := c.back
 	c.mu.Unlock()
-	sleep(ctx, retryInterval)
+	if call == membershipCall {
+		sleep(ctx, retryInterval)
+		return
+	}
+	t := time.NewTimer(readRetryInterval)
+	defer t.Stop()
+	select {
+	case <-back:
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -400,3 +400,21 @@
 		w.set(func() { require.Positive(t, w.reads) })
 	})
 }
+
+// TestOutagesCostFewCalls counts the reads of an outage: joins, which are cheap, find
+// out when it ends.
+func TestOutagesCostFewCalls(t *testing.T) {
+	w := newWorld()
+	w.duty = false
+	run(t, w, func(c *Control, _ *gateway.Gateway) {
+		time.Sleep(2 * time.Second)
+		w.set(func() { w.away, w.reads = true, 0 })
+		time.Sleep(10 * time.Second)
+		w.set(func() {
+			require.LessOrEqual(t, w.reads, int(10*time.Second/readRetryInterval)+2)
+			w.away, w.reads = false, 0
+		})
+		time.Sleep(retryInterval + 50*time.Millisecond)
+		w.set(func() { require.Positive(t, w.reads, "read as soon as a join is answered") })
+	})
+}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -53,10 +53,10 @@
 		sent := time.Now()
 		m, err := c.opts.Group.Join(ctx, c.ttl(), generation)
 		if err != nil {
-			c.failed(ctx, "membership", err)
+			c.failed(ctx, membershipCall, err)
 			continue
 		}
-		c.answered("membership")
+		c.answered(membershipCall)
 		generation = m.Generation
 		c.setDuty(sent, m)
 		// The generation grows with each change of the members. Many change at once
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -33,8 +33,16 @@
 	waiting waitlist.List
 	waiters map[*waitlist.Item]*waiter
 	reports map[string]*sharedReport
-	// rejections counts how often a part rejected requests without serving one.
-	rejections map[string]int
+	// rejections holds the parts that rejected requests and have taken none since.
+	rejections map[string]rejection
+}
+
+// rejection counts how often in a row a part rejected requests.
+type rejection struct {
+	count int
+	last  time.Time
+	// until is when this instance sends requests there again.
+	until time.Time
 }
 
 // waiter is a request that waits for a path.
@@ -51,6 +59,11 @@
 	choice  pipeline.Choice
 	reading bool
 	ended   bool
+	// entered are the parts that the request was last sent to, at enteredAt. A part
+	// that leaves goes on with what it has, so that only these show that it takes new
+	// requests.
+	entered   []string
+	enteredAt time.Time
 }
 
 type sharedReport struct {
@@ -72,7 +85,7 @@
 		waiters: map[*waitlist.Item]*waiter{},
 		reports: map[string]*sharedReport{},
 
-		rejections: map[string]int{},
+		rejections: map[string]rejection{},
 	}
 }
 
@@ -173,7 +186,11 @@
 func (p *modelPool) reserve(choice pipeline.Choice, d pipeline.Demand) *grant {
 	p.fleet.Reserve(time.Now(), choice.Path, d)
 	p.fleet.Reading(choice.Path, d, 1)
-	return &grant{pool: p, demand: d, choice: choice, reading: true}
+	g := &grant{pool: p, demand: d, choice: choice, reading: true, enteredAt: time.Now()}
+	for _, h := range choice.Path {
+		g.entered = append(g.entered, h.ID)
+	}
+	return g
 }
 
 // tick looks at the waiting requests.
@@ -183,16 +200,19 @@
 	p.pump(time.Now())
 }
 
-// firstToken tells that the prompt was read.
+// firstToken tells that the prompt was read; later tokens change nothing.
 func (g *grant) firstToken() {
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
-	if g.reading {
-		g.pool.fleet.Reading(g.choice.Path, g.demand, -1)
-		g.reading = false
+	if !g.reading {
+		return
 	}
-	for _, h := range g.choice.Path {
-		delete(g.pool.rejections, h.ID)
+	g.pool.fleet.Reading(g.choice.Path, g.demand, -1)
+	g.reading = false
+	for _, id := range g.entered {
+		if g.pool.rejections[id].last.Before(g.enteredAt) {
+			delete(g.pool.rejections, id)
+		}
 	}
 }
 
@@ -245,6 +265,12 @@
 	// The parts that are new read all tokens; the next event ends that.
 	p.fleet.Reading(c.Path, g.demand, 1)
 	g.reading = true
+	g.entered, g.enteredAt = g.entered[:0], time.Now()
+	for _, h := range c.Path {
+		if !g.choice.Path.Uses(h.ID) {
+			g.entered = append(g.entered, h.ID)
+		}
+	}
 	p.fleet.Release(g.choice.Path, g.demand)
 	g.choice = c
 }
@@ -270,23 +296,31 @@
 	return p.fleet.State(id)
 }
 
-// rejected takes a part that rejected a request out of new paths for a time that
-// doubles while it serves nothing.
-func (p *modelPool) rejected(id string) {
+// rejected takes a part that rejected a request out of new paths. A full part takes
+// requests again as soon as one ends. One that rejects though it has room leaves or
+// gives up layers: the time doubles while it takes nothing.
+func (p *modelPool) rejected(id string, full bool) {
+	if full {
+		p.block(id, rejectedBlock, "full")
+		return
+	}
 	p.mu.Lock()
-	n := p.rejections[id]
-	p.rejections[id] = n + 1
+	n := p.rejections[id].count
+	d := min(maxRejectedBlock, rejectedBlock<<min(n, maxDoublings))
+	now := time.Now()
+	p.rejections[id] = rejection{count: n + 1, last: now, until: now.Add(d)}
 	p.mu.Unlock()
-	p.block(id, min(maxRejectedBlock, rejectedBlock<<min(n, maxDoublings)), "rejected a request")
+	p.block(id, d, "rejected a request")
 }
 
-// rejecting returns the parts that have rejected requests again and again.
+// rejecting returns the parts that have rejected requests of this instance again and
+// again. What others told does not count, or instances would confirm each other.
 func (p *modelPool) rejecting(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
-	for id, n := range p.rejections {
-		if n >= rejectionsTold && p.fleet.Blocked(id, now) {
+	for id, r := range p.rejections {
+		if r.count >= rejectionsTold && now.Before(r.until) {
 			out = append(out, id)
 		}
 	}
