The retry budget counts all instances also when they start at once

Change: the number of instances counts once the group has not changed between two joins, peers with a session counted too; until then an instance retries only what its own requests pay for. Joins follow each other after 250 ms when the group has changed, so that the duty changes hands sooner; the list of members is read each 10 s at most after the start, as newcomers connect by themselves.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -339,6 +339,9 @@
 // CallersAddr returns the address that callers connect to.
 func (i *Instance) CallersAddr() string { return i.callers.Addr() }
 
+// Instances returns the number of entry instances, 0 while it is not known.
+func (i *Instance) Instances() int { return i.gateway.Instances() }
+
 // ReadyAddr returns the address that is asked for readiness.
 func (i *Instance) ReadyAddr() string { return i.ready.Addr() }
 
--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -82,6 +82,8 @@
 		defer resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	}, "ready")
+	// Before that it retries only what its own requests pay for.
+	w.eventually(func() bool { return w.instance.Instances() > 0 }, "the number of instances")
 }
 
 func (w *world) launch() *entry.Instance {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -45,10 +45,18 @@
 	readRetryInterval = time.Second
 	// memberTTL is how long the group keeps a member that it does not hear.
 	memberTTL = 3 * time.Second
-	// memberInterval is the shortest time between two reads of the member list.
-	memberInterval = 2500 * time.Millisecond
+	// memberInterval is the shortest time between two reads of the member list. New
+	// instances connect to the others by themselves.
+	memberInterval = 10 * time.Second
+	// startMemberInterval is the same within startTime after the start, when others may
+	// start too.
+	startMemberInterval = 2500 * time.Millisecond
+	startTime           = 10 * time.Second
 	// joinInterval is the time between two joins, three within memberTTL.
 	joinInterval = time.Second
+	// changedJoinInterval is the time between joins within joinInterval after a change
+	// of the group.
+	changedJoinInterval = 250 * time.Millisecond
 )
 
 // Options configures a Control.
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -28,6 +28,7 @@
 	duty       bool
 	generation int64
 	left       bool
+	members    []string
 	history    []roster.Update
 	// reads counts the reads of the history.
 	reads int
@@ -110,7 +111,11 @@
 	return Membership{Generation: w.generation, Duty: w.duty}, w.check()
 }
 
-func (w *world) Members(context.Context) ([]string, error) { return []string{"a", "b"}, nil }
+func (w *world) Members(context.Context) ([]string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.members, w.check()
+}
 
 func (w *world) Leave(context.Context) error {
 	w.set(func() { w.left = true })
@@ -271,10 +276,10 @@
 func TestJoinsNameTheLastGeneration(t *testing.T) {
 	w := newWorld()
 	run(t, w, func(*Control, *gateway.Gateway) {
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(changedJoinInterval / 2)
 		w.set(func() { w.generation = 8 })
-		time.Sleep(2 * time.Second)
-		w.set(func() { require.Equal(t, []int64{0, 7, 8}, w.told) })
+		time.Sleep(3*changedJoinInterval + changedJoinInterval/4)
+		w.set(func() { require.Equal(t, []int64{0, 7, 8, 8}, w.told) })
 	})
 }
 
@@ -418,3 +423,19 @@
 		w.set(func() { require.Positive(t, w.reads, "read as soon as a join is answered") })
 	})
 }
+
+// TestNumberOfInstancesCountsWhenItIsStable has the whole system start at once: the
+// first list has only some members.
+func TestNumberOfInstancesCountsWhenItIsStable(t *testing.T) {
+	w := newWorld()
+	w.members = []string{"a"}
+	run(t, w, func(_ *Control, g *gateway.Gateway) {
+		time.Sleep(changedJoinInterval / 2)
+		require.Zero(t, g.Instances())
+		w.set(func() { w.generation, w.members = 8, []string{"a", "b", "c"} })
+		time.Sleep(joinInterval)
+		require.Zero(t, g.Instances())
+		time.Sleep(startMemberInterval + joinInterval)
+		require.Equal(t, 3, g.Instances())
+	})
+}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -43,30 +43,32 @@
 	loadSlack = 3 * time.Second
 )
 
+// membership is what an instance remembers between joins.
+type membership struct {
+	// generation is the last one received. It tells the store that this member knows
+	// what it gave up. changed is when it changed.
+	generation int64
+	changed    time.Time
+	// listed is the generation of the member list, which was read at readAt and had
+	// members.
+	listed  int64
+	readAt  time.Time
+	members int
+	started time.Time
+}
+
 // keepMembership stays in the group until ctx ends, and leaves it then.
 func (c *Control) keepMembership(ctx context.Context) error {
-	// generation is the last one received, which tells the store that this member
-	// knows of what it gave up; listed is that of the member list, read at read.
-	var generation, listed int64
-	var read time.Time
+	m := membership{started: time.Now()}
 	for ctx.Err() == nil && !c.retired.Load() {
 		sent := time.Now()
-		m, err := c.opts.Group.Join(ctx, c.ttl(), generation)
-		if err != nil {
+		if err := c.join(ctx, sent, &m); err != nil {
 			c.failed(ctx, membershipCall, err)
 			continue
 		}
-		c.answered(membershipCall)
-		generation = m.Generation
-		c.setDuty(sent, m)
-		// The generation grows with each change of the members. Many change at once
-		// when the whole system starts.
-		if m.Generation != listed && sent.Sub(read) >= memberInterval && c.readMembers(ctx) {
-			listed, read = m.Generation, sent
-		}
-		c.rest(ctx, joinInterval-time.Since(sent))
+		c.rest(ctx, m.pause(sent)-time.Since(sent))
 	}
-	c.setDuty(time.Now(), Membership{Generation: generation})
+	c.setDuty(time.Now(), Membership{Generation: m.generation})
 	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), retryInterval)
 	defer cancel()
 	if err := c.opts.Group.Leave(leaveCtx); err != nil {
@@ -75,6 +77,49 @@
 	return nil
 }
 
+// pause returns the time until the next join. The duty changes hands in two joins
+// after a change of the group: one of the old holder, one of the new.
+func (m *membership) pause(sent time.Time) time.Duration {
+	if sent.Sub(m.changed) < joinInterval {
+		return changedJoinInterval
+	}
+	return joinInterval
+}
+
+// listDue tells whether the member list is to be read.
+func (m *membership) listDue(sent time.Time) bool {
+	interval := memberInterval
+	if sent.Sub(m.started) < startTime {
+		interval = startMemberInterval
+	}
+	return m.generation != m.listed && sent.Sub(m.readAt) >= interval
+}
+
+// join enters the group or stays in it. The generation grows with each change of the
+// members. Many change at once when the whole system starts; their number counts once
+// it has been the same for a join.
+func (c *Control) join(ctx context.Context, sent time.Time, m *membership) error {
+	got, err := c.opts.Group.Join(ctx, c.ttl(), m.generation)
+	if err != nil {
+		return err
+	}
+	c.answered(membershipCall)
+	if got.Generation != m.generation {
+		m.generation, m.changed = got.Generation, sent
+	}
+	c.setDuty(sent, got)
+	if m.generation == m.listed {
+		c.opts.Gateway.SetInstances(c.instances(m.members))
+		return nil
+	}
+	if m.listDue(sent) {
+		if n, ok := c.readMembers(ctx); ok {
+			m.listed, m.readAt, m.members = m.generation, sent, n
+		}
+	}
+	return nil
+}
+
 // rest waits until the next join, or until the instance retires.
 func (c *Control) rest(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -104,19 +149,27 @@
 	c.duty.until = sent.Add(c.ttl() - dutyMargin)
 }
 
-// readMembers tells how many instances there are; it returns false when the store
-// does not answer.
-func (c *Control) readMembers(ctx context.Context) bool {
+// readMembers passes on the list of members and returns their number; it returns
+// false when the store does not answer.
+func (c *Control) readMembers(ctx context.Context) (int, bool) {
 	members, err := c.opts.Group.Members(ctx)
 	if err != nil {
 		c.log.Info("members not read", zap.Error(err))
-		return false
+		return 0, false
 	}
-	c.opts.Gateway.SetInstances(len(members))
 	if c.opts.OnMembers != nil {
 		c.opts.OnMembers(members)
 	}
-	return true
+	return len(members), true
+}
+
+// instances returns the number of instances. Members are missing in the list while
+// they hold no partition yet.
+func (c *Control) instances(listed int) int {
+	if c.opts.Peers == nil {
+		return listed
+	}
+	return max(listed, c.opts.Peers()+1)
 }
 
 // fence returns the token for orders, or false without the duty. While the store
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -72,7 +72,8 @@
 	models  map[string]*modelPool
 	plains  map[string]*plainPool
 	budgets map[string]*retry.Budget
-	// instances is the number of entry instances that share the retry budget.
+	// instances is the number of entry instances that share the retry budget, 0 while
+	// it is not known.
 	instances int
 }
 
@@ -84,7 +85,6 @@
 		models:    map[string]*modelPool{},
 		plains:    map[string]*plainPool{},
 		budgets:   map[string]*retry.Budget{},
-		instances: 1,
 	}
 }
 
@@ -297,8 +297,14 @@
 	return b
 }
 
+// budgetConfig returns this instance's part of the bound. An instance that does not
+// know how many there are retries only what its own requests pay for: when all start
+// at once, each of them would take itself for one of few.
 func (g *Gateway) budgetConfig() retry.BudgetConfig {
-	n := float64(max(1, g.instances))
+	if g.instances == 0 {
+		return retry.BudgetConfig{Ratio: g.opts.Retries.Ratio * retryRatioShare, Bank: 1}
+	}
+	n := float64(g.instances)
 	window := max(g.opts.Retries.Window, time.Second).Seconds()
 	slack := g.opts.Retries.Slack / n
 	return retry.BudgetConfig{
@@ -308,6 +314,13 @@
 	}
 }
 
+// Instances returns the number of entry instances, 0 while it is not known.
+func (g *Gateway) Instances() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.instances
+}
+
 // SetInstances tells how many entry instances share the work.
 func (g *Gateway) SetInstances(n int) {
 	g.mu.Lock()
@@ -315,7 +328,11 @@
 	if n < 1 || n == g.instances {
 		return
 	}
+	first := g.instances == 0
 	g.instances = n
+	if first {
+		clear(g.budgets) // they start anew, with a full bank
+	}
 	now := time.Now()
 	for _, b := range g.budgets {
 		b.Configure(now, g.budgetConfig())
