Weak layers are reinforced at any time; empty replicas go to the weakest layers

Layers were moved only while the whole fleet was calm, which 98 replicas never are; an empty replica went to where its neighbours had to move least; and rows of several copies do not exist after losses, so that the balance of an island with several copies ended at 22 to 66 % of the room before.

Change: core/layout searches the one move that takes away most of the strain (the sum of (even room / room of a layer) to the fourth): growing, moving the boundary of two nodes, giving up what others hold, moving a node that is not needed where it is. It runs at any time below 0.75 of the even room and on islands with several copies; islands with one copy are balanced as before once their own zone is calm. An empty replica takes the layers that leave the least strain.

--- a/core/layout/bench_test.go
+++ b/core/layout/bench_test.go
@@ -21,7 +21,7 @@
 			b.Run(fmt.Sprintf("%s-%d", name, len(list)), func(b *testing.B) {
 				for b.Loop() {
 					work := append([]layout.Node(nil), list...)
-					layout.Plan(m, work, true)
+					layout.Plan(m, work, always)
 				}
 			})
 		}
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -67,13 +67,15 @@
 // Plan returns the orders that bring the fleet nearer to a layout in which each
 // island runs all layers. It returns none when nothing is to be done.
 //
-// calm tells that the fleet has not changed for a while. Only then are layers moved
-// between replicas that work: a replica that gives layers up takes no other order
-// until the requests that pass through them have ended.
-func Plan(m *pipeline.Model, nodes []Node, calm bool) []Order {
+// calm tells that a zone has not changed for a while. Only then are all layers moved
+// to where they belong: a replica that gives layers up takes no other order until the
+// requests that pass through them have ended. Before, only the weakest layers are
+// reinforced.
+func Plan(m *pipeline.Model, nodes []Node, calm func(zone string) bool) []Order {
 	var out []Order
 	for _, island := range islands(m, nodes) {
-		out = append(out, planIsland(m, island, calm)...)
+		quiet := !slices.ContainsFunc(island, func(n Node) bool { return !calm(n.Zone) })
+		out = append(out, planIsland(m, island, quiet)...)
 	}
 	return out
 }
@@ -142,9 +144,16 @@
 	p.fillWithEmpty()
 	p.fillWithNeighbors()
 	p.fillWithDonors()
-	if calm && len(p.orders) == 0 && !p.underWay() {
-		p.balance()
+	// One copy is a row of nodes, whose boundaries can all be moved to where they
+	// belong; that takes several rounds of loads. Several copies have no such rows after
+	// losses.
+	if calm && p.copies == 1 {
+		if len(p.orders) == 0 && !p.underWay() {
+			p.balance()
+		}
+		return p.orders
 	}
+	p.reinforce()
 	return p.orders
 }
 
--- a/core/layout/layout_test.go
+++ b/core/layout/layout_test.go
@@ -22,6 +22,10 @@
 	}
 }
 
+func always(string) bool { return true }
+
+func never(string) bool { return false }
+
 func zone(name string, kinds map[string]int) []layout.Node {
 	var out []layout.Node
 	for _, kind := range []string{"h100", "a100s", "l4", "t4"} {
@@ -52,13 +56,13 @@
 // settle plans until nothing is left to do.
 func settle(t require.TestingT, m *pipeline.Model, nodes []layout.Node) int {
 	for round := range 60 {
-		orders := layout.Plan(m, nodes, true)
+		orders := layout.Plan(m, nodes, always)
 		if len(orders) == 0 {
 			return round
 		}
 		carryOut(nodes, orders)
 	}
-	require.Fail(t, "the layout does not settle", "%v", layout.Plan(m, nodes, true))
+	require.Fail(t, "the layout does not settle", "%v", layout.Plan(m, nodes, always))
 	return 0
 }
 
@@ -102,18 +106,18 @@
 func TestFreshZonesHoldWholeModels(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	carryOut(nodes, layout.Plan(m, nodes, true))
+	carryOut(nodes, layout.Plan(m, nodes, always))
 	requireFits(t, m, nodes)
 	for _, z := range []string{"quito", "ambato"} {
 		requireCovered(t, m, nodes, z)
 	}
-	require.Empty(t, layout.Plan(m, nodes, true), "a fresh layout is left alone")
+	require.Empty(t, layout.Plan(m, nodes, always), "a fresh layout is left alone")
 }
 
 func TestFreshLayoutFollowsMemory(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	carryOut(nodes, layout.Plan(m, nodes, true))
+	carryOut(nodes, layout.Plan(m, nodes, always))
 	for _, n := range nodes {
 		room := m.Room(n.Kind, n.To-n.From) / float64(n.To-n.From)
 		require.Greater(t, room, 50_000.0, "tokens that fit beside the layers of %s", n.ID)
@@ -145,7 +149,7 @@
 		settle(t, m, nodes)
 		nodes = without(nodes, lost.ID)
 		for range rounds {
-			carryOut(nodes, layout.Plan(m, nodes, true))
+			carryOut(nodes, layout.Plan(m, nodes, always))
 		}
 		requireCovered(t, m, nodes, lost.Zone)
 		settle(t, m, nodes)
@@ -200,7 +204,7 @@
 func TestUnknownKindsGetNoOrders(t *testing.T) {
 	m := model()
 	nodes := append(fleet(), layout.Node{ID: "x", Zone: "quito", Kind: "unknown"})
-	for _, o := range layout.Plan(m, nodes, true) {
+	for _, o := range layout.Plan(m, nodes, always) {
 		require.NotEqual(t, "x", o.ID)
 	}
 }
@@ -208,12 +212,66 @@
 func TestOrdersUnderWayAreNotRepeated(t *testing.T) {
 	m := model()
 	nodes := fleet()
-	for _, o := range layout.Plan(m, nodes, true) {
+	for _, o := range layout.Plan(m, nodes, always) {
 		for i := range nodes {
 			if nodes[i].ID == o.ID {
 				nodes[i].WantFrom, nodes[i].WantTo = o.From, o.To
 			}
 		}
 	}
-	require.Empty(t, layout.Plan(m, nodes, true))
+	require.Empty(t, layout.Plan(m, nodes, always))
+}
+
+// TestWeakLayersAreReinforcedWhileTheFleetChanges loses four replicas of a large zone
+// that never becomes calm: within a few rounds the weakest layer has at least 0.6 of
+// the room that it had, of which a ninth was lost.
+func TestWeakLayersAreReinforcedWhileTheFleetChanges(t *testing.T) {
+	m := model()
+	m.LoadsAtOnce = 4
+	large := zone("quito", map[string]int{"h100": 1, "a100s": 2, "l4": 13, "t4": 18})
+	for k := range large {
+		nodes := slices.Clone(large)
+		settle(t, m, nodes)
+		before := weakest(m, nodes, "quito")
+		for _, lost := range []int{k, k + 1, k + 7, k + 15} {
+			nodes = without(nodes, large[lost%len(large)].ID)
+		}
+		for range 5 {
+			carryOut(nodes, layout.Plan(m, nodes, never))
+		}
+		requireFits(t, m, nodes)
+		require.GreaterOrEqual(t, weakest(m, nodes, "quito"), 0.6*before, "after the loss of %s", large[k].ID)
+	}
+}
+
+// TestReinforcementEnds has random losses in a zone that never becomes calm: after
+// some rounds nothing is left to do.
+func TestReinforcementEnds(t *testing.T) {
+	m := model()
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := fleet()
+		settle(t, m, nodes)
+		for range rapid.IntRange(1, 6).Draw(t, "losses") {
+			nodes = without(nodes, nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "lost")].ID)
+		}
+		for range 40 {
+			carryOut(nodes, layout.Plan(m, nodes, never))
+		}
+		requireFits(t, m, nodes)
+		require.Empty(t, layout.Plan(m, nodes, never))
+	})
+}
+
+// TestEmptyReplicaGoesToTheWeakestLayers returns a replica after its layers were given
+// to others.
+func TestEmptyReplicaGoesToTheWeakestLayers(t *testing.T) {
+	m := model()
+	nodes := zone("quito", map[string]int{"h100": 1, "a100s": 2, "l4": 13, "t4": 18})
+	settle(t, m, nodes)
+	lost := nodes[9]
+	nodes = without(nodes, lost.ID)
+	weak := weakest(m, nodes, "quito")
+	nodes = append(nodes, layout.Node{ID: "new", Zone: lost.Zone, Kind: lost.Kind})
+	carryOut(nodes, layout.Plan(m, nodes, never))
+	require.Greater(t, weakest(m, nodes, "quito"), 1.2*weak)
 }
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -104,8 +104,9 @@
 	// malformed holds the keys that were reported as unreadable.
 	malformed map[string]string
 	// joinedAt is when a replica joined last, changedAt when one joined, left or fell
-	// silent.
-	joinedAt, changedAt time.Time
+	// silent, by zone.
+	joinedAt  time.Time
+	changedAt map[string]time.Time
 
 	retired    atomic.Bool
 	retire     chan struct{}
@@ -146,6 +147,7 @@
 		placed:    map[string]placement{},
 		suspects:  map[string]suspicion{},
 		malformed: map[string]string{},
+		changedAt: map[string]time.Time{},
 		retire:    make(chan struct{}),
 	}
 }
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -31,10 +31,10 @@
 	members    []string
 	history    []roster.Update
 	// reads counts the reads of the history.
-	reads int
-	answer     gateway.OrderResult
-	orders     []int64 // fencing tokens
-	told       []int64 // generations that joins named
+	reads  int
+	answer gateway.OrderResult
+	orders []int64 // fencing tokens
+	told   []int64 // generations that joins named
 }
 
 var errAway = errors.New("away")
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -252,7 +252,8 @@
 		if c.stillJoining(time.Now(), nodes) {
 			continue
 		}
-		orders := layout.Plan(s.Model, nodes, c.calm(time.Now()))
+		now := time.Now()
+		orders := layout.Plan(s.Model, nodes, func(zone string) bool { return c.calm(now, zone) })
 		c.send(ctx, s.Model, entries, orders, token)
 	}
 }
@@ -266,7 +267,7 @@
 		return
 	}
 	if _, known := c.suspects[id]; !known {
-		c.changedAt = time.Now()
+		c.changedAt[e.Zone] = time.Now()
 		c.log.Info("replica left out of the layout", zap.String("replica", id), zap.Int64("heartbeat", e.Sequence))
 	}
 	c.suspects[id] = suspicion{born: e.Born, heartbeat: e.Sequence, until: time.Now().Add(suspicionTime)}
@@ -298,11 +299,11 @@
 	return now.Sub(c.joinedAt) < settleTime
 }
 
-// calm tells whether no replica has joined or left for a while.
-func (c *Control) calm(now time.Time) bool {
+// calm tells whether no replica of the zone has joined or left for a while.
+func (c *Control) calm(now time.Time, zone string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.changedAt) >= calmTime
+	return now.Sub(c.changedAt[zone]) >= calmTime
 }
 
 // nodes returns the replicas that take layers.
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -229,7 +229,7 @@
 		c.joinedAt = now
 	}
 	if change != roster.Updated {
-		c.changedAt = now
+		c.changedAt[e.Zone] = now
 	}
 	if change == roster.Left && c.opts.OnLeaving != nil {
 		c.opts.OnLeaving(id)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -80,11 +80,11 @@
 // New returns a gateway that knows no configuration and no replicas.
 func New(o Options) *Gateway {
 	return &Gateway{
-		opts:      o,
-		log:       o.Logger,
-		models:    map[string]*modelPool{},
-		plains:    map[string]*plainPool{},
-		budgets:   map[string]*retry.Budget{},
+		opts:    o,
+		log:     o.Logger,
+		models:  map[string]*modelPool{},
+		plains:  map[string]*plainPool{},
+		budgets: map[string]*retry.Budget{},
 	}
 }
 
