Rejections are told at once; those after a stall blame nobody

With 59 instances each found out by itself which parts leave, and what they told each other came each 0.6 s and held for 0.4 s.

Later rejections and those of full parts are not told. Reads during an outage wait 3 s for a join in place of 1 s, polls of the configuration take 20 s in place of 6 s.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -144,6 +144,7 @@
 			i.mesh.Silent(replica)
 			i.control.Suspect(replica)
 		},
+		OnRejected: func(replica string, count int) { i.mesh.Rejected(replica, count) },
 	})
 	i.control = control.New(control.Options{
 		Configs:   platform.ConfigSource{Store: i.store},
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -18,7 +18,7 @@
 	// configWait is the longest wait for a new configuration in one call. A poll that
 	// misses one, or whose connection has gone silent, does not make it late: peers
 	// tell which version they have.
-	configWait = 6 * time.Second
+	configWait = 20 * time.Second
 	// configWaitAlone is the same without peers. It is below the 2 s within which a
 	// version must be in force.
 	configWaitAlone = 1500 * time.Millisecond
@@ -42,7 +42,7 @@
 	retryInterval = 250 * time.Millisecond
 	// readRetryInterval is the time until another call is tried again if no join has
 	// been answered before. Outages may concern some calls only.
-	readRetryInterval = time.Second
+	readRetryInterval = 3 * time.Second
 	// memberTTL is how long the group keeps a member that it does not hear.
 	memberTTL = 3 * time.Second
 	// memberInterval is the shortest time between two reads of the member list. New
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -50,6 +50,9 @@
 	Retries RetryBound
 	// OnSilent, if set, is called with a replica that gives no sign of life.
 	OnSilent func(replica string)
+	// OnRejected, if set, is called with a replica that rejected a request though it has
+	// room, for the count-th time in a row.
+	OnRejected func(replica string, count int)
 }
 
 // RetryBound is the bound on repeats of one service for all instances: ratio
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -109,24 +109,11 @@
 	return out
 }
 
-// Rejecting returns the replicas that have rejected requests again and again.
-func (g *Gateway) Rejecting() []string {
-	var out []string
+// Rejected takes a replica out of use that rejected a request of another instance, for
+// the count-th time in a row.
+func (g *Gateway) Rejected(replica string, count int) {
 	for _, p := range g.modelPools() {
-		out = append(out, p.rejecting(time.Now())...)
-	}
-	return out
-}
-
-// KeepOff takes the replicas out of use that reject the requests of another
-// instance.
-func (g *Gateway) KeepOff(rejecting func(replica string) bool) {
-	for _, p := range g.modelPools() {
-		for _, r := range p.listed() {
-			if rejecting(r.ID) {
-				p.block(r.ID, toldBlock, "rejects the requests of another instance")
-			}
-		}
+		p.toldRejected(replica, count)
 	}
 }
 
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/sha256"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -51,10 +50,9 @@
 	Pipes() map[pipeline.Pipe]float64
 	// SetForeign takes the work of all other instances by replica and by pipe.
 	SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64)
-	// Rejecting returns the replicas that reject requests again and again.
-	Rejecting() []string
-	// KeepOff takes replicas out of use that reject another instance's requests.
-	KeepOff(rejecting func(replica string) bool)
+	// Rejected takes a replica out of use that rejected a request of another instance
+	// for the count-th time in a row.
+	Rejected(replica string, count int)
 	// Observe takes what another instance has read from the replicas.
 	Observe(of func(replica string) (pipeline.Observed, bool))
 	// Suspect takes a replica that another instance found silent out of use.
@@ -176,6 +174,12 @@
 	m.broadcast(&peerpb.Suspicion{Upstream: replica})
 }
 
+// Rejected tells the peers of a replica that rejected a request though it has room, for
+// the count-th time in a row.
+func (m *Mesh) Rejected(replica string, count int) {
+	m.broadcast(&peerpb.Rejection{Upstream: replica, Count: uint32(count)})
+}
+
 // Leaving tells the peers of a replica that is to get no new work.
 func (m *Mesh) Leaving(replica string) {
 	m.broadcast(&peerpb.Leaving{Upstream: replica})
@@ -226,9 +230,6 @@
 			})
 		}
 	}
-	for _, id := range m.opts.Gateway.Rejecting() {
-		message.Rejecting = append(message.Rejecting, key(id))
-	}
 	if m.opts.Duty != nil {
 		message.DutyGeneration = uint64(m.opts.Duty())
 	}
@@ -295,9 +296,6 @@
 	if n := loads.GetDutyGeneration(); n > 0 && h.mesh.opts.OnDuty != nil {
 		h.mesh.opts.OnDuty(int64(n))
 	}
-	if keys := loads.GetRejecting(); len(keys) > 0 {
-		h.mesh.opts.Gateway.KeepOff(func(replica string) bool { return slices.Contains(keys, key(replica)) })
-	}
 	h.mesh.mu.Lock()
 	defer h.mesh.mu.Unlock()
 	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), pipes: loads.GetPipes()}
@@ -331,6 +329,11 @@
 	}
 }
 
+// Rejection implements peer.Handler.
+func (h *handler) Rejection(_ string, r *peerpb.Rejection) {
+	h.mesh.opts.Gateway.Rejected(r.GetUpstream(), int(r.GetCount()))
+}
+
 // ConfigState implements peer.Handler.
 func (h *handler) ConfigState(_ string, state *peerpb.ConfigState) {
 	if h.mesh.opts.OnConfig != nil {
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -37,6 +37,8 @@
 	Poison(from string, poison *peerpb.Poison)
 	// Suspicion is called when the peer got no answer from an upstream.
 	Suspicion(from string, suspicion *peerpb.Suspicion)
+	// Rejection is called when an upstream rejected a request of the peer.
+	Rejection(from string, rejection *peerpb.Rejection)
 	// Leaving is called when an upstream is to get no new work.
 	Leaving(from string, leaving *peerpb.Leaving)
 	// UpstreamLoads is called for the peer's work on all upstreams.
@@ -73,6 +75,9 @@
 // Suspicion implements Handler.
 func (NopHandler) Suspicion(string, *peerpb.Suspicion) {}
 
+// Rejection implements Handler.
+func (NopHandler) Rejection(string, *peerpb.Rejection) {}
+
 // Leaving implements Handler.
 func (NopHandler) Leaving(string, *peerpb.Leaving) {}
 
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -260,6 +260,8 @@
 		envelope.Body = &peerpb.Envelope_Poison{Poison: m}
 	case *peerpb.Suspicion:
 		envelope.Body = &peerpb.Envelope_Suspicion{Suspicion: m}
+	case *peerpb.Rejection:
+		envelope.Body = &peerpb.Envelope_Rejection{Rejection: m}
 	case *peerpb.Leaving:
 		envelope.Body = &peerpb.Envelope_Leaving{Leaving: m}
 	case *peerpb.UpstreamLoads:
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -169,6 +169,8 @@
 		handler.Poison(s.remoteID, body.Poison)
 	case *peerpb.Envelope_Suspicion:
 		handler.Suspicion(s.remoteID, body.Suspicion)
+	case *peerpb.Envelope_Rejection:
+		handler.Rejection(s.remoteID, body.Rejection)
 	case *peerpb.Envelope_Leaving:
 		handler.Leaving(s.remoteID, body.Leaving)
 	case *peerpb.Envelope_UpstreamLoads:
