--- a/core/layout/balance.go
+++ b/core/layout/balance.go
@@ -40,6 +40,76 @@
 
 func distance(a, b int) int { return max(a-b, b-a) }
 
+// fillRow puts the empty nodes into the rows, where they change least, and gives
+// them their share of the layers. The others give way later.
+func (p *plan) fillRow() {
+	rows := p.chains()
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if !n.empty() {
+			continue
+		}
+		least := 0
+		for r := range rows {
+			if p.memoryOfAll(rows[r]) < p.memoryOfAll(rows[least]) {
+				least = r
+			}
+		}
+		rows[least] = p.insert(rows[least], n)
+	}
+}
+
+func (p *plan) memoryOfAll(nodes []*Node) float64 {
+	sum := 0.0
+	for _, n := range nodes {
+		sum += p.memoryOf(n)
+	}
+	return sum
+}
+
+// insert orders the layers for an empty node at the place in the row that leaves
+// the others nearest to what they hold. It returns the row with the node.
+func (p *plan) insert(row []*Node, n *Node) []*Node {
+	best, bestMoved := -1, 0
+	var bestFrom, bestTo int
+	for at := 0; at <= len(row); at++ {
+		with := slices.Insert(slices.Clone(row), at, n)
+		sizes, ok := p.sizes(with, p.model.Layers, leastCacheShare)
+		if !ok {
+			continue
+		}
+		moved, from, start := 0, 0, 0
+		for i, other := range with {
+			if other == n {
+				start = from
+			} else {
+				moved += p.missing(other, from, from+sizes[i])
+			}
+			from += sizes[i]
+		}
+		if best < 0 || moved < bestMoved {
+			best, bestMoved = at, moved
+			bestFrom, bestTo = start, start+sizes[at]
+		}
+	}
+	if best < 0 {
+		return p.insertIntoGap(row, n)
+	}
+	p.order(n, bestFrom, bestTo, "empty")
+	return slices.Insert(slices.Clone(row), best, n)
+}
+
+// insertIntoGap is for islands that cannot hold the model: the node takes what it
+// can of the widest gap.
+func (p *plan) insertIntoGap(row []*Node, n *Node) []*Node {
+	from, to := p.gap()
+	if to == from {
+		return row
+	}
+	p.order(n, from, min(to, from+most(p.model, n.Kind, leastCacheShare)), "gap")
+	return append(slices.Clone(row), n)
+}
+
 // missing counts the layers from..to that the node does not hold.
 func (p *plan) missing(n *Node, from, to int) int {
 	heldFrom, heldTo := n.span()
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -69,8 +69,8 @@
 //
 // calm tells that a zone has not changed for a while. Only then are all layers moved
 // to where they belong: a replica that gives layers up takes no other order until the
-// requests that pass through them have ended. Before, only the weakest layers are
-// reinforced.
+// requests that pass through them have ended. Islands with several copies reinforce
+// their weakest layers at any time.
 func Plan(m *pipeline.Model, nodes []Node, calm func(zone string) bool) []Order {
 	var out []Order
 	for _, island := range islands(m, nodes) {
@@ -141,20 +141,32 @@
 		p.fresh()
 		return p.orders
 	}
-	p.fillWithEmpty()
+	if p.copies == 1 {
+		p.planRow(calm)
+	} else {
+		p.planCopies()
+	}
+	return p.orders
+}
+
+// planRow plans an island with one copy, which is a row of nodes. All its boundaries
+// can be moved to where they belong, which takes several rounds of loads.
+func (p *plan) planRow(calm bool) {
+	p.fillRow()
 	p.fillWithNeighbors()
 	p.fillWithDonors()
-	// One copy is a row of nodes, whose boundaries can all be moved to where they
-	// belong; that takes several rounds of loads. Several copies have no such rows after
-	// losses.
-	if calm && p.copies == 1 {
-		if len(p.orders) == 0 && !p.underWay() {
-			p.balance()
-		}
-		return p.orders
+	if calm && len(p.orders) == 0 && !p.underWay() {
+		p.balance()
 	}
+}
+
+// planCopies plans an island with several copies, which after losses are no rows any
+// more.
+func (p *plan) planCopies() {
+	p.fillWeakest()
+	p.fillWithNeighbors()
+	p.fillWithDonors()
 	p.reinforce()
-	return p.orders
 }
 
 type plan struct {
--- a/core/layout/reinforce.go
+++ b/core/layout/reinforce.go
@@ -235,9 +235,9 @@
 	return from, to
 }
 
-// fillWithEmpty gives each empty node the layers with which it takes away most of the
+// fillWeakest gives each empty node the layers with which it takes away most of the
 // strain.
-func (p *plan) fillWithEmpty() {
+func (p *plan) fillWeakest() {
 	for i := range p.nodes {
 		n := &p.nodes[i]
 		if !n.empty() {
