--- /dev/null
+++ b/core/roster/export_test.go
@@ -0,0 +1,4 @@
+package roster
+
+// Len returns the number of entries.
+func (r *Roster) Len() int { return len(r.entries) }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -265,6 +265,3 @@
 	}
 	return old.Entry, old.leaving, true
 }
-
-// Len returns the number of entries.
-func (r *Roster) Len() int { return len(r.entries) }
