--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -102,3 +102,19 @@
 		require.Equal(t, "c", p.take().path()[1].ID)
 	})
 }
+
+// TestInstancesDoNotConfirmEachOther has two instances that both found a part
+// rejecting and told each other. What they were told must not be told again, or the
+// part would stay out of use for good.
+func TestInstancesDoNotConfirmEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := newPool(), newPool()
+		for range 2 {
+			two.toldRejected("b", one.rejected("b", true))
+			one.toldRejected("b", two.rejected("b", true))
+		}
+		time.Sleep(3 * time.Second)
+		require.False(t, one.fleet.Blocked("b", time.Now()))
+		require.False(t, two.fleet.Blocked("b", time.Now()))
+	})
+}
