Plain names: link between zones, group of zones, shortage; one formula for the cache

Pipe, island, donor, strain and pump were the users' word or metaphors. What the KV cache takes of a memory is computed in pipeline.Model.CacheTokens only.

--- a/core/layout/balance.go
+++ b/core/layout/balance.go
@@ -99,7 +99,7 @@
 	return slices.Insert(slices.Clone(row), best, n)
 }
 
-// insertIntoGap is for islands that cannot hold the model: the node takes what it
+// insertIntoGap is for groups that cannot hold the model: the node takes what it
 // can of the widest gap.
 func (p *plan) insertIntoGap(row []*Node, n *Node) []*Node {
 	from, to := p.gap()
--- a/core/layout/gap.go
+++ b/core/layout/gap.go
@@ -34,7 +34,7 @@
 
 // fillWithNeighbors closes gaps by nodes that hold the layers beside them. Nobody
 // gives anything up for it: where the neighbours have too little memory, part of
-// a gap stays until the island is balanced.
+// a gap stays until the group is balanced.
 func (p *plan) fillWithNeighbors() {
 	for range len(p.nodes) {
 		from, to := p.gap()
@@ -44,27 +44,27 @@
 	}
 }
 
-// fillWithDonors closes what is left of a gap by nodes whose layers others hold.
+// fillWithFreed closes what is left of a gap by nodes whose layers others hold.
 // If there is none, it lets the neighbours of one take its layers over, so that
 // it is free the next time.
-func (p *plan) fillWithDonors() {
+func (p *plan) fillWithFreed() {
 	for range len(p.nodes) {
 		from, to := p.gap()
 		if to <= from {
 			return
 		}
-		donor := p.freeNode()
-		if donor == nil {
+		n := p.freeNode()
+		if n == nil {
 			break
 		}
-		p.order(donor, from, min(to, from+most(p.model, donor.Kind, leastCacheShare)), "donor")
+		p.order(n, from, min(to, from+most(p.model, n.Kind, leastCacheShare)), "held elsewhere")
 	}
 	from, to := p.gap()
 	if p.underWay() {
 		return
 	}
 	for left := to - from; left > 0; {
-		size := p.freeDonor(left)
+		size := p.relieveOne(left)
 		if size == 0 {
 			return
 		}
@@ -109,22 +109,22 @@
 	return out
 }
 
-// freeDonor chooses a node that its two neighbours can relieve of all layers, and
+// relieveOne chooses a node that its two neighbours can relieve of all layers, and
 // orders them to: the smallest one that can take the wanted layers, or the
 // largest. It returns the number of layers that the node can take then, 0 if there
 // is none.
-func (p *plan) freeDonor(want int) int {
+func (p *plan) relieveOne(want int) int {
 	var best, bestLeft, bestRight *Node
 	bestByLeft := 0
 	for i := range p.nodes {
 		n := &p.nodes[i]
-		if n.ordered() || n.To <= n.From || p.donors[n.ID] {
+		if n.ordered() || n.To <= n.From || p.freed[n.ID] {
 			continue
 		}
 		left, spareLeft := p.neighbor(func(_, t int) bool { return t == n.From })
 		right, spareRight := p.neighbor(func(f, _ int) bool { return f == n.To })
 		size := n.To - n.From
-		if spareLeft+spareRight < size || (best != nil && !p.betterDonor(n, best, want)) {
+		if spareLeft+spareRight < size || (best != nil && !p.betterToFree(n, best, want)) {
 			continue
 		}
 		best, bestLeft, bestRight = n, left, right
@@ -133,13 +133,13 @@
 	if best == nil {
 		return 0
 	}
-	p.donors[best.ID] = true
+	p.freed[best.ID] = true
 	middle := best.From + bestByLeft
 	if bestByLeft > 0 {
-		p.order(bestLeft, bestLeft.From, middle, "frees a donor")
+		p.order(bestLeft, bestLeft.From, middle, "frees a replica")
 	}
 	if middle < best.To {
-		p.order(bestRight, middle, bestRight.To, "frees a donor")
+		p.order(bestRight, middle, bestRight.To, "frees a replica")
 	}
 	return most(p.model, best.Kind, leastCacheShare)
 }
@@ -175,7 +175,7 @@
 	for i := range p.nodes {
 		n := &p.nodes[i]
 		from, to := n.span()
-		if to <= from || n.ordered() || p.donors[n.ID] || !fits(from, to) {
+		if to <= from || n.ordered() || p.freed[n.ID] || !fits(from, to) {
 			continue
 		}
 		if more := most(p.model, n.Kind, leastCacheShare) - (to - from); more > spare {
@@ -185,7 +185,7 @@
 	return best, spare
 }
 
-func (p *plan) betterDonor(a, b *Node, want int) bool {
+func (p *plan) betterToFree(a, b *Node, want int) bool {
 	takesA := most(p.model, a.Kind, leastCacheShare) >= want
 	takesB := most(p.model, b.Kind, leastCacheShare) >= want
 	if takesA != takesB {
--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// cacheShare is the part of an island's memory that is kept for the KV cache
+	// cacheShare is the part of a group's memory that is kept for the KV cache
 	// when the number of copies is chosen. With less, requests wait for memory
 	// long before the accelerators are busy.
 	cacheShare = 0.3
@@ -65,24 +65,24 @@
 }
 
 // Plan returns the orders that bring the fleet nearer to a layout in which each
-// island runs all layers. It returns none when nothing is to be done.
+// group runs all layers. It returns none when nothing is to be done.
 //
 // calm tells that a zone has not changed for a while. Only then are all layers moved
 // to where they belong: a replica that gives layers up takes no other order until the
-// requests that pass through them have ended. Islands with several copies reinforce
+// requests that pass through them have ended. Groups with several copies reinforce
 // their weakest layers at any time.
 func Plan(m *pipeline.Model, nodes []Node, calm func(zone string) bool) []Order {
 	var out []Order
-	for _, island := range islands(m, nodes) {
-		quiet := !slices.ContainsFunc(island, func(n Node) bool { return !calm(n.Zone) })
-		out = append(out, planIsland(m, island, quiet)...)
+	for _, group := range groups(m, nodes) {
+		quiet := !slices.ContainsFunc(group, func(n Node) bool { return !calm(n.Zone) })
+		out = append(out, planGroup(m, group, quiet)...)
 	}
 	return out
 }
 
-// islands groups the nodes by zone. Zones that cannot hold the model on their
-// own are one island.
-func islands(m *pipeline.Model, nodes []Node) [][]Node {
+// groups groups the nodes by zone. Zones that cannot hold the model on their
+// own are one group.
+func groups(m *pipeline.Model, nodes []Node) [][]Node {
 	byZone := map[string][]Node{}
 	var zones []string
 	for _, n := range nodes {
@@ -107,8 +107,8 @@
 	if len(rest) > 0 {
 		out = append(out, rest)
 	}
-	for _, island := range out {
-		slices.SortFunc(island, func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
+	for _, group := range out {
+		slices.SortFunc(group, func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return out
 }
@@ -127,14 +127,14 @@
 	return sum
 }
 
-// copies returns the number of times that the island holds each layer.
-func copies(m *pipeline.Model, island []Node) int {
-	return max(1, capacity(m, island, cacheShare)/m.Layers)
+// copies returns the number of times that the group holds each layer.
+func copies(m *pipeline.Model, group []Node) int {
+	return max(1, capacity(m, group, cacheShare)/m.Layers)
 }
 
-func planIsland(m *pipeline.Model, island []Node, calm bool) []Order {
-	p := &plan{model: m, nodes: island, copies: copies(m, island), donors: map[string]bool{}}
-	for _, n := range island {
+func planGroup(m *pipeline.Model, group []Node, calm bool) []Order {
+	p := &plan{model: m, nodes: group, copies: copies(m, group), freed: map[string]bool{}}
+	for _, n := range group {
 		p.memory += m.Kinds[n.Kind].MemoryMB
 	}
 	if p.allEmpty() {
@@ -149,23 +149,23 @@
 	return p.orders
 }
 
-// planRow plans an island with one copy, which is a row of nodes. All its boundaries
+// planRow plans a group with one copy, which is a row of nodes. All its boundaries
 // can be moved to where they belong, which takes several rounds of loads.
 func (p *plan) planRow(calm bool) {
 	p.fillRow()
 	p.fillWithNeighbors()
-	p.fillWithDonors()
+	p.fillWithFreed()
 	if calm && len(p.orders) == 0 && !p.underWay() {
 		p.balance()
 	}
 }
 
-// planCopies plans an island with several copies, which after losses are no rows any
+// planCopies plans a group with several copies, which after losses are no rows any
 // more.
 func (p *plan) planCopies() {
 	p.fillWeakest()
 	p.fillWithNeighbors()
-	p.fillWithDonors()
+	p.fillWithFreed()
 	p.reinforce()
 }
 
@@ -173,11 +173,11 @@
 	model  *pipeline.Model
 	nodes  []Node
 	copies int
-	// memory is the sum over the island, in MB.
+	// memory is the sum over the group, in MB.
 	memory float64
 	orders []Order
-	// donors are nodes that are about to give up all their layers.
-	donors map[string]bool
+	// freed are nodes that are about to give up all their layers.
+	freed map[string]bool
 }
 
 func (p *plan) allEmpty() bool {
@@ -197,7 +197,7 @@
 	p.orders = append(p.orders, Order{ID: n.ID, From: from, To: to, Why: why})
 }
 
-// fresh lays out an island without layers: columns of about equal memory, each
+// fresh lays out a group without layers: columns of about equal memory, each
 // with all layers in proportion to the memory of its nodes.
 func (p *plan) fresh() {
 	byMemory := make([]*Node, len(p.nodes))
--- a/core/layout/reinforce.go
+++ b/core/layout/reinforce.go
@@ -9,10 +9,10 @@
 	// weakShare is the part of the room of an even layout below which the weakest
 	// layer is reinforced at any time. Requests wait for the weakest layer.
 	weakShare = 0.75
-	// strainGain is the part of the strain that a move must take away.
-	strainGain = 0.05
-	// strainPower makes the weakest layers count most.
-	strainPower = 4
+	// shortageGain is the part of the shortage that a move must take away.
+	shortageGain = 0.05
+	// shortagePower makes the weakest layers count most.
+	shortagePower = 4
 	// weakRunShare bounds the room of the layers that count as weak as the weakest.
 	weakRunShare = 1.3
 	// leastTokens is the part of the even room that layers without room count with.
@@ -22,21 +22,17 @@
 // even returns the number of tokens that fit at each layer if the memory that the
 // copies leave free is shared evenly.
 func (p *plan) even() float64 {
-	layers := float64(p.model.Layers)
-	free := p.memory/layers - float64(p.copies)*p.model.LayerMB
-	return max(0, free) * bytesPerMB / p.model.KVTokenBytes * layers
+	free := p.memory/float64(p.model.Layers) - float64(p.copies)*p.model.LayerMB
+	return p.model.CacheTokens(free)
 }
 
-// bytesPerMB converts the memory figures.
-const bytesPerMB = 1e6
-
-// strain is a smooth measure of how far the weakest layers are below the even room;
+// shortage is a smooth measure of how far the weakest layers are below the even room;
 // lower is better.
-func strain(tokens []float64, even float64) float64 {
+func shortage(tokens []float64, even float64) float64 {
 	sum := 0.0
 	for _, t := range tokens {
 		r := even / max(t, even*leastTokens)
-		sum += math.Pow(r, strainPower)
+		sum += math.Pow(r, shortagePower)
 	}
 	return sum
 }
@@ -45,11 +41,11 @@
 type move struct {
 	node     *Node
 	from, to int
-	strain   float64
+	shortage float64
 	why      string
 }
 
-// search looks for the move that leaves the least strain.
+// search looks for the move that leaves the least shortage.
 type search struct {
 	*plan
 	now  []float64
@@ -64,7 +60,7 @@
 func (p *plan) newSearch() *search {
 	s := &search{plan: p, now: p.tokens(), even: p.even(), after: make([]float64, p.model.Layers)}
 	s.weakestNow = slices.Min(s.now)
-	s.best.strain = strain(s.now, s.even) * (1 - strainGain)
+	s.best.shortage = shortage(s.now, s.even) * (1 - shortageGain)
 	return s
 }
 
@@ -77,8 +73,8 @@
 	heldFrom, heldTo := n.span()
 	s.add(n, heldFrom, heldTo, -1)
 	s.add(n, from, to, 1)
-	if v := strain(s.after, s.even); v < s.best.strain {
-		s.best = move{node: n, from: from, to: to, strain: v, why: why}
+	if v := shortage(s.after, s.even); v < s.best.shortage {
+		s.best = move{node: n, from: from, to: to, shortage: v, why: why}
 	}
 }
 
@@ -156,8 +152,8 @@
 	heldFrom, heldTo = o.span()
 	s.add(o, heldFrom, heldTo, -1)
 	s.add(o, otherFrom, otherTo, 1)
-	if v := strain(s.after, s.even); v < s.best.strain {
-		s.best = move{node: n, from: from, to: to, strain: v, why: "relieves"}
+	if v := shortage(s.after, s.even); v < s.best.shortage {
+		s.best = move{node: n, from: from, to: to, shortage: v, why: "relieves"}
 	}
 }
 
@@ -236,7 +232,7 @@
 }
 
 // fillWeakest gives each empty node the layers with which it takes away most of the
-// strain.
+// shortage.
 func (p *plan) fillWeakest() {
 	for i := range p.nodes {
 		n := &p.nodes[i]
@@ -244,7 +240,7 @@
 			continue
 		}
 		s := p.newSearch()
-		s.best.strain = math.Inf(1)
+		s.best.shortage = math.Inf(1)
 		for size := 1; size <= most(p.model, n.Kind, leastCacheShare); size++ {
 			for from := 0; from+size <= p.model.Layers; from++ {
 				s.try(n, from, from+size, "empty")
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -11,7 +11,7 @@
 	// delays between zones are of the same size.
 	hopMS = 0.2
 	// crossHopMS is charged for each token that goes to another zone over an idle
-	// pipe, beyond hopMS. The pipes between zones are shared by all requests: trials on the
+	// link, beyond hopMS. The links between zones are shared by all requests: trials on the
 	// users' bench gave the best service at 3 ms.
 	crossHopMS = 3.0
 	// fullAt is the part of the KV cache that may be reserved; what is left
@@ -292,7 +292,7 @@
 	for i, h := range p {
 		ms += s.fleet.readMS(h, s.demand)
 		if i > 0 && h.Zone != p[i-1].Zone {
-			ms += s.fleet.pipeMS(s.now, h.Zone, p[i-1].Zone, s.demand)
+			ms += s.fleet.linkMS(s.now, h.Zone, p[i-1].Zone, s.demand)
 		}
 	}
 	return time.Duration(ms * float64(time.Millisecond))
--- a/core/pipeline/model.go
+++ b/core/pipeline/model.go
@@ -36,8 +36,8 @@
 	LoadsAtOnce int
 	// Slots is the number of requests that a replica runs as first of a path.
 	Slots int
-	// PipeMbps is shared by all transfers between zones.
-	PipeMbps float64
+	// LinkMbps is shared by all transfers between zones.
+	LinkMbps float64
 	// UsualPrompt and UsualOutput are mean numbers of tokens.
 	UsualPrompt float64
 	UsualOutput float64
@@ -54,8 +54,12 @@
 	if !ok || layers <= 0 || m.KVTokenBytes <= 0 {
 		return 0
 	}
-	free := (k.MemoryMB - float64(layers)*m.LayerMB) * bytesPerMB
-	return max(0, free/m.KVTokenBytes*float64(m.Layers))
+	return m.CacheTokens(k.MemoryMB - float64(layers)*m.LayerMB)
+}
+
+// CacheTokens returns the KV cache, in tokens times layers, that fits into memory.
+func (m *Model) CacheTokens(mb float64) float64 {
+	return max(0, mb*bytesPerMB/m.KVTokenBytes*float64(m.Layers))
 }
 
 // MaxLayers returns the number of layers that fit into the memory of the kind.
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -86,7 +86,7 @@
 	ordered []*member
 	// zones holds the names of the zones; members know theirs by index.
 	zones []string
-	pipes map[Pipe]*pipeLoad
+	links map[Link]*linkLoad
 	// orphansUntil is the time until which replicas may run requests of processes
 	// that are gone, which no reservation shows.
 	orphansUntil time.Time
@@ -102,7 +102,7 @@
 
 // NewFleet returns a fleet without replicas.
 func NewFleet(m *Model) *Fleet {
-	return &Fleet{model: m, replicas: map[string]*member{}, pipes: map[Pipe]*pipeLoad{}}
+	return &Fleet{model: m, replicas: map[string]*member{}, links: map[Link]*linkLoad{}}
 }
 
 // orphanTime is how long replicas go on with the requests of a process that lost
@@ -341,10 +341,10 @@
 }
 
 // SetForeign replaces the load of all other instances together: by replica, and
-// by pipe in prompt tokens a second.
-func (f *Fleet) SetForeign(of func(id string) Load, pipe func(Pipe) float64) {
-	for k, l := range f.pipes {
-		l.foreign = pipe(k)
+// by link in prompt tokens a second.
+func (f *Fleet) SetForeign(of func(id string) Load, link func(Link) float64) {
+	for k, l := range f.links {
+		l.foreign = link(k)
 	}
 	for id, m := range f.replicas {
 		l := of(id)
--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -161,7 +161,7 @@
 			return pipeline.Load{Reserved: m.Room("small", 4), Sequences: 40}
 		}
 		return pipeline.Load{}
-	}, func(pipeline.Pipe) float64 { return 0 })
+	}, func(pipeline.Link) float64 { return 0 })
 	c, ok := f.Choose(start, pipeline.Demand{Prompt: 10, Output: 10}, pipeline.Constraint{})
 	require.True(t, ok)
 	require.Equal(t, "b", c.Path[0].ID)
@@ -216,11 +216,11 @@
 	require.Equal(t, m.Room("small", 3), f.State("a").Room, "less room is in force at once")
 }
 
-// TestBusyPipesAreAvoided has a cheap replica in another zone, which is worth the
-// hop only while the pipe is idle.
-func TestBusyPipesAreAvoided(t *testing.T) {
+// TestBusyLinksAreAvoided has a cheap replica in another zone, which is worth the
+// hop only while the link is idle.
+func TestBusyLinksAreAvoided(t *testing.T) {
 	m := model(8)
-	m.PipeMbps, m.ActivationBytes = 100, 10_000
+	m.LinkMbps, m.ActivationBytes = 100, 10_000
 	f := pipeline.NewFleet(m)
 	f.Set(start, []pipeline.Replica{
 		replica("a1", "a", "small", 0, 4), replica("a2", "a", "small", 4, 8), replica("b2", "b", "large", 4, 8),
@@ -233,7 +233,7 @@
 	second, ok := f.Choose(start, d, pipeline.Constraint{})
 	require.True(t, ok)
 	require.False(t, second.Path.Uses("b2"), "700 tokens of 10 kB fill 100 Mbit for half a second")
-	require.Len(t, f.OwnPipes(start), 1)
+	require.Len(t, f.OwnLinks(start), 1)
 	later, ok := f.Choose(start.Add(10*time.Second), d, pipeline.Constraint{})
 	require.True(t, ok)
 	require.True(t, later.Path.Uses("b2"))
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -17,8 +17,8 @@
 const (
 	// reportAge is how old a report may be that several streams share.
 	reportAge = 150 * time.Millisecond
-	// pumpInterval is how often waiting requests are looked at without an event.
-	pumpInterval = 100 * time.Millisecond
+	// grantInterval is how often waiting requests are looked at without an event.
+	grantInterval = 100 * time.Millisecond
 	// rejectedBlock keeps new paths off a part that is full; requests end there all the
 	// time.
 	rejectedBlock = 300 * time.Millisecond
@@ -116,7 +116,7 @@
 	}
 	now := time.Now()
 	p.fleet.Set(now, list)
-	p.pump(now)
+	p.grantWaiting(now)
 }
 
 // covered tells whether a path through all layers exists.
@@ -132,7 +132,7 @@
 	p.mu.Lock()
 	p.waiting.Add(it)
 	p.waiters[it] = w
-	p.pump(time.Now())
+	p.grantWaiting(time.Now())
 	p.mu.Unlock()
 	select {
 	case g := <-w.granted:
@@ -164,8 +164,8 @@
 	}
 }
 
-// pump grants paths to the first waiters. The caller holds the lock.
-func (p *modelPool) pump(now time.Time) {
+// grantWaiting grants paths to the first waiters. The caller holds the lock.
+func (p *modelPool) grantWaiting(now time.Time) {
 	for {
 		it := p.waiting.First()
 		if it == nil {
@@ -196,7 +196,7 @@
 func (p *modelPool) tick() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pump(time.Now())
+	p.grantWaiting(time.Now())
 }
 
 // firstToken tells that the prompt was read; later tokens change nothing.
@@ -218,7 +218,7 @@
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
 	g.free()
-	g.pool.pump(time.Now())
+	g.pool.grantWaiting(time.Now())
 }
 
 func (g *grant) free() {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -80,15 +80,15 @@
 
 // Run looks at waiting requests and idle connections until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	pump := time.NewTicker(pumpInterval)
-	defer pump.Stop()
+	grants := time.NewTicker(grantInterval)
+	defer grants.Stop()
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-pump.C:
+		case <-grants.C:
 			for _, p := range g.modelPools() {
 				p.tick()
 			}
@@ -130,12 +130,12 @@
 	return p.fleet.Layers(time.Now(), replica)
 }
 
-// Pipes returns what this instance sends between zones, in prompt tokens a second.
-func (g *Gateway) Pipes() map[pipeline.Pipe]float64 {
-	out := map[pipeline.Pipe]float64{}
+// Links returns what this instance sends between zones, in prompt tokens a second.
+func (g *Gateway) Links() map[pipeline.Link]float64 {
+	out := map[pipeline.Link]float64{}
 	for _, p := range g.modelPools() {
 		p.mu.Lock()
-		for k, rate := range p.fleet.OwnPipes(time.Now()) {
+		for k, rate := range p.fleet.OwnLinks(time.Now()) {
 			out[k] += rate
 		}
 		p.mu.Unlock()
@@ -143,12 +143,12 @@
 	return out
 }
 
-// SetForeign takes the work of all other instances by replica and by pipe.
-func (g *Gateway) SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64) {
+// SetForeign takes the work of all other instances by replica and by link.
+func (g *Gateway) SetForeign(of func(replica string) pipeline.Load, link func(pipeline.Link) float64) {
 	for _, p := range g.modelPools() {
 		p.mu.Lock()
-		p.fleet.SetForeign(of, pipe)
-		p.pump(time.Now())
+		p.fleet.SetForeign(of, link)
+		p.grantWaiting(time.Now())
 		p.mu.Unlock()
 	}
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -45,11 +45,11 @@
 type Gateway interface {
 	// Loads returns the work of this instance by service and replica.
 	Loads() map[string]map[string]pipeline.Load
-	// Pipes returns what this instance sends between zones, in prompt tokens a
+	// Links returns what this instance sends between zones, in prompt tokens a
 	// second.
-	Pipes() map[pipeline.Pipe]float64
-	// SetForeign takes the work of all other instances by replica and by pipe.
-	SetForeign(of func(replica string) pipeline.Load, pipe func(pipeline.Pipe) float64)
+	Links() map[pipeline.Link]float64
+	// SetForeign takes the work of all other instances by replica and by link.
+	SetForeign(of func(replica string) pipeline.Load, link func(pipeline.Link) float64)
 	// Rejected takes a replica out of use that rejected a request of another instance
 	// for the count-th time in a row.
 	Rejected(replica string, count int)
@@ -98,7 +98,7 @@
 type peerLoads struct {
 	at    time.Time
 	loads []*peerpb.UpstreamLoad
-	pipes []*peerpb.PipeLoad
+	links []*peerpb.LinkLoad
 }
 
 // Start listens for peers.
@@ -215,7 +215,7 @@
 // key shortens the ID of a replica.
 func key(replica string) uint32 { return uint32(xxhash.Sum64String(replica)) }
 
-func pipeKey(p pipeline.Pipe) uint32 { return key(p.A + " " + p.B) }
+func linkKey(p pipeline.Link) uint32 { return key(p.A + " " + p.B) }
 
 // tell sends the work of this instance.
 func (m *Mesh) tell() {
@@ -233,8 +233,8 @@
 	if m.opts.Duty != nil {
 		message.DutyGeneration = uint64(m.opts.Duty())
 	}
-	for pipe, rate := range m.opts.Gateway.Pipes() {
-		message.Pipes = append(message.Pipes, &peerpb.PipeLoad{Pipe: pipeKey(pipe), TokensPerSecond: uint32(rate)})
+	for link, rate := range m.opts.Gateway.Links() {
+		message.Links = append(message.Links, &peerpb.LinkLoad{Link: linkKey(link), TokensPerSecond: uint32(rate)})
 	}
 	m.broadcast(message)
 }
@@ -243,7 +243,7 @@
 func (m *Mesh) take(now time.Time) {
 	oldest := now.Add(-staleAfter * m.period())
 	sum := map[uint32]pipeline.Load{}
-	pipes := map[uint32]float64{}
+	links := map[uint32]float64{}
 	m.mu.Lock()
 	for id, p := range m.loads {
 		if p.at.Before(oldest) {
@@ -257,14 +257,14 @@
 			s.Reading += float64(l.GetReading()) * unit
 			sum[l.GetUpstream()] = s
 		}
-		for _, l := range p.pipes {
-			pipes[l.GetPipe()] += float64(l.GetTokensPerSecond())
+		for _, l := range p.links {
+			links[l.GetLink()] += float64(l.GetTokensPerSecond())
 		}
 	}
 	m.mu.Unlock()
 	m.opts.Gateway.SetForeign(
 		func(replica string) pipeline.Load { return sum[key(replica)] },
-		func(pipe pipeline.Pipe) float64 { return pipes[pipeKey(pipe)] },
+		func(link pipeline.Link) float64 { return links[linkKey(link)] },
 	)
 }
 
@@ -298,7 +298,7 @@
 	}
 	h.mesh.mu.Lock()
 	defer h.mesh.mu.Unlock()
-	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), pipes: loads.GetPipes()}
+	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), links: loads.GetLinks()}
 }
 
 // UpstreamStates implements peer.Handler.
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -26,9 +26,9 @@
 type fake struct {
 	mu       sync.Mutex
 	own      map[string]pipeline.Load
-	pipes    map[pipeline.Pipe]float64
+	links    map[pipeline.Link]float64
 	foreign  func(string) pipeline.Load
-	pipe     func(pipeline.Pipe) float64
+	link     func(pipeline.Link) float64
 	suspects map[string]bool
 	avoided  map[string]int
 	observed map[string]pipeline.Observed
@@ -40,16 +40,16 @@
 	return map[string]map[string]pipeline.Load{"s": maps.Clone(f.own)}
 }
 
-func (f *fake) Pipes() map[pipeline.Pipe]float64 {
+func (f *fake) Links() map[pipeline.Link]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.pipes)
+	return maps.Clone(f.links)
 }
 
-func (f *fake) SetForeign(of func(string) pipeline.Load, pipe func(pipeline.Pipe) float64) {
+func (f *fake) SetForeign(of func(string) pipeline.Load, link func(pipeline.Link) float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.foreign, f.pipe = of, pipe
+	f.foreign, f.link = of, link
 }
 
 func (f *fake) Rejected(id string, count int) {
@@ -84,7 +84,7 @@
 
 func newFake() *fake {
 	return &fake{
-		own: map[string]pipeline.Load{}, pipes: map[pipeline.Pipe]float64{}, suspects: map[string]bool{},
+		own: map[string]pipeline.Load{}, links: map[pipeline.Link]float64{}, suspects: map[string]bool{},
 		avoided: map[string]int{}, observed: map[string]pipeline.Observed{},
 	}
 }
@@ -147,12 +147,12 @@
 	mb.SetMembers(members)
 	a.mu.Lock()
 	a.own["r1"] = pipeline.Load{Reserved: 12_000, Sequences: 3, Reading: 5_000}
-	a.pipes[pipeline.PipeBetween("x", "y")] = 700
+	a.links[pipeline.LinkBetween("x", "y")] = 700
 	a.mu.Unlock()
 
 	require.Eventually(t, b.see(func() bool {
 		return b.foreign != nil && b.foreign("r1") == pipeline.Load{Reserved: 12_000, Sequences: 3, Reading: 5_000} &&
-			b.pipe(pipeline.PipeBetween("y", "x")) == 700
+			b.link(pipeline.LinkBetween("y", "x")) == 700
 	}), patience, time.Millisecond)
 
 	a.mu.Lock()
