--- /dev/null
+++ b/cmd/internal/entry/crash_test.go
@@ -0,0 +1,172 @@
+package entry_test
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"masticbank.example/cmd/internal/entry"
+	"masticbank.example/platform"
+	"masticbank.example/platform/platformtest"
+)
+
+const (
+	// crashBody is in the body of requests that crash replicas.
+	crashBody = "crash"
+	// downTime is how long a crashed replica is away.
+	downTime = 400 * time.Millisecond
+	// maxCrashes is the number of replicas that one request may take down.
+	maxCrashes = 3
+)
+
+// fleet is a world with several instances, whose replicas crash on crashBody and
+// come back with another start.
+type fleet struct {
+	*world
+	replicas  []*platformtest.Replica
+	instances []*entry.Instance
+	peerPort  int
+}
+
+func newFleet(t *testing.T, service string, replicas, instances int, layers ...int) *fleet {
+	f := &fleet{world: newWorld(t), peerPort: freePort(t)}
+	f.config(1, "")
+	for i := range replicas {
+		r := f.replica(fmt.Sprintf("i-%d", i))
+		f.replicas = append(f.replicas, r)
+		r.Set(platformtest.Behavior{CrashOn: crashBody})
+		f.entry(r, service, f.born, layers...)
+		r.OnCrash(func() { f.comeBack(r, service, layers...) })
+	}
+	for range instances {
+		f.addInstance()
+	}
+	f.eventually(func() bool {
+		for _, i := range f.instances {
+			if i.Instances() < instances {
+				return false
+			}
+		}
+		return true
+	}, "the instances know each other")
+	return f
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// entry writes the entry of a replica.
+func (f *fleet) entry(r *platformtest.Replica, service string, born int64, layers ...int) {
+	e := r.Entry(service, "z", "ready", born, 1)
+	if len(layers) == 2 {
+		e["routeKind"] = "k"
+		e["layers"] = map[string]int{"from": layers[0], "target": layers[1], "version": 1}
+	}
+	f.store.PutJSON(platform.ReplicaTopic, r.ID, e)
+}
+
+func (f *fleet) comeBack(r *platformtest.Replica, service string, layers ...int) {
+	time.Sleep(downTime)
+	if err := r.Restart(); err != nil {
+		f.t.Errorf("restart of %s: %v", r.ID, err)
+		return
+	}
+	f.entry(r, service, f.born+int64(r.Crashes()), layers...)
+}
+
+// addInstance starts one more instance, on a loopback address of its own.
+func (f *fleet) addInstance() {
+	ip := "127.0.0." + strconv.Itoa(len(f.instances)+1)
+	i, err := entry.Start(entry.Options{
+		Settings: &platform.Settings{
+			Instance: "edge-" + ip, Zone: "z", IP: ip, CallersAddress: ip + ":0", ReadyAddress: ip + ":0",
+			PeerPort: f.peerPort, MaxDescriptors: 4100, MemoryMB: 1024,
+			Store: platform.StoreSettings{Address: f.store.Address()},
+			Bounds: platform.Bounds{
+				Shutdown: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
+			},
+		},
+		Logger:      zap.NewNop(),
+		DrainNotice: 50 * time.Millisecond,
+	})
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { require.NoError(f.t, i.Stop()) })
+	f.instances = append(f.instances, i)
+	f.instance = i
+	f.eventually(func() bool {
+		resp, err := f.client.Get("http://" + i.ReadyAddr() + "/-/ready")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 200
+	}, "ready")
+}
+
+func (f *fleet) crashes() int {
+	n := 0
+	for _, r := range f.replicas {
+		n += r.Crashes()
+	}
+	return n
+}
+
+// sendCopies sends a request again and again, each time to the next instance and
+// when all replicas are back. It returns the last answer.
+func (f *fleet) sendCopies(n int, method, path, body string) answer {
+	var last answer
+	for k := range n {
+		f.instance = f.instances[k%len(f.instances)]
+		last = f.send(method, path, "key1", body)
+		f.settle()
+	}
+	return last
+}
+
+// settle waits until the replicas are back and innocent requests are served.
+func (f *fleet) settle() {
+	time.Sleep(downTime)
+	f.eventually(func() bool {
+		for _, r := range f.replicas {
+			c, err := net.Dial("tcp", r.Address())
+			if err != nil {
+				return false
+			}
+			_ = c.Close()
+		}
+		return true
+	}, "all replicas back")
+}
+
+// TestRequestThatCrashesReplicasReachesNoMoreThanThree sends copies of a request
+// that crashes each replica to all instances in turn.
+func TestRequestThatCrashesReplicasReachesNoMoreThanThree(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path, service string
+		layers                []int
+	}{
+		"idempotent":     {"GET", "/look/1", "plain", nil},
+		"non-idempotent": {"POST", "/order/1", "plain", nil},
+		"stream":         {"POST", "/chat/1", "llm", []int{0, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, c.service, 4, 2, c.layers...)
+			last := f.sendCopies(8, c.method, c.path, crashBody)
+			require.LessOrEqual(t, f.crashes(), maxCrashes)
+			require.Equal(t, 503, last.status, "a copy that is stopped has not run")
+			require.NotEmpty(t, last.header.Get("Retry-After"))
+			f.eventually(func() bool {
+				return f.send(c.method, c.path, "key1", "another").status == 200
+			}, "other requests are served")
+		})
+	}
+}
