Ledger of requests under which replicas ended

Evidence is a lost run together with the end of a replica on its path; a lost answer, a reset, a hang or a planned stop alone is none. Crashes that share a replica or a run are one incident, so that a zone that goes down counts once for a request with many copies. Three incidents block a fingerprint; a success anywhere clears it; crashes of a blocked request do not count against those that were on board with it. State merges in any order, so that it can be told between instances and read from a store.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -274,7 +274,7 @@
 	for l := last; l >= 0; l-- {
 		m := f.ordered[at]
 		if len(path) == 0 || path[len(path)-1].ID != m.ID {
-			path = append(path, Hop{ID: m.ID, Address: m.Address, Zone: m.Zone, From: l, To: l + 1})
+			path = append(path, Hop{ID: m.ID, Address: m.Address, Zone: m.Zone, From: l, To: l + 1, Born: m.Born})
 		} else {
 			path[len(path)-1].From = l
 		}
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -22,6 +22,8 @@
 	Address  string
 	Zone     string
 	From, To int
+	// Born tells the process of the replica from an earlier one.
+	Born int64
 }
 
 // Path runs all layers in order.
--- a/core/poison/fingerprint.go
+++ b/core/poison/fingerprint.go
@@ -34,3 +34,14 @@
 	copy(f[:], h.Sum(nil))
 	return f
 }
+
+// FingerprintFrom returns the fingerprint with the given bytes, and false if their
+// number is wrong.
+func FingerprintFrom(b []byte) (Fingerprint, bool) {
+	var f Fingerprint
+	if len(b) != len(f) {
+		return f, false
+	}
+	copy(f[:], b)
+	return f, true
+}
--- /dev/null
+++ b/core/poison/ledger.go
@@ -0,0 +1,430 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// Incarnation is one process of a replica. It ends once.
+type Incarnation struct {
+	Replica string
+	// Born is the start of the process, in Unix milliseconds.
+	Born int64
+}
+
+// Run is one sending of a request to replicas. A move to another path is a run of
+// its own.
+type Run struct {
+	// Attempt is a hash of the ID of the caller's attempt.
+	Attempt uint64
+	Number  uint32
+}
+
+// LostRun is a run that ended without a whole answer.
+type LostRun struct {
+	Fingerprint Fingerprint
+	Run         Run
+	// Parts are the replicas that it passed through.
+	Parts []Incarnation
+	// Progressed is true when a part of the answer had come.
+	Progressed bool
+	// Began is when the request was sent.
+	Began time.Time
+}
+
+// Crash is a replica that ended while it ran a request.
+type Crash struct {
+	Fingerprint Fingerprint
+	Run         Run
+	Replica     Incarnation
+	Progressed  bool
+	At          time.Time
+	// Own is true for a run of this instance.
+	Own bool
+}
+
+// Clear tells that a request has succeeded.
+type Clear struct {
+	Fingerprint Fingerprint
+	At          time.Time
+}
+
+// State is evidence, as instances tell it to each other. It may be merged in any
+// order and any number of times.
+type State struct {
+	Crashes []Crash
+	Clears  []Clear
+}
+
+// Empty tells whether there is nothing to tell.
+func (s State) Empty() bool { return len(s.Crashes) == 0 && len(s.Clears) == 0 }
+
+const (
+	// blockAt is the weight of independent crashes from which on a request is
+	// blocked: the users' rules let a request crash three replicas.
+	blockAt = 3.0
+	// progressedWeight is the weight of a crash after the request had progressed. Most
+	// of them are requests that another one took down with the replica.
+	progressedWeight = 0.5
+	// matchWithin bounds the time between the loss of a run and the sign that a replica
+	// ended. A dead replica stays listed for some seconds.
+	matchWithin = 10 * time.Second
+	// shieldTime is how long a success speaks against crashes that follow it.
+	shieldTime = time.Minute
+	// trialAfter is the time after the last crash at which a blocked request may run
+	// once more; it doubles with each further crash.
+	trialAfter = time.Minute
+	// maxTrials bounds the trials: the users' rules allow three runs more.
+	maxTrials = 3
+	// trialTime keeps other copies away while a trial runs: about a long request.
+	trialTime = 30 * time.Second
+
+	// maxPending, maxEnded, maxTracked, maxCrashesEach and maxSuccesses bound memory.
+	maxPending     = 1024
+	maxEnded       = 1024
+	maxTracked     = 4096
+	maxCrashesEach = 16
+	maxSuccesses   = 8192
+)
+
+// Ledger finds requests that crash each replica that runs them, from what this
+// instance sees and others tell.
+//
+// A lost run is evidence only once a replica on its path is known to have ended
+// without being asked to. Crashes that share a replica or a run are one incident.
+// Incidents in which a blocked request took part do not count against others. A
+// success clears its fingerprint everywhere.
+//
+// It is bounded in memory and not safe for concurrent use.
+type Ledger struct {
+	retention time.Duration
+	pending   []LostRun
+	pendingAt []time.Time
+	// ended holds when replicas were found to have ended.
+	ended map[Incarnation]time.Time
+	// tracked holds the fingerprints with crashes.
+	tracked map[Fingerprint]*record
+	// explained holds the replicas that a blocked request crashed.
+	explained map[Incarnation]Fingerprint
+	successes *successes
+	// clears are told to others; successes are not.
+	clears map[Fingerprint]time.Time
+	// news is what was not told yet.
+	news State
+}
+
+// record is what is known of one fingerprint.
+type record struct {
+	crashes []Crash
+	blocked bool
+	// trialUntil is set while the attempt trialOf runs as a trial here.
+	trialUntil time.Time
+	trialOf    uint64
+}
+
+func (r *record) last() time.Time {
+	last := r.crashes[0].At
+	for _, c := range r.crashes {
+		last = later(last, c.At)
+	}
+	return last
+}
+
+// NewLedger returns an empty ledger that forgets a request after the retention period
+// without a crash.
+func NewLedger(retention time.Duration) *Ledger {
+	return &Ledger{
+		retention: retention,
+		ended:     map[Incarnation]time.Time{},
+		tracked:   map[Fingerprint]*record{},
+		explained: map[Incarnation]Fingerprint{},
+		successes: newSuccesses(),
+		clears:    map[Fingerprint]time.Time{},
+	}
+}
+
+// Lost takes a run that ended without a whole answer, and returns the crashes that it
+// proves already.
+func (l *Ledger) Lost(now time.Time, run LostRun) []Crash {
+	l.expire(now)
+	for _, part := range run.Parts {
+		if at, ok := l.endOf(now, part); ok && !at.Before(run.Began) {
+			return l.charge(now, run, part)
+		}
+	}
+	if len(l.pending) >= maxPending {
+		l.dropPending(0)
+	}
+	l.pending = append(l.pending, run)
+	l.pendingAt = append(l.pendingAt, now)
+	return nil
+}
+
+// Process returns the process that a run was sent to, if the replica took the run. The
+// listed one may be known to have ended before; then it is a later one that is not
+// listed yet.
+func (l *Ledger) Process(listed Incarnation, began time.Time) Incarnation {
+	for {
+		at, ok := l.ended[listed]
+		if !ok || !at.Before(began) {
+			return listed
+		}
+		listed.Born++
+	}
+}
+
+// endOf returns when a replica was found to have ended, if that was lately.
+func (l *Ledger) endOf(now time.Time, r Incarnation) (time.Time, bool) {
+	at, ok := l.ended[r]
+	return at, ok && now.Sub(at) <= matchWithin
+}
+
+// Ended takes a replica whose process ended without being asked to, and returns the
+// crashes that this proves, also for runs that are lost later.
+func (l *Ledger) Ended(now time.Time, r Incarnation) []Crash {
+	return l.endedAt(now, r, now)
+}
+
+func (l *Ledger) endedAt(now time.Time, r Incarnation, at time.Time) []Crash {
+	l.expire(now)
+	if _, known := l.ended[r]; known {
+		return nil
+	}
+	if len(l.ended) >= maxEnded {
+		l.dropOldestEnds()
+	}
+	l.ended[r] = at
+	return l.Removed(now, r)
+}
+
+// Removed takes a replica that is no longer listed. It counts for runs that were lost
+// before: a replica that stops leaves the list first.
+func (l *Ledger) Removed(now time.Time, r Incarnation) []Crash {
+	l.expire(now)
+	var out []Crash
+	for i := 0; i < len(l.pending); {
+		run := l.pending[i]
+		if !slices.Contains(run.Parts, r) {
+			i++
+			continue
+		}
+		l.dropPending(i)
+		out = append(out, l.charge(now, run, r)...)
+	}
+	return out
+}
+
+// dropOldestEnds makes room for a part of maxEnded.
+func (l *Ledger) dropOldestEnds() {
+	all := make([]Incarnation, 0, len(l.ended))
+	for r := range l.ended {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b Incarnation) int { return l.ended[a].Compare(l.ended[b]) })
+	for _, r := range all[:maxEnded/boundShare] {
+		delete(l.ended, r)
+	}
+}
+
+func (l *Ledger) dropPending(i int) {
+	l.pending = slices.Delete(l.pending, i, i+1)
+	l.pendingAt = slices.Delete(l.pendingAt, i, i+1)
+}
+
+// charge adds the crash of one run.
+func (l *Ledger) charge(now time.Time, run LostRun, r Incarnation) []Crash {
+	c := Crash{Fingerprint: run.Fingerprint, Run: run.Run, Replica: r, Progressed: run.Progressed, At: now, Own: true}
+	if !l.add(now, c) {
+		return nil
+	}
+	l.news.Crashes = append(l.news.Crashes, c)
+	return []Crash{c}
+}
+
+// Succeeded takes a request that was answered whole. It returns whether that cleared a
+// fingerprint with crashes.
+func (l *Ledger) Succeeded(now time.Time, f Fingerprint) bool {
+	l.successes.add(now, f)
+	if l.tracked[f] == nil {
+		return false
+	}
+	l.clear(Clear{Fingerprint: f, At: now})
+	return true
+}
+
+// clear takes a success into what is told to others.
+func (l *Ledger) clear(c Clear) {
+	if !c.At.After(l.clears[c.Fingerprint]) {
+		return
+	}
+	l.clears[c.Fingerprint] = c.At
+	bound(l.clears)
+	l.news.Clears = append(l.news.Clears, c)
+	l.applyClear(c)
+}
+
+// applyClear drops the crashes that a success speaks against.
+func (l *Ledger) applyClear(c Clear) {
+	r := l.tracked[c.Fingerprint]
+	if r == nil {
+		return
+	}
+	r.crashes = slices.DeleteFunc(r.crashes, func(x Crash) bool { return !x.At.After(c.At.Add(shieldTime)) })
+	l.reassess(c.Fingerprint)
+}
+
+// add takes one crash; it returns false when the crash is known or disproved.
+func (l *Ledger) add(now time.Time, c Crash) bool {
+	if now.Sub(c.At) >= l.retention {
+		return false
+	}
+	if at, ok := l.clears[c.Fingerprint]; ok && !c.At.After(at.Add(shieldTime)) {
+		return false
+	}
+	if at, ok := l.successes.last(c.Fingerprint); ok && !c.At.After(at.Add(shieldTime)) {
+		l.clear(Clear{Fingerprint: c.Fingerprint, At: at})
+		return false
+	}
+	r := l.tracked[c.Fingerprint]
+	if r == nil {
+		l.makeRoom()
+		r = &record{}
+		l.tracked[c.Fingerprint] = r
+	}
+	if len(r.crashes) >= maxCrashesEach || slices.ContainsFunc(r.crashes, func(x Crash) bool { return x.Run == c.Run && x.Replica == c.Replica }) {
+		return false
+	}
+	r.crashes = append(r.crashes, c)
+	r.trialUntil = time.Time{}
+	l.reassess(c.Fingerprint)
+	return true
+}
+
+// makeRoom drops fingerprints with the fewest and oldest crashes when there are too
+// many. A flood of different requests cannot displace one that has crashed several.
+func (l *Ledger) makeRoom() {
+	if len(l.tracked) < maxTracked {
+		return
+	}
+	all := make([]Fingerprint, 0, len(l.tracked))
+	for f := range l.tracked {
+		all = append(all, f)
+	}
+	slices.SortFunc(all, func(a, b Fingerprint) int {
+		ra, rb := l.tracked[a], l.tracked[b]
+		if n := len(ra.crashes) - len(rb.crashes); n != 0 {
+			return n
+		}
+		return ra.last().Compare(rb.last())
+	})
+	for _, f := range all[:maxTracked/boundShare] {
+		l.forget(f)
+	}
+}
+
+func (l *Ledger) forget(f Fingerprint) {
+	delete(l.tracked, f)
+	for r, by := range l.explained {
+		if by == f {
+			delete(l.explained, r)
+		}
+	}
+}
+
+// reassess blocks or unblocks a fingerprint after a change of its crashes.
+func (l *Ledger) reassess(f Fingerprint) {
+	r := l.tracked[f]
+	if len(r.crashes) == 0 {
+		l.forget(f)
+		return
+	}
+	if !r.blocked && l.weight(f) < blockAt {
+		return
+	}
+	if r.blocked && len(incidents(r.crashes)) < int(blockAt) {
+		r.blocked = false
+		for i, by := range l.explained {
+			if by == f {
+				delete(l.explained, i)
+			}
+		}
+		return
+	}
+	r.blocked = true
+	for _, c := range r.crashes {
+		if _, ok := l.explained[c.Replica]; !ok {
+			l.explained[c.Replica] = f
+		}
+	}
+}
+
+// weight adds up the incidents that count against a fingerprint.
+func (l *Ledger) weight(f Fingerprint) float64 {
+	r := l.tracked[f]
+	if r == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, incident := range incidents(r.crashes) {
+		sum += l.weightOf(f, incident)
+	}
+	return sum
+}
+
+func (l *Ledger) weightOf(f Fingerprint, incident []Crash) float64 {
+	weight := progressedWeight
+	for _, c := range incident {
+		if by, ok := l.explained[c.Replica]; ok && by != f {
+			return 0
+		}
+		if !c.Progressed {
+			weight = 1
+		}
+	}
+	return weight
+}
+
+// incidents groups crashes that share a replica or a run.
+func incidents(crashes []Crash) [][]Crash {
+	var groups [][]Crash
+	for _, c := range crashes {
+		group := []Crash{c}
+		groups = slices.DeleteFunc(groups, func(g []Crash) bool {
+			shared := slices.ContainsFunc(g, func(x Crash) bool { return x.Run == c.Run || x.Replica == c.Replica })
+			if shared {
+				group = append(group, g...)
+			}
+			return shared
+		})
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// expire drops the lost runs that are too old.
+func (l *Ledger) expire(now time.Time) {
+	for len(l.pending) > 0 && now.Sub(l.pendingAt[0]) > matchWithin {
+		l.dropPending(0)
+	}
+}
+
+// Expire drops the fingerprints without a crash in the retention period. It looks at
+// all and is to be called now and then.
+func (l *Ledger) Expire(now time.Time) {
+	l.expire(now)
+	for r, at := range l.ended {
+		if now.Sub(at) > matchWithin {
+			delete(l.ended, r)
+		}
+	}
+	for f, r := range l.tracked {
+		if now.Sub(r.last()) >= l.retention {
+			l.forget(f)
+		}
+	}
+	for f, at := range l.clears {
+		if now.Sub(at) >= l.retention {
+			delete(l.clears, f)
+		}
+	}
+}
--- /dev/null
+++ b/core/poison/ledger_test.go
@@ -0,0 +1,339 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func process(replica string, born int64) Incarnation {
+	return Incarnation{Replica: replica, Born: born}
+}
+
+// runNumber makes runs of different attempts.
+var runNumber uint64
+
+func lostRun(f Fingerprint, began time.Time, parts ...Incarnation) LostRun {
+	runNumber++
+	return LostRun{Fingerprint: f, Run: Run{Attempt: runNumber}, Parts: parts, Began: began}
+}
+
+// crashOnce loses a run on a replica that ends.
+func crashOnce(l *Ledger, now time.Time, f Fingerprint, r Incarnation) {
+	l.Lost(now, lostRun(f, now, r))
+	l.Ended(now, r)
+}
+
+func crashTimes(l *Ledger, now time.Time, f Fingerprint, from, n int) {
+	for i := range n {
+		crashOnce(l, now, f, process(fmt.Sprint("r", from+i), 1))
+	}
+}
+
+func TestThreeIndependentCrashesBlock(t *testing.T) {
+	l := NewLedger(retention)
+	f := print("a")
+	crashTimes(l, start, f, 0, 2)
+	require.Nil(t, l.Admit(start, f, 1))
+	require.True(t, l.MayRetry(f, 1))
+	crashTimes(l, start, f, 2, 1)
+	refusal := l.Admit(start, f, 1)
+	require.NotNil(t, refusal)
+	require.Len(t, refusal.Crashes, 3)
+	require.Equal(t, trialAfter, refusal.RetryAfter)
+	require.False(t, l.MayRetry(f, 1))
+	require.Nil(t, l.Admit(start, print("b"), 1))
+	l.Expire(start.Add(retention))
+	require.Nil(t, l.Admit(start.Add(retention), f, 1))
+}
+
+// Two processes of one replica are two crashes, also while the second one is not
+// listed yet.
+func TestARestartedReplicaCountsAgain(t *testing.T) {
+	l := NewLedger(retention)
+	f := print("a")
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * time.Second)
+		r := l.Process(process("r", 1), now)
+		crashOnce(l, now, f, r)
+	}
+	require.True(t, l.IsBlocked(f))
+}
+
+// Lost answers, resets and hangs leave the replica as it was; a replica that stops
+// leaves the list before it ends.
+func TestLostRunsAloneAreNoEvidence(t *testing.T) {
+	l := NewLedger(retention)
+	f := print("a")
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * time.Second)
+		r := process(fmt.Sprint(i), 1)
+		l.Removed(now, r)
+		l.Lost(now, lostRun(f, now, r))
+	}
+	require.Zero(t, l.Incidents(f))
+	l.Ended(start.Add(time.Minute), process("0", 1))
+	require.Zero(t, l.Incidents(f), "the replica ended long after the run")
+}
+
+// The order in which the loss of a run and the end of its replica are noticed does not
+// matter.
+func TestEndsMayBeNoticedBeforeLosses(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		l := NewLedger(retention)
+		f := print("a")
+		r := process("r", 1)
+		run := lostRun(f, start, process("other", 1), r)
+		if first {
+			l.Ended(start.Add(time.Second), r)
+			l.Lost(start.Add(2*time.Second), run)
+		} else {
+			l.Lost(start.Add(time.Second), run)
+			l.Ended(start.Add(2*time.Second), r)
+		}
+		require.Equal(t, 1, l.Incidents(f))
+		l.Lost(start.Add(3*time.Second), lostRun(f, start.Add(3*time.Second), r))
+		require.Equal(t, 1, l.Incidents(f), "a run that began after the end")
+	}
+}
+
+// When a zone goes, many copies of one request and all parts of their paths go at once.
+func TestZoneFailureIsOneIncident(t *testing.T) {
+	l := NewLedger(retention)
+	hot := print("hot")
+	var zone []Incarnation
+	for i := range 12 {
+		zone = append(zone, process(fmt.Sprint(i), 1))
+	}
+	for i := range 20 {
+		l.Lost(start, lostRun(hot, start, zone[0], zone[1+i%3], zone[4+i%4], zone[8+i%4]))
+	}
+	for _, r := range zone {
+		l.Ended(start, r)
+	}
+	require.Equal(t, 1, l.Incidents(hot))
+	require.Nil(t, l.Admit(start, hot, 1))
+}
+
+func TestSuccessClearsEverywhere(t *testing.T) {
+	a, b := NewLedger(retention), NewLedger(retention)
+	f := print("a")
+	crashTimes(a, start, f, 0, 3)
+	b.Learn(start, a.News())
+	require.True(t, b.IsBlocked(f))
+	require.True(t, b.Succeeded(start, f))
+	require.False(t, b.IsBlocked(f))
+	a.Learn(start, b.News())
+	require.False(t, a.IsBlocked(f))
+	require.Equal(t, a.Digest(), b.Digest())
+
+	crashTimes(a, start.Add(time.Second), f, 5, 3)
+	require.False(t, a.IsBlocked(f), "a success speaks against crashes soon after it")
+	crashTimes(a, start.Add(2*shieldTime), f, 10, 3)
+	require.True(t, a.IsBlocked(f))
+}
+
+// A request that ran well at one instance is not blocked by what others saw.
+func TestEarlierSuccessElsewhereClears(t *testing.T) {
+	a, b := NewLedger(retention), NewLedger(retention)
+	f := print("a")
+	b.Succeeded(start, f)
+	require.True(t, b.News().Empty(), "nobody asked")
+	crashTimes(a, start.Add(time.Second), f, 0, 3)
+	b.Learn(start.Add(time.Second), a.News())
+	a.Learn(start.Add(time.Second), b.News())
+	require.False(t, a.IsBlocked(f))
+}
+
+// Requests that were on board with a blocked one are not to blame.
+func TestBlockedRequestExplainsCrashesOfOthers(t *testing.T) {
+	l := NewLedger(retention)
+	bad, innocent := print("bad"), print("innocent")
+	for i := range 3 {
+		now := start.Add(time.Duration(i) * time.Second)
+		r := process(fmt.Sprint(i), 1)
+		run := lostRun(innocent, now, r)
+		run.Progressed = i == 0
+		l.Lost(now, run)
+		l.Lost(now, lostRun(bad, now, r))
+		l.Ended(now, r)
+	}
+	require.True(t, l.IsBlocked(bad))
+	require.False(t, l.IsBlocked(innocent))
+	crashTimes(l, start.Add(4*time.Second), innocent, 10, 2)
+	require.False(t, l.IsBlocked(innocent), "three crashes are explained")
+	crashTimes(l, start.Add(5*time.Second), innocent, 20, 1)
+	require.True(t, l.IsBlocked(innocent))
+}
+
+func TestRunsOfOneAttemptCountBeforeTheyAreProved(t *testing.T) {
+	l := NewLedger(retention)
+	f := print("a")
+	crashTimes(l, start, f, 0, 2)
+	run := lostRun(f, start, process("x", 1))
+	l.Lost(start, run)
+	require.False(t, l.MayRetry(f, run.Run.Attempt))
+	require.True(t, l.MayRetry(f, run.Run.Attempt+1))
+	require.True(t, l.MayRetry(print("b"), run.Run.Attempt), "without other evidence a loss is only a loss")
+}
+
+// A blocked request gets a trial after a while, at one instance, three times.
+func TestTrials(t *testing.T) {
+	here, there := NewLedger(retention), NewLedger(retention)
+	f := print("a")
+	crashTimes(here, start, f, 0, 3)
+	there.Learn(start, here.News())
+	now := start
+	for i := range maxTrials {
+		wait := trialAfter << i
+		require.NotNil(t, here.Admit(now.Add(wait-1), f, 1))
+		now = now.Add(wait)
+		require.Nil(t, here.Admit(now, f, 7))
+		require.Nil(t, here.Admit(now, f, 7), "the trial itself goes on")
+		require.NotNil(t, here.Admit(now, f, 8), "one trial at a time")
+		require.NotNil(t, there.Admit(now, f, 9), "the other instance did not see the crash")
+		crashTimes(here, now, f, 10+i, 1)
+		there.Learn(now, here.News())
+	}
+	require.NotNil(t, here.Admit(now.Add(retention-1), f, 10), "no further trial")
+}
+
+// A flood of different requests that crash replicas displaces none that is blocked.
+func TestFloodOfRequestsIsBounded(t *testing.T) {
+	l := NewLedger(retention)
+	f := print("a")
+	crashTimes(l, start, f, 0, 3)
+	for i := range 3 * maxTracked {
+		crashOnce(l, start, print(fmt.Sprint("flood", i)), process(fmt.Sprint("f", i), 1))
+	}
+	for i := range 3 * maxPending {
+		l.Lost(start, lostRun(print(fmt.Sprint("lost", i)), start, process("x", 1)))
+	}
+	for i := range 3 * maxSuccesses {
+		l.Succeeded(start, print(fmt.Sprint("good", i)))
+	}
+	for range 100 {
+		crashOnce(l, start, f, process(fmt.Sprint("m", runNumber), 1))
+	}
+	require.True(t, l.IsBlocked(f))
+	require.LessOrEqual(t, len(l.tracked), maxTracked)
+	require.LessOrEqual(t, len(l.pending), maxPending)
+	require.LessOrEqual(t, len(l.ended), maxEnded)
+	require.LessOrEqual(t, len(l.successes.at), maxSuccesses)
+	require.LessOrEqual(t, len(l.tracked[f].crashes), maxCrashesEach)
+	s := l.State()
+	require.LessOrEqual(t, len(s.Crashes), MaxState)
+	require.Equal(t, f, s.Crashes[0].Fingerprint, "the most crashes come first")
+}
+
+// TestInstancesStopTheRequestAndNoOther runs a request that crashes each replica and
+// innocent ones on several instances that tell each other with loss and delay, and
+// compare what they know now and then. The request crashes three replicas, and as many
+// more as copies were sent before the word came round; no innocent one is blocked.
+func TestInstancesStopTheRequestAndNoOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 4
+		var ledgers []*Ledger
+		for range instances {
+			ledgers = append(ledgers, NewLedger(retention))
+		}
+		now := start
+		born := map[string]int64{}
+		inFlight := 0 // copies sent since the third crash and before all know
+		crashes := 0
+		for i := range rapid.IntRange(10, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			l := ledgers[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			id := fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "replica"))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0: // a copy, with an innocent request on board that goes on elsewhere
+				if l.Admit(now, poison, uint64(i)) != nil {
+					continue
+				}
+				if crashes >= int(blockAt) {
+					inFlight++
+				}
+				innocent := print(fmt.Sprint("innocent", i))
+				r := l.Process(process(id, born[id]), now)
+				l.Lost(now, lostRun(innocent, now, r))
+				crashOnce(l, now, poison, r)
+				born[id] += 10
+				crashes++
+				ledgers[rapid.IntRange(0, instances-1).Draw(t, "elsewhere")].Succeeded(now, innocent)
+			case 1: // a replica ends by itself under an innocent request
+				innocent := print(fmt.Sprint("alone", i))
+				crashOnce(l, now, innocent, process(id, born[id]))
+				born[id] += 10
+			case 2:
+				news := l.News()
+				for _, other := range ledgers {
+					if other != l && rapid.Bool().Draw(t, "heard") {
+						other.Learn(now, news)
+					}
+				}
+			default:
+				other := ledgers[rapid.IntRange(0, instances-1).Draw(t, "peer")]
+				// A success at one of them clears what it learns from the other, which
+				// takes another exchange.
+				for range 2 {
+					mine, theirs := l.State(), other.State()
+					l.Learn(now, theirs)
+					other.Learn(now, mine)
+				}
+				require.Equal(t, l.Digest(), other.Digest())
+			}
+			for _, l := range ledgers {
+				for f := range l.tracked {
+					require.True(t, f == poison || !l.IsBlocked(f), "an innocent request is blocked")
+				}
+			}
+		}
+		require.LessOrEqual(t, crashes, int(blockAt)+inFlight)
+		merge(ledgers, now)
+		if crashes >= int(blockAt) {
+			for _, l := range ledgers {
+				require.NotNil(t, l.Admit(now, poison, 0), "crashes: %d", crashes)
+			}
+		}
+	})
+}
+
+func merge(ledgers []*Ledger, now time.Time) {
+	for range 2 {
+		for _, l := range ledgers {
+			for _, other := range ledgers {
+				other.Learn(now, l.State())
+			}
+		}
+	}
+}
+
+func TestIncidentsDoNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var crashes []Crash
+		for range rapid.IntRange(1, 10).Draw(t, "crashes") {
+			crashes = append(crashes, Crash{
+				Run:     Run{Attempt: uint64(rapid.IntRange(0, 5).Draw(t, "run"))},
+				Replica: process(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "replica")), 1),
+			})
+		}
+		want := len(incidents(crashes))
+		slices.Reverse(crashes)
+		require.Len(t, incidents(crashes), want)
+	})
+}
+
+func BenchmarkAdmitStranger(b *testing.B) {
+	l := NewLedger(retention)
+	for i := range maxTracked {
+		crashOnce(l, start, print(fmt.Sprint(i)), process(fmt.Sprint(i), 1))
+	}
+	f := print("stranger")
+	for b.Loop() {
+		l.Admit(start, f, 1)
+	}
+}
--- /dev/null
+++ b/core/poison/successes.go
@@ -0,0 +1,34 @@
+package poison
+
+import "time"
+
+// successes remembers when requests succeeded last, the latest maxSuccesses of them.
+type successes struct {
+	at map[Fingerprint]time.Time
+	// ring holds the fingerprints in the order of their first success; next is the
+	// place that is used again.
+	ring []Fingerprint
+	next int
+}
+
+func newSuccesses() *successes { return &successes{at: map[Fingerprint]time.Time{}} }
+
+func (s *successes) add(now time.Time, f Fingerprint) {
+	if _, ok := s.at[f]; ok {
+		s.at[f] = now
+		return
+	}
+	s.at[f] = now
+	if len(s.ring) < maxSuccesses {
+		s.ring = append(s.ring, f)
+		return
+	}
+	delete(s.at, s.ring[s.next])
+	s.ring[s.next] = f
+	s.next = (s.next + 1) % maxSuccesses
+}
+
+func (s *successes) last(f Fingerprint) (time.Time, bool) {
+	at, ok := s.at[f]
+	return at, ok
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -71,6 +71,23 @@
 	// it answered again.
 	away   bool
 	backAt time.Time
+	ended  []Ended
+}
+
+// Ended is a process of a replica that ended without having said that it leaves.
+type Ended struct {
+	ID   string
+	Born int64
+	// Restarted is true when a later process of the replica is listed, false when its
+	// entry was removed.
+	Restarted bool
+}
+
+// TakeEnded returns the processes that were found to have ended since the last call.
+func (r *Roster) TakeEnded() []Ended {
+	ended := r.ended
+	r.ended = nil
+	return ended
 }
 
 type record struct {
@@ -138,6 +155,9 @@
 		return Same
 	}
 	was := *old
+	if restarted && !was.leaving {
+		r.ended = append(r.ended, Ended{ID: e.ID, Born: was.Born, Restarted: true})
+	}
 	old.Entry = e
 	old.lapsedAt = time.Time{}
 	// A replica that leaves does not come back before it restarts.
@@ -184,6 +204,9 @@
 		}
 		return Same
 	}
+	if !old.leaving {
+		r.ended = append(r.ended, Ended{ID: id, Born: old.Born})
+	}
 	delete(r.entries, id)
 	return Left
 }
@@ -227,6 +250,7 @@
 	var gone []string
 	for id, e := range r.entries {
 		if !e.lapsedAt.IsZero() {
+			r.ended = append(r.ended, Ended{ID: id, Born: e.Born})
 			delete(r.entries, id)
 			gone = append(gone, id)
 		}
