Requests that crash replicas are stopped on the users' platform

Cause: nothing on this path remembers a request beyond one attempt. The tracker of core/poison is called by node/router only.

Evidence: eight copies on two instances crashed 16, 8 and 16 replicas (idempotent, non-idempotent, stream), the fourth and later ones long after the third was over; in each attempt maxAttempts held.

Change: the gateway keeps a ledger by method, target, body and caller. A lost run counts once its replica refuses two connections 0.2 s apart, is listed with a later start, or lapses. A move of a stream to another path is a run. Instances tell each other at once and compare digests, so that a session that broke or a new instance catches up; requests with two incidents are written to the store, which is read after a start and while a quarter of the other instances is not connected. A stopped copy gets 503 at once with the time until it may run, and the line names the crashes.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -60,7 +61,7 @@
 func freePort(t *testing.T) int {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).Port
 }
 
@@ -99,7 +100,7 @@
 		DrainNotice: 50 * time.Millisecond,
 	})
 	require.NoError(f.t, err)
-	f.t.Cleanup(func() { require.NoError(f.t, i.Stop()) })
+	f.t.Cleanup(func() { assert.NoError(f.t, i.Stop()) })
 	f.instances = append(f.instances, i)
 	f.instance = i
 	f.eventually(func() bool {
@@ -159,6 +160,7 @@
 		"stream":         {"POST", "/chat/1", "llm", []int{0, 4}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, c.service, 4, 2, c.layers...)
 			last := f.sendCopies(8, c.method, c.path, crashBody)
 			require.LessOrEqual(t, f.crashes(), maxCrashes)
@@ -170,3 +172,83 @@
 		})
 	}
 }
+
+// TestStoppedRequestStaysStoppedAtNewInstances adds an instance after a request was
+// stopped, and then replaces all instances at the same time.
+func TestStoppedRequestStaysStoppedAtNewInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "plain", 4, 2)
+	f.sendCopies(6, "GET", "/look/1", crashBody)
+	require.LessOrEqual(t, f.crashes(), maxCrashes)
+	before := f.crashes()
+
+	f.addInstance()
+	f.eventually(func() bool { return f.instance.Evidence() > 0 }, "the new instance is told")
+	require.Equal(t, 503, f.send("GET", "/look/1", "key1", crashBody).status)
+
+	f.eventually(func() bool { return f.store.Calls("/-/log-append") > 0 }, "evidence in the store")
+	for _, i := range f.instances {
+		require.NoError(t, i.Stop())
+	}
+	f.addInstance()
+	f.eventually(func() bool { return f.instance.Evidence() > 0 }, "the evidence is read")
+	require.Equal(t, 503, f.send("GET", "/look/1", "key1", crashBody).status)
+	require.Equal(t, before, f.crashes())
+}
+
+// TestStoppedRequestIsToldWhileTheStoreIsAway cuts all instances off from the store
+// before the request comes.
+func TestStoppedRequestIsToldWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "plain", 4, 3)
+	f.store.Fail(503)
+	f.sendCopies(9, "GET", "/look/1", crashBody)
+	require.LessOrEqual(t, f.crashes(), maxCrashes)
+	f.store.Fail(0)
+}
+
+// TestLostAnswersDoNotStopARequest loses the answers of replicas that go on, of
+// replicas that hang, and of replicas that stop.
+func TestLostAnswersDoNotStopARequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "plain", 4, 1)
+	for _, r := range f.replicas {
+		r.Set(platformtest.Behavior{Lose: true})
+	}
+	for range 6 {
+		require.Equal(t, 502, f.send("GET", "/look/1", "key1", "x").status)
+	}
+	for _, r := range f.replicas {
+		r.Set(platformtest.Behavior{Hang: true})
+	}
+	for range 2 {
+		f.send("GET", "/look/1", "key1", "x")
+	}
+	for _, r := range f.replicas[1:] {
+		f.put(r, "plain", "draining")
+	}
+	f.eventually(func() bool {
+		return f.send("GET", "/open/1", "", "other").status != 0 && f.store.Calls("/-/log-read") > 3
+	}, "the replicas leave")
+	for _, r := range f.replicas[1:] {
+		r.Crash()
+	}
+	f.replicas[0].Set(platformtest.Behavior{})
+	f.eventually(func() bool { return f.send("GET", "/look/1", "key1", "x").status == 200 }, "the request is served")
+}
+
+// TestStoppedRequestOfOneCallerLeavesOthersAlone sends the same request with the key of
+// another workspace.
+func TestStoppedRequestOfOneCallerLeavesOthersAlone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "plain", 4, 1)
+	f.sendCopies(5, "GET", "/look/1", crashBody)
+	require.Equal(t, 503, f.send("GET", "/look/1", "key1", crashBody).status)
+	for _, r := range f.replicas {
+		r.Set(platformtest.Behavior{})
+	}
+	require.Equal(t, 503, f.send("GET", "/look/1", "key1", crashBody).status)
+	require.Equal(t, 200, f.send("GET", "/look/1", "key2", crashBody).status)
+	require.Equal(t, 200, f.send("GET", "/look/2", "key1", crashBody).status, "another path")
+	require.Equal(t, 200, f.send("GET", "/look/1", "key1", "y").status, "another body")
+}
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/node/control"
 	"masticbank.example/node/exchange"
@@ -145,20 +146,26 @@
 			i.control.Suspect(replica)
 		},
 		OnRejected: func(replica string, count int) { i.mesh.Rejected(replica, count) },
+		OnEvidence: func(news poison.State, recurring []poison.Crash) {
+			i.mesh.Evidence(news)
+			i.control.KeepEvidence(recurring)
+		},
 	})
 	i.control = control.New(control.Options{
-		Configs:   platform.ConfigSource{Store: i.store},
-		Replicas:  platform.ReplicaSource{Store: i.store},
-		Group:     platform.Group{Store: i.store, Member: i.member},
-		Orders:    i.replicas,
-		Gateway:   i.gateway,
-		Logger:    i.log,
-		LeastTTL:  s.Store.LeastMembership,
-		OnMembers: i.setMembers,
-		OnLeaving: func(replica string) { i.mesh.Leaving(replica) },
-		OnConfig:  func(version int64, content []byte) { i.mesh.SetConfig(version, content) },
-		OnUpdates: func(u roster.Updates) { i.mesh.Updates(u) },
-		Peers:     func() int { return i.mesh.Peers() },
+		Configs:    platform.ConfigSource{Store: i.store},
+		Replicas:   platform.ReplicaSource{Store: i.store},
+		Group:      platform.Group{Store: i.store, Member: i.member},
+		Orders:     i.replicas,
+		Evidence:   platform.EvidenceStore{Store: i.store},
+		FirstStart: s.FirstStart,
+		Gateway:    i.gateway,
+		Logger:     i.log,
+		LeastTTL:   s.Store.LeastMembership,
+		OnMembers:  i.setMembers,
+		OnLeaving:  func(replica string) { i.mesh.Leaving(replica) },
+		OnConfig:   func(version int64, content []byte) { i.mesh.SetConfig(version, content) },
+		OnUpdates:  func(u roster.Updates) { i.mesh.Updates(u) },
+		Peers:      func() int { return i.mesh.Peers() },
 	})
 	var err error
 	i.mesh, err = mesh.Start(mesh.Options{
@@ -343,6 +350,9 @@
 // Instances returns the number of entry instances, 0 while it is not known.
 func (i *Instance) Instances() int { return i.gateway.Instances() }
 
+// Evidence returns the number of crashes under requests that are known here.
+func (i *Instance) Evidence() int { return len(i.gateway.Evidence().Crashes) }
+
 // ReadyAddr returns the address that is asked for readiness.
 func (i *Instance) ReadyAddr() string { return i.ready.Addr() }
 
--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -51,7 +51,7 @@
 	"services":[{"name":"plain"},{"name":"llm","engine":{"slots":8,"kvTokenBytes":1000,"models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":100000,
 	"usual":{"prompt":10,"answer":10},"layers":4,"layerMb":100,"actBytes":10,"pipeMbps":1000,"kinds":[{"name":"k","mb":1000,"pace":1,"readX":1}]}}],
 	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-	"tenants":[{"name":"w1","apiKeys":["key1"]}]}`, version, extra))
+	"tenants":[{"name":"w1","apiKeys":["key1"]},{"name":"w2","apiKeys":["key2"]}]}`, version, extra))
 }
 
 func (w *world) put(r *platformtest.Replica, service, state string, layers ...int) {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/gateway"
@@ -66,7 +67,11 @@
 	Group    Group
 	Orders   gateway.ReplicaControl
 	Gateway  *gateway.Gateway
-	Logger   *zap.Logger
+	// Evidence, if set, keeps evidence on requests that crash replicas.
+	Evidence EvidenceStore
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool
+	Logger     *zap.Logger
 	// LeastTTL is the shortest time to live that the group takes.
 	LeastTTL time.Duration
 	// OnMembers, if set, is called with the names of all members.
@@ -105,7 +110,9 @@
 	malformed map[string]string
 	// joinedAt is when a replica joined last, changedAt when one joined, left or fell
 	// silent, by zone.
-	joinedAt  time.Time
+	joinedAt time.Time
+	// kept are the crashes that wait to be written to the store.
+	kept      []poison.Crash
 	changedAt map[string]time.Time
 
 	retired    atomic.Bool
@@ -165,6 +172,10 @@
 	g.Go(func() error { return c.followReplicas(ctx) })
 	g.Go(func() error { return c.keepMembership(ctx) })
 	g.Go(func() error { return c.keepLayout(ctx) })
+	if c.opts.Evidence != nil {
+		g.Go(func() error { return c.readEvidence(ctx) })
+		g.Go(func() error { return c.writeEvidence(ctx) })
+	}
 	return g.Wait()
 }
 
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 )
 
@@ -255,4 +256,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.opts.Gateway.SetReplicas(c.roster.Usable)
+	for _, e := range c.roster.TakeEnded() {
+		c.opts.Gateway.ReplicaEnded(poison.Incarnation{Replica: e.ID, Born: e.Born}, e.Restarted)
+	}
 }
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -300,6 +301,17 @@
 	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// Refused tells whether address refuses a new connection: nothing listens there.
+func (c *Client) Refused(ctx context.Context, address string) bool {
+	d := &net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = nc.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (c *Client) drop(cn *conn) { cn.Close() }
 
 // Prune closes the connections that were idle for too long.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"masticbank.example/core/poison"
 	"masticbank.example/core/retry"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/exchange"
@@ -53,6 +54,10 @@
 	// OnRejected, if set, is called with a replica that rejected a request though it has
 	// room, for the count-th time in a row.
 	OnRejected func(replica string, count int)
+	// OnEvidence, if set, is called with evidence on requests that crash replicas, for
+	// the other instances. recurring holds the crashes of requests that have crashed
+	// more than one, which have to outlast this process.
+	OnEvidence func(news poison.State, recurring []poison.Crash)
 }
 
 // RetryBound is the bound on repeats of one service for all instances: ratio
@@ -75,6 +80,7 @@
 	models  map[string]*modelPool
 	plains  map[string]*plainPool
 	budgets map[string]*retry.Budget
+	crashes *crashGuard
 	// instances is the number of entry instances that share the retry budget, 0 while
 	// it is not known.
 	instances int
@@ -88,6 +94,7 @@
 		models:  map[string]*modelPool{},
 		plains:  map[string]*plainPool{},
 		budgets: map[string]*retry.Budget{},
+		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
 	}
 }
 
@@ -112,6 +119,12 @@
 	version int64
 	sends   int
 	replica string
+	// fingerprint identifies what the caller asks for, also in its next attempts.
+	fingerprint poison.Fingerprint
+	// runs counts the runs that were lost.
+	runs uint32
+	// denied is why the last retry was not made, or "".
+	denied string
 }
 
 // left is the time that a replica may take.
@@ -135,6 +148,10 @@
 		return
 	}
 	c.body = body
+	c.fingerprint = fingerprintOf(c)
+	if g.refuseBlocked(c) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.service.Model != nil {
@@ -216,15 +233,29 @@
 
 // refuse sends an answer of the router's own. The statuses 408, 421, 429 and 503
 // state that the request did not run.
-func (g *Gateway) refuse(c *call, status int, why string, retryAfter time.Duration) {
+func (g *Gateway) refuse(c *call, status int, why string, retryAfter time.Duration, more ...zap.Field) {
 	h := c.writer.Header()
 	for k, v := range g.opts.Codec.Refusal(c.ID, retryAfter) {
 		h[k] = v
 	}
 	c.writer.WriteHeader(status)
-	g.finish(c, status, why, zap.Duration("retry_after", retryAfter))
+	g.finish(c, status, why, append(more, zap.Duration("retry_after", retryAfter))...)
+}
+
+// refuseBlocked answers a request that crashes replicas, and tells whether it did.
+func (g *Gateway) refuseBlocked(c *call) bool {
+	r := g.crashes.admit(c)
+	if r == nil {
+		return false
+	}
+	g.refuse(c, http.StatusServiceUnavailable, outcomeBlocked, r.RetryAfter, crashField(r.Crashes))
+	return true
 }
 
+// outcomeBlocked is the outcome of requests that are refused because copies of them
+// crashed replicas.
+const outcomeBlocked = "crashes_replicas"
+
 // finish writes the line about the end of a request and counts it.
 func (g *Gateway) finish(c *call, status int, why string, more ...zap.Field) {
 	took := time.Since(c.arrival)
@@ -239,6 +270,7 @@
 		zap.Int("rank", c.rank),
 		zap.Int("sends", c.sends),
 		zap.String("replica", c.replica),
+		zap.Stringer("fingerprint", c.fingerprint),
 	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
@@ -264,6 +296,29 @@
 	}
 }
 
+// Reasons for which a request is not retried.
+const (
+	deniedDeadline = "deadline"
+	deniedCrashes  = "crashes"
+	deniedBudget   = "budget"
+)
+
+// mayRetry tells whether a request may be sent again, and spends a retry then.
+func (g *Gateway) mayRetry(ctx context.Context, c *call) bool {
+	switch {
+	case ctx.Err() != nil:
+		c.denied = deniedDeadline
+	case !g.crashes.mayRetry(c):
+		c.denied = deniedCrashes
+	case !g.retryAllowed(c.service.Name):
+		c.denied = deniedBudget
+	default:
+		return true
+	}
+	g.opts.Metrics.RetryDenied(c.denied)
+	return false
+}
+
 // retryAllowed spends one retry of a service.
 func (g *Gateway) retryAllowed(service string) bool {
 	g.mu.Lock()
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -29,14 +29,21 @@
 	mu       sync.Mutex
 	inFlight int
 	outcomes map[string]uint64
-	total    map[string]*hdrhistogram.Histogram
-	first    map[string]*hdrhistogram.Histogram
+	// denied counts retries that were not made, by reason.
+	denied map[string]uint64
+	// crashes counts replicas that ended under a request of this instance, once for each
+	// request; blocked is the number of requests that are refused for such crashes.
+	crashes uint64
+	blocked int
+	total   map[string]*hdrhistogram.Histogram
+	first   map[string]*hdrhistogram.Histogram
 }
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
 	return &Metrics{
 		outcomes: map[string]uint64{},
+		denied:   map[string]uint64{},
 		total:    map[string]*hdrhistogram.Histogram{},
 		first:    map[string]*hdrhistogram.Histogram{},
 	}
@@ -70,6 +77,27 @@
 	record(m.total, "rank "+strconv.Itoa(rank), took)
 }
 
+// RetryDenied counts a retry that was not made.
+func (m *Metrics) RetryDenied(reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.denied[reason]++
+}
+
+// Crashed counts a replica that ended under a request.
+func (m *Metrics) Crashed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crashes++
+}
+
+// SetBlocked sets the number of requests that are refused for crashes.
+func (m *Metrics) SetBlocked(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.blocked = n
+}
+
 // FirstEvent records the time to the first event of a stream.
 func (m *Metrics) FirstEvent(rank int, took time.Duration) {
 	m.mu.Lock()
@@ -110,6 +138,9 @@
 	data, err := json.Marshal(map[string]any{
 		"in_flight":   m.inFlight,
 		"outcomes":    m.outcomes,
+		"denied":      m.denied,
+		"crashes":     m.crashes,
+		"blocked":     m.blocked,
 		"request":     summaries(m.total),
 		"first_event": summaries(m.first),
 	})
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -13,6 +13,7 @@
 
 	"masticbank.example/core/forward"
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/waitlist"
 	"masticbank.example/node/exchange"
 	"masticbank.example/node/httpserver"
@@ -56,6 +57,9 @@
 	// longest is the longest pause between two events, repaths the changes of path.
 	longest time.Duration
 	repaths int
+	// runAt is when the present run began, runEvents the number of events before it.
+	runAt     time.Time
+	runEvents int
 }
 
 // serveModel runs a request over a path through all layers.
@@ -72,19 +76,25 @@
 			s.endWithoutPath(ctx, &h)
 			return
 		}
+		if !h.MayHaveRun() && !s.begun && g.refuseBlocked(c) {
+			s.grant.release()
+			return
+		}
 		c.sends++
 		c.replica = s.grant.path()[0].ID
 		outcome, err := s.run(ctx)
+		if outcome == forward.Lost {
+			s.lost(ctx, err)
+		}
 		s.grant.release()
-		next := h.Step(outcome, func() bool {
-			return ctx.Err() == nil && g.retryAllowed(c.service.Name)
-		})
+		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
 		if outcome == forward.Answered || (outcome == forward.Failed && next != forward.Retry) {
 			return
 		}
 		g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", c.replica),
 			zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int64("last_event", s.last),
-			zap.Int("parts", len(s.grant.path())), zap.Duration("left", c.left(time.Now())), zap.Error(err))
+			zap.Int("parts", len(s.grant.path())), zap.Duration("left", c.left(time.Now())),
+			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denied), zap.Error(err))
 		if next == forward.Retry {
 			continue
 		}
@@ -93,6 +103,25 @@
 	}
 }
 
+// lost notes a run without a whole answer, and has the replica checked that it was
+// sent to.
+func (s *stream) lost(ctx context.Context, err error) {
+	if !mayBeCrash(err) || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	first := s.grant.path()[0]
+	parts := s.pool.partsOf(s.grant.path())
+	took := s.g.crashes.process(poison.Incarnation{Replica: first.ID, Born: first.Born}, s.runAt)
+	if len(parts) > 0 && parts[0].Replica == first.ID {
+		parts[0] = took
+	}
+	s.g.crashes.lost(s.call, parts, s.runAt, s.progressed())
+	s.g.crashes.check(took, first.Address)
+}
+
+// progressed tells whether the present run has brought events.
+func (s *stream) progressed() bool { return s.events > s.runEvents }
+
 // demandOf estimates what a request asks of the replicas.
 func demandOf(c *call) pipeline.Demand {
 	m := c.service.Model
@@ -162,12 +191,14 @@
 		send.LastEvent = strconv.FormatInt(s.last, 10)
 	}
 	s.lastAt = time.Now()
+	s.runAt, s.runEvents = s.lastAt, s.events
 	resp, err := s.head(ctx, cancel, first, s.g.request(s.call, send, false))
 	if err != nil {
 		s.blame(first, err)
 		return outcomeOf(err), err
 	}
 	defer resp.Close()
+	s.g.crashes.sign(first.ID)
 	info := s.g.opts.Codec.Answer(resp.Status, resp.Header)
 	switch {
 	case info.ID != s.ID:
@@ -219,6 +250,9 @@
 	}
 }
 
+// errCaller means that the caller does not take its answer.
+var errCaller = errors.New("the caller takes no more")
+
 var errPartSilent = errors.New("a part of the path is silent")
 
 // blame takes the first replica out of use after an error of its connection.
@@ -300,6 +334,7 @@
 func (s *stream) take(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
 	if errors.Is(ev.err, io.EOF) {
 		s.begin(resp)
+		s.g.crashes.succeeded(s.fingerprint)
 		s.g.finish(s.call, resp.Status, "delivered", zap.Int("events", s.events), zap.Int("parts", len(s.grant.path())),
 			zap.Duration("longest_pause", s.longest), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
 		return true, forward.Answered, nil
@@ -316,8 +351,9 @@
 		s.g.opts.Metrics.FirstEvent(s.rank, time.Since(s.arrival))
 	}
 	if _, err := s.writer.Write(ev.data); err != nil {
-		return true, forward.Lost, err
+		return true, forward.Lost, errors.Join(errCaller, err)
 	}
+	s.g.crashes.sign(s.grant.path()[0].ID)
 	s.writer.(http.Flusher).Flush()
 	if ev.id >= 0 {
 		s.last = ev.id
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/forward"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/exchange"
 )
@@ -44,17 +45,19 @@
 			g.endWithoutReplica(ctx, c, &h, len(tried))
 			return
 		}
+		if !h.MayHaveRun() && g.refuseBlocked(c) {
+			return
+		}
 		tried[replica.ID] = true
 		c.sends++
 		c.replica = replica.ID
 		outcome, answer, err := g.sendPlain(ctx, c, pool, replica, &h)
-		next := h.Step(outcome, func() bool {
-			return ctx.Err() == nil && g.retryAllowed(c.service.Name)
-		})
+		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
 		if outcome != forward.Answered {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
-				zap.Duration("left", c.left(time.Now())), zap.Error(err))
+				zap.Duration("left", c.left(time.Now())),
+				zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denied), zap.Error(err))
 		}
 		switch next {
 		case forward.Retry:
@@ -107,7 +110,16 @@
 		defer cancel()
 	}
 	pool.begin(replica.ID)
+	began := time.Now()
 	outcome, answer, err := g.exchangePlain(ctx, c, replica, !h.Repeatable, pool)
+	switch {
+	case outcome == forward.Answered && answer.status < http.StatusMultipleChoices:
+		g.crashes.succeeded(c.fingerprint)
+	case outcome == forward.Lost && mayBeCrash(err) && !errors.Is(c.http.Context().Err(), context.Canceled) && pool.listed(replica):
+		r := g.crashes.process(poison.Incarnation{Replica: replica.ID, Born: replica.Born}, began)
+		g.crashes.lost(c, []poison.Incarnation{r}, began, false)
+		g.crashes.check(r, replica.Address)
+	}
 	pool.end(time.Now(), replica.ID, outcome, time.Since(now))
 	return outcome, answer, err
 }
@@ -130,6 +142,7 @@
 		return outcomeOf(err), nil, err
 	}
 	defer resp.Close()
+	g.crashes.sign(replica.ID)
 	info := g.opts.Codec.Answer(resp.Status, resp.Header)
 	if info.ID != c.ID {
 		resp.Discard()
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -57,7 +57,7 @@
 		if r == nil || r.Address != e.Address {
 			r = &plainReplica{}
 		}
-		r.Replica = Replica{ID: e.ID, Address: e.Address}
+		r.Replica = Replica{ID: e.ID, Address: e.Address, Born: e.Born}
 		r.zone, r.slots = e.Zone, e.Slots
 		next[e.ID] = r
 	}
@@ -107,6 +107,13 @@
 	return pace * float64(1+over)
 }
 
+// listed tells whether a replica, or a later process of it, may get new work.
+func (p *plainPool) listed(r Replica) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replicas[r.ID] != nil
+}
+
 func (p *plainPool) begin(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -80,6 +80,9 @@
 type Replica struct {
 	ID      string
 	Address string
+	// Born is the start of its process, in Unix milliseconds; 0 where it does not
+	// matter.
+	Born int64
 }
 
 // Report is the state of a replica some hundred milliseconds ago.
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 )
@@ -84,6 +86,9 @@
 	defer grants.Stop()
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	checks.Go(func() { g.crashes.run(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -92,12 +97,42 @@
 			for _, p := range g.modelPools() {
 				p.tick()
 			}
+			g.tellEvidence()
 		case <-prune.C:
 			g.opts.Client.Prune()
+			g.crashes.tidy()
 		}
 	}
 }
 
+// tellEvidence passes on what is new about requests that crash replicas.
+func (g *Gateway) tellEvidence() {
+	news, recurring := g.crashes.news()
+	if !news.Empty() && g.opts.OnEvidence != nil {
+		g.opts.OnEvidence(news, recurring)
+	}
+}
+
+// LearnEvidence takes what other instances know about requests that crash replicas.
+func (g *Gateway) LearnEvidence(s poison.State) { g.crashes.learn(s) }
+
+// Evidence returns all that is known about requests that crash replicas.
+func (g *Gateway) Evidence() poison.State { return g.crashes.state() }
+
+// EvidenceDigest is equal for two instances that know the same of such requests.
+func (g *Gateway) EvidenceDigest() uint64 { return g.crashes.digest() }
+
+// ReplicaEnded takes a process of a replica that ended without being asked to.
+// Restarted is true when a later process of it is listed, false when it is listed no
+// more.
+func (g *Gateway) ReplicaEnded(r poison.Incarnation, restarted bool) {
+	sign := signRemoved
+	if restarted {
+		sign = signRestarted
+	}
+	g.crashes.ended(r, sign)
+}
+
 // Loads returns the work of this instance by service and replica.
 func (g *Gateway) Loads() map[string]map[string]pipeline.Load {
 	out := map[string]map[string]pipeline.Load{}
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 )
 
 const (
@@ -84,6 +85,7 @@
 	dead := s.pool.idAt(address)
 	if dead != "" {
 		s.silent(dead, "requests stall there")
+		s.checkPart(dead)
 	}
 	if w.repath(ctx, first) {
 		w.timer.Reset(s.grant.choice.FirstToken + firstSuspicion)
@@ -102,9 +104,35 @@
 	}
 }
 
+// checkPart has a part of the path checked that is silent.
+func (s *stream) checkPart(id string) {
+	for _, h := range s.grant.path() {
+		if h.ID == id {
+			s.g.crashes.check(poison.Incarnation{Replica: h.ID, Born: h.Born}, h.Address)
+		}
+	}
+}
+
+// movedAway notes that the run on the parts that are left is lost; the rest of the
+// stream is another run.
+func (s *stream) movedAway(next pipeline.Path) {
+	var left pipeline.Path
+	for _, h := range s.grant.path() {
+		if !next.Uses(h.ID) {
+			left = append(left, h)
+		}
+	}
+	s.g.crashes.lost(s.call, s.pool.partsOf(left), s.runAt, s.progressed())
+	s.runAt, s.runEvents = time.Now(), s.events
+}
+
 // repath moves the running request to a path without the replicas that failed.
 func (w *watch) repath(ctx context.Context, first pipeline.Hop) bool {
 	s := w.s
+	if !s.g.crashes.mayRetry(s.call) {
+		s.g.log.Info("not moved, it may crash the next replica", zap.String("request", s.ID), zap.Stringer("fingerprint", s.fingerprint))
+		return false
+	}
 	for range maxRepaths {
 		choice, ok := s.grant.move(s.avoid)
 		if !ok {
@@ -119,6 +147,7 @@
 		case err != nil:
 			return false
 		case res.Status == OrderTaken:
+			s.movedAway(choice.Path)
 			s.grant.confirm(choice)
 			s.repaths++
 			return true
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
@@ -57,6 +58,13 @@
 	Observe(of func(replica string) (pipeline.Observed, bool))
 	// Suspect takes a replica that another instance found silent out of use.
 	Suspect(replica string)
+	// LearnEvidence takes what another instance knows about requests that crash
+	// replicas.
+	LearnEvidence(poison.State)
+	// Evidence returns what this instance knows about them, EvidenceDigest a value that
+	// differs if another instance knows something else.
+	Evidence() poison.State
+	EvidenceDigest() uint64
 }
 
 // Options configures a Mesh.
@@ -93,6 +101,8 @@
 	mu    sync.Mutex
 	peers int
 	loads map[string]*peerLoads
+	// evidenceAt holds when all evidence was last sent to a peer.
+	evidenceAt map[string]time.Time
 }
 
 type peerLoads struct {
@@ -104,7 +114,7 @@
 // Start listens for peers.
 func Start(o Options) (*Mesh, error) {
 	key := sha256.Sum256([]byte("masticbank peers of " + o.Cluster))
-	m := &Mesh{opts: o, loads: map[string]*peerLoads{}}
+	m := &Mesh{opts: o, loads: map[string]*peerLoads{}, evidenceAt: map[string]time.Time{}}
 	node, err := peer.New(peer.Options{
 		ID: o.Member,
 		// The name is new for each process, so that one incarnation is enough. The
@@ -219,7 +229,7 @@
 
 // tell sends the work of this instance.
 func (m *Mesh) tell() {
-	message := &peerpb.UpstreamLoads{}
+	message := &peerpb.UpstreamLoads{Evidence: m.opts.Gateway.EvidenceDigest()}
 	for _, loads := range m.opts.Gateway.Loads() {
 		for id, l := range loads {
 			message.Loads = append(message.Loads, &peerpb.UpstreamLoad{
@@ -288,6 +298,9 @@
 // PeerDown implements peer.Handler. The load of the peer counts until it is
 // stale: its requests go on if only the session broke.
 func (h *handler) PeerDown(info peer.Info) {
+	h.mesh.mu.Lock()
+	delete(h.mesh.evidenceAt, info.ID)
+	h.mesh.mu.Unlock()
 	h.mesh.opts.Logger.Info("peer lost", zap.String("peer", info.ID))
 }
 
@@ -296,6 +309,7 @@
 	if n := loads.GetDutyGeneration(); n > 0 && h.mesh.opts.OnDuty != nil {
 		h.mesh.opts.OnDuty(int64(n))
 	}
+	h.mesh.compareEvidence(from, loads.GetEvidence())
 	h.mesh.mu.Lock()
 	defer h.mesh.mu.Unlock()
 	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), links: loads.GetLinks()}
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/node/mesh"
 )
@@ -32,6 +33,7 @@
 	suspects map[string]bool
 	avoided  map[string]int
 	observed map[string]pipeline.Observed
+	evidence *poison.Ledger
 }
 
 func (f *fake) Loads() map[string]map[string]pipeline.Load {
@@ -74,6 +76,24 @@
 	f.suspects[id] = true
 }
 
+func (f *fake) LearnEvidence(s poison.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evidence.Learn(time.Now(), s)
+}
+
+func (f *fake) Evidence() poison.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evidence.State()
+}
+
+func (f *fake) EvidenceDigest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evidence.Digest()
+}
+
 func (f *fake) see(check func() bool) func() bool {
 	return func() bool {
 		f.mu.Lock()
@@ -85,7 +105,7 @@
 func newFake() *fake {
 	return &fake{
 		own: map[string]pipeline.Load{}, links: map[pipeline.Link]float64{}, suspects: map[string]bool{},
-		avoided: map[string]int{}, observed: map[string]pipeline.Observed{},
+		avoided: map[string]int{}, observed: map[string]pipeline.Observed{}, evidence: poison.NewLedger(time.Minute),
 	}
 }
 
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -47,6 +47,9 @@
 	UpstreamStates(from string, states *peerpb.UpstreamStates)
 	// UpstreamChanges is called for what the peer read in the platform's list.
 	UpstreamChanges(from string, changes *peerpb.UpstreamChanges)
+	// CrashEvidence is called when the peer tells of requests under which upstreams
+	// ended.
+	CrashEvidence(from string, evidence *peerpb.CrashEvidence)
 }
 
 // NopHandler ignores everything. Embed it to implement some methods only.
@@ -87,5 +90,8 @@
 // UpstreamStates implements Handler.
 func (NopHandler) UpstreamStates(string, *peerpb.UpstreamStates) {}
 
+// CrashEvidence implements Handler.
+func (NopHandler) CrashEvidence(string, *peerpb.CrashEvidence) {}
+
 // UpstreamChanges implements Handler.
 func (NopHandler) UpstreamChanges(string, *peerpb.UpstreamChanges) {}
