What replicas, the store and peers send is read up to a bound, and never cut

Callers saw: nothing yet. A replica in trouble may send bytes without end.

Cause: heads were read by http.ReadResponse without a bound, 1xx answers without a number; the store's bodies without a bound; http.Transport allows heads of 10 MB. Five readers of bodies stopped at a bound without an error, so that a failure of 16 MiB and more was passed on cut, with the length of the cut part: it looked whole. Plain answers of 16 MiB each were held by any number of requests.

Evidence: the new tests on the code before: 5 of 6 endless heads were read until the server stopped at 96 MiB; store, report, engine and service bodies without end were read or cut without an error; a failure of 16 MiB + 1 byte arrived with status 500 and 16 MiB.

Change: node/bounded reads up to a bound and fails beyond it; large answers share an eighth of the memory; heads have 32 KiB, events 64 KiB, streams 16 MiB. After: all pass; readers of peers were bounded before, now with a test.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -67,6 +67,8 @@
 	// memoryShare is the part of the machine's memory from which on the collector
 	// works harder; the rest is for stacks of threads and what the kernel holds.
 	memoryShare = 0.7
+	// answerShare is the part for plain answers that are read.
+	answerShare = 0.125
 	bytesPerMB  = 1e6
 	// reloadInterval is the time between two looks at the settings file.
 	reloadInterval = time.Second
@@ -140,6 +142,9 @@
 		Logger:  i.log,
 		Metrics: i.metrics,
 		Zone:    s.Zone,
+		// Most of the memory is for requests that wait or stream.
+		AnswerBytes: int64(float64(s.MemoryMB) * answerShare * bytesPerMB),
+
 		Retries: retryBound(s),
 		OnSilent: func(replica string) {
 			i.mesh.Silent(replica)
--- /dev/null
+++ b/node/bounded/bounded_test.go
@@ -0,0 +1,48 @@
+package bounded_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/bounded"
+)
+
+func TestReadAllNeverCuts(t *testing.T) {
+	for size := range 12 {
+		data, err := bounded.ReadAll(strings.NewReader(strings.Repeat("a", size)), 10)
+		if size > 10 {
+			require.ErrorIs(t, err, bounded.ErrTooLarge)
+			continue
+		}
+		require.NoError(t, err)
+		require.Len(t, data, size)
+	}
+}
+
+func TestMemoryIsShared(t *testing.T) {
+	const size = 1 << 20
+	m := bounded.NewMemory(2 * size)
+	first, second, small := m.Hold(), m.Hold(), m.Hold()
+	body := bytes.Repeat([]byte("a"), size)
+	data, err := first.ReadAll(bytes.NewReader(body), size)
+	require.NoError(t, err)
+	require.Equal(t, body, data)
+	_, err = second.ReadAll(io.MultiReader(bytes.NewReader(body), bytes.NewReader(body)), 2*size)
+	require.ErrorIs(t, err, bounded.ErrTooLarge, "the memory is used up")
+	second.Release()
+	data, err = small.ReadAll(strings.NewReader("small"), size)
+	require.NoError(t, err)
+	require.Equal(t, "small", string(data))
+	first.Release()
+	_, err = second.ReadAll(iotest.OneByteReader(bytes.NewReader(body)), size)
+	require.NoError(t, err)
+	_, err = small.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), size)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	_, err = first.ReadAll(bytes.NewReader(append(body, 'b')), size)
+	require.ErrorIs(t, err, bounded.ErrTooLarge, "over the limit of one body")
+}
--- /dev/null
+++ b/node/bounded/boundedtest/boundedtest.go
@@ -0,0 +1,111 @@
+// Package boundedtest has a server that sends bytes without end.
+package boundedtest
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Most is the number of bytes that the server sends before it takes the reader for one
+// without a bound: more than any bound and the buffers on the way.
+const Most = 96 << 20
+
+// blockBytes is the size of one write.
+const blockBytes = 64 << 10
+
+// Heads are answers to HTTP requests whose head has no end: the beginning, and what
+// follows again and again.
+var Heads = map[string][2]string{
+	"header lines":     {"HTTP/1.1 200 OK\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+	"one header line":  {"HTTP/1.1 200 OK\r\nX-Filler: ", "a"},
+	"status line":      {"HTTP/1.1 200 ", "a"},
+	"interim answers":  {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+	"no line break":    {"", "a"},
+	"only line breaks": {"", "\r\n"},
+}
+
+// Bodies are answers whose body has no end.
+var Bodies = map[string][2]string{
+	"until close":    {"HTTP/1.1 200 OK\r\n\r\n", "[1,"},
+	"chunks":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "40\r\n" + strings.Repeat("[1,2", 16) + "\r\n"},
+	"chunk size":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"chunk option":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=", "b"},
+	"trailer":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n0\r\n", "X-A: aaaaaaaaaaaaaaaaaaaaa\r\n"},
+	"length":         {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "[1,"},
+	"error answer":   {"HTTP/1.1 500 Internal Server Error\r\n\r\n", "[1,"},
+	"empty elements": {"HTTP/1.1 200 OK\r\n\r\n", " "},
+}
+
+// Server sends, on each connection, a beginning and then a part again and again until
+// the other side closes.
+type Server struct {
+	listener net.Listener
+
+	mu   sync.Mutex
+	sent int
+	open map[net.Conn]bool
+}
+
+// Start runs a server until the test ends.
+func Start(t *testing.T, answer [2]string) *Server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{listener: l, open: map[net.Conn]bool{}}
+	block := strings.Repeat(answer[1], blockBytes/len(answer[1])+1)
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.open[c] = true
+			s.mu.Unlock()
+			tasks.Go(func() { s.send(c, answer[0], block) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.mu.Lock()
+		for c := range s.open {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		tasks.Wait()
+	})
+	return s
+}
+
+// Address returns IP:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Sent returns the number of bytes that were sent.
+func (s *Server) Sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+func (s *Server) send(c net.Conn, first, block string) {
+	defer c.Close()
+	var request [4096]byte
+	if _, err := c.Read(request[:]); err != nil {
+		return
+	}
+	next := first
+	for s.Sent() < Most {
+		n, err := c.Write([]byte(next))
+		s.mu.Lock()
+		s.sent += n
+		s.mu.Unlock()
+		if err != nil {
+			return
+		}
+		next = block
+	}
+}
--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"masticbank.example/node/bounded"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
@@ -61,7 +61,7 @@
 
 // Probe implements engine.Client.
 func (c *Client) Probe(ctx context.Context, t engine.Target) error {
-	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.HeadBytes}
 	defer fresh.CloseIdleConnections()
 	return c.call(ctx, fresh, http.MethodGet, t, wire.PathProbe, nil, nil)
 }
@@ -111,6 +111,8 @@
 			MaxIdleConnsPerHost: idlePerEngine,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: bounded.HeadBytes,
 		}
 		c.transports[t.Address] = tr
 	}
@@ -138,7 +140,7 @@
 		return failure(ctx, err, connected.Load())
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return failure(ctx, err, true)
 	}
--- /dev/null
+++ b/node/engine/httpjson/endless_test.go
@@ -0,0 +1,33 @@
+package httpjson_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/bounded/boundedtest"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/engine/httpjson"
+	"masticbank.example/node/wire"
+)
+
+// TestAnswersWithoutEndAreErrors has no deadline: only a bound ends the call.
+func TestAnswersWithoutEndAreErrors(t *testing.T) {
+	for _, kind := range []map[string][2]string{boundedtest.Heads, boundedtest.Bodies} {
+		for name, answer := range kind {
+			t.Run(name, func(t *testing.T) {
+				s := boundedtest.Start(t, answer)
+				c := httpjson.New()
+				target := engine.Target{ID: "e", Address: s.Address()}
+				defer c.Forget(target)
+				_, err := c.Step(context.Background(), target, &wire.StepRequest{})
+				var failure *engine.CallError
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, engine.ProofNone, failure.Proof)
+				require.Error(t, c.Probe(context.Background(), target))
+				require.Less(t, s.Sent(), boundedtest.Most)
+			})
+		}
+	}
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"masticbank.example/node/bounded"
 )
 
 // Request is one request. The body is sent with its length.
@@ -102,6 +104,7 @@
 	net.Conn
 	address  string
 	reader   *bufio.Reader
+	meter    *meter
 	lastUsed time.Time
 	// idleLimit is the idle time after which the replica closes it.
 	idleLimit time.Duration
@@ -135,7 +138,12 @@
 	if _, err := cn.Write(encode(r)); err != nil {
 		return nil, trace.Wrap(err, "sending to %s", cn.address)
 	}
+	cn.meter.limit(bounded.HeadBytes)
 	resp, err := readHead(cn.reader, r.Method)
+	if cn.meter.exceeded {
+		return nil, trace.Wrap(ErrHeadTooLarge, "answer of %s", cn.address)
+	}
+	cn.meter.limit(unlimited)
 	if err != nil {
 		return nil, trace.Wrap(err, "answer of %s", cn.address)
 	}
@@ -298,7 +306,8 @@
 		nc.Close()
 		return nil, trace.Wrap(err, "connection to %s", address)
 	}
-	return &conn{Conn: nc, address: address, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	m := &meter{source: nc}
+	return &conn{Conn: nc, address: address, meter: m, reader: bufio.NewReaderSize(m, readBuffer)}, nil
 }
 
 // Refused tells whether address refuses a new connection: nothing listens there.
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -14,6 +14,7 @@
 
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/poison"
+	"masticbank.example/node/bounded"
 	"masticbank.example/node/exchange"
 )
 
@@ -306,7 +307,7 @@
 
 // noCrash are failures after which the replica goes on: it has answered, if badly, or
 // the caller is gone.
-var noCrash = []error{errOtherRequest, errUnsigned, errTooLarge, errEventTooLarge, errCaller, context.Canceled}
+var noCrash = []error{errOtherRequest, errUnsigned, errEventTooLarge, errStreamTooLarge, bounded.ErrTooLarge, exchange.ErrHeadTooLarge, errCaller, context.Canceled}
 
 // mayBeCrash tells whether a run may have been lost because its replica ended.
 func mayBeCrash(err error) bool {
--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -17,17 +17,29 @@
 	err error
 }
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event, which holds a few tokens. All streams of an
+	// instance may hold one at the same time.
+	maxEventBytes = 64 << 10
+	// maxStreamBytes bounds a stream: a long answer has some hundred kilobytes.
+	maxStreamBytes = 16 << 20
+)
 
-var errEventTooLarge = errors.New("the event is too large")
+var (
+	errEventTooLarge  = errors.New("the event is too large")
+	errStreamTooLarge = errors.New("the stream is too large")
+)
 
 // readEvents reads whole events until the stream ends and passes them on. It
 // returns when stop is closed; the reader must then fail soon.
 func readEvents(r io.Reader, out chan<- event, stop <-chan struct{}) {
 	br := bufio.NewReader(r)
+	read := 0
 	for {
 		ev := nextEvent(br)
+		if read += len(ev.data); read > maxStreamBytes {
+			ev = event{err: errStreamTooLarge}
+		}
 		select {
 		case out <- ev:
 		case <-stop:
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"masticbank.example/core/poison"
 	"masticbank.example/core/retry"
 	"masticbank.example/core/routing"
+	"masticbank.example/node/bounded"
 	"masticbank.example/node/exchange"
 )
 
@@ -33,9 +34,10 @@
 	// answerMargin is kept back from the caller's deadline so that the last answer
 	// still reaches it.
 	answerMargin = 30 * time.Millisecond
-	// maxAnswerBytes bounds the plain answers that are held in memory until they
-	// are complete.
-	maxAnswerBytes = 16 << 20
+	// maxAnswerBytes bounds a plain answer, which is held in memory until it is
+	// complete, and leastAnswerBytes is room for one.
+	maxAnswerBytes   = 16 << 20
+	leastAnswerBytes = maxAnswerBytes + 1<<20
 )
 
 // Options configures a Gateway.
@@ -45,6 +47,9 @@
 	Client  *exchange.Client
 	Logger  *zap.Logger
 	Metrics *Metrics
+	// AnswerBytes bounds the memory for plain answers of more than some kilobytes, all
+	// together; at least leastAnswerBytes.
+	AnswerBytes int64
 	// Zone is where this instance is.
 	Zone string
 	// Retries bounds the repeats for all instances together.
@@ -81,6 +86,8 @@
 	plains  map[string]*plainPool
 	budgets map[string]*retry.Budget
 	crashes *crashGuard
+	// memory bounds the large answers that are held at the same time.
+	memory *bounded.Memory
 	// instances is the number of entry instances that share the retry budget, 0 while
 	// it is not known.
 	instances int
@@ -94,6 +101,7 @@
 		models:  map[string]*modelPool{},
 		plains:  map[string]*plainPool{},
 		budgets: map[string]*retry.Budget{},
+		memory:  bounded.NewMemory(max(o.AnswerBytes, leastAnswerBytes)),
 		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
 	}
 }
@@ -123,6 +131,8 @@
 	fingerprint poison.Fingerprint
 	// runs counts the runs that were lost.
 	runs uint32
+	// hold is the memory that the answer takes.
+	hold *bounded.Hold
 	// denied is why the last retry was not made, or "".
 	denied string
 }
@@ -132,7 +142,8 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{Request: g.opts.Codec.Request(r.Header), http: r, writer: w, arrival: time.Now()}
+	c := &call{Request: g.opts.Codec.Request(r.Header), http: r, writer: w, arrival: time.Now(), hold: g.memory.Hold()}
+	defer c.hold.Release()
 	g.opts.Metrics.Began()
 	defer g.opts.Metrics.Ended()
 	if !g.admit(c) {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -205,9 +205,9 @@
 		resp.Discard()
 		return forward.Lost, errOtherRequest
 	case info.NotRun:
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+		drain(resp)
 		s.rejected(info, first)
-		return forward.Rejected, err
+		return forward.Rejected, nil
 	case unsigned(resp.Status, info):
 		resp.Discard()
 		return forward.Lost, errUnsigned
@@ -284,7 +284,7 @@
 
 // failed passes on an answer that is no stream, unless another replica is tried.
 func (s *stream) failed(resp *exchange.Response) (forward.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := s.hold.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil || s.begun {
 		return forward.Lost, err
 	}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -126,7 +126,6 @@
 
 var (
 	errOtherRequest = errors.New("the answer belongs to another request")
-	errTooLarge     = errors.New("the answer is too large")
 	errUnsigned     = errors.New("the answer is not signed by a replica")
 )
 
@@ -149,10 +148,11 @@
 		return forward.Lost, nil, errOtherRequest
 	}
 	pool.loaded(replica.ID, info)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if info.NotRun {
+		drain(resp)
 		return forward.Rejected, nil, nil
 	}
+	body, err := c.hold.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return forward.Lost, nil, err
 	}
@@ -160,10 +160,6 @@
 		resp.Discard()
 		return forward.Lost, nil, errUnsigned
 	}
-	if len(body) > maxAnswerBytes {
-		resp.Discard()
-		return forward.Lost, nil, errTooLarge
-	}
 	answer := &plainAnswer{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		return forward.Failed, answer, nil
@@ -171,6 +167,16 @@
 	return forward.Answered, answer, nil
 }
 
+// drain reads the rest of a short answer, so that its connection can be used again. The
+// connection of a longer one is closed.
+func drain(resp *exchange.Response) {
+	// An error leaves the connection unusable, which Close sees.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
+}
+
+// maxDrainBytes bounds what is read of a rejection.
+const maxDrainBytes = 64 << 10
+
 func outcomeOf(err error) forward.Outcome {
 	var ee *exchange.Error
 	if errors.As(err, &ee) && !ee.Sent {
--- /dev/null
+++ b/node/instancelist/endless_test.go
@@ -0,0 +1,27 @@
+package instancelist_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/bounded/boundedtest"
+	"masticbank.example/node/instancelist"
+)
+
+// TestAnswersWithoutEndAreErrors has no deadline: only a bound ends the call.
+func TestAnswersWithoutEndAreErrors(t *testing.T) {
+	for _, kind := range []map[string][2]string{boundedtest.Heads, boundedtest.Bodies} {
+		for name, answer := range kind {
+			t.Run(name, func(t *testing.T) {
+				s := boundedtest.Start(t, answer)
+				h, err := instancelist.NewHTTP("http://"+s.Address(), nil)
+				require.NoError(t, err)
+				_, err = h.List(context.Background())
+				require.Error(t, err)
+				require.Less(t, s.Sent(), boundedtest.Most)
+			})
+		}
+	}
+}
--- a/node/instancelist/instancelist.go
+++ b/node/instancelist/instancelist.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"masticbank.example/node/bounded"
 	"masticbank.example/node/wire"
 )
 
@@ -33,7 +34,7 @@
 var _ Lister = (*HTTP)(nil)
 
 // NewHTTP returns a lister for the platform at baseURL, such as
-// "http://10.0.0.1:9000". A nil client means http.DefaultClient.
+// "http://10.0.0.1:9000". A nil client means bounded.DefaultClient.
 func NewHTTP(baseURL string, client *http.Client) (*HTTP, error) {
 	u, err := url.Parse(baseURL)
 	if err != nil {
@@ -43,7 +44,7 @@
 		return nil, trace.BadParameter("platform address %q is not an http URL", baseURL)
 	}
 	if client == nil {
-		client = http.DefaultClient
+		client = bounded.DefaultClient
 	}
 	return &HTTP{client: client, url: u.JoinPath(wire.PathInstances).String()}, nil
 }
--- /dev/null
+++ b/node/logstream/endless_test.go
@@ -0,0 +1,28 @@
+package logstream_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/bounded/boundedtest"
+	"masticbank.example/node/logstream"
+)
+
+// TestAnswersWithoutEndAreErrors leaves a timeout far away: a bound ends the call.
+func TestAnswersWithoutEndAreErrors(t *testing.T) {
+	for _, kind := range []map[string][2]string{boundedtest.Heads, boundedtest.Bodies} {
+		for name, answer := range kind {
+			t.Run(name, func(t *testing.T) {
+				s := boundedtest.Start(t, answer)
+				h := &logstream.HTTP{Base: "http://" + s.Address(), Timeout: time.Minute}
+				_, err := h.Read(context.Background(), "s", 0, 1, 0)
+				require.Error(t, err)
+				require.NotErrorIs(t, err, context.DeadlineExceeded)
+				require.Less(t, s.Sent(), boundedtest.Most)
+			})
+		}
+	}
+}
--- a/node/logstream/http.go
+++ b/node/logstream/http.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"masticbank.example/core/record"
+	"masticbank.example/node/bounded"
 	"masticbank.example/node/wire"
 )
 
@@ -27,7 +28,7 @@
 type HTTP struct {
 	// Base is the URL of the service without a trailing slash.
 	Base string
-	// Client makes the requests; nil means http.DefaultClient.
+	// Client makes the requests; nil means bounded.DefaultClient.
 	Client *http.Client
 	// Timeout bounds one request beyond its long-poll wait; 0 means 2 s.
 	Timeout time.Duration
@@ -87,7 +88,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into); err != nil {
+	data, err := bounded.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil {
+		return trace.Wrap(ErrUnavailable, err.Error())
+	}
+	if err := json.Unmarshal(data, into); err != nil {
 		return trace.Wrap(ErrUnavailable, err.Error())
 	}
 	return nil
@@ -97,7 +102,7 @@
 	if h.Client != nil {
 		return h.Client
 	}
-	return http.DefaultClient
+	return bounded.DefaultClient
 }
 
 func statusError(resp *http.Response) error {
--- /dev/null
+++ b/node/service/endless_test.go
@@ -0,0 +1,31 @@
+package service_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/execution"
+	"masticbank.example/node/bounded/boundedtest"
+	"masticbank.example/node/service"
+)
+
+// TestAnswersWithoutEndAreErrors has no deadline: only a bound ends the call.
+func TestAnswersWithoutEndAreErrors(t *testing.T) {
+	for _, kind := range []map[string][2]string{boundedtest.Heads, boundedtest.Bodies} {
+		for name, answer := range kind {
+			t.Run(name, func(t *testing.T) {
+				s := boundedtest.Start(t, answer)
+				c := service.New()
+				defer c.Close()
+				_, err := c.Do(context.Background(), s.Address(), service.Call{Method: "GET", Path: "/", Header: http.Header{}, Idempotent: true})
+				var failure *service.Error
+				require.ErrorAs(t, err, &failure)
+				require.Equal(t, execution.Unknown, failure.Execution, "%v", failure.Err)
+				require.Less(t, s.Sent(), boundedtest.Most)
+			})
+		}
+	}
+}
--- a/node/service/service.go
+++ b/node/service/service.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +12,7 @@
 	"time"
 
 	"masticbank.example/core/execution"
+	"masticbank.example/node/bounded"
 )
 
 const (
@@ -65,8 +65,19 @@
 func New() *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		pooled: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, DisableCompression: true},
-		single: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		pooled: &http.Transport{
+			DialContext:            d.DialContext,
+			MaxIdleConnsPerHost:    idlePerHost,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: bounded.HeadBytes,
+		},
+		single: &http.Transport{
+			DialContext:            d.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: bounded.HeadBytes,
+		},
 	}
 }
 
@@ -93,7 +104,7 @@
 		return nil, callError(err, connected.Load())
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := bounded.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, callError(err, true)
 	}
