Instances tell each other under which requests engines crashed

Callers saw: nothing reported; the same cause was looked for elsewhere. On the product's own path a request that crashes one engine at each instance was run by every instance: each knew its own crashes only, and told blocks, which need two.

Evidence: TestCopiesOfAPoisonRequestAtDifferentInstances, three instances, two engines crashed by copies at two of them: the third ran the copy.

Change: crashes with their suspects and clears are told as they are seen; the tracker counts those of others. The fingerprint includes the workspace, so that nobody can have requests of another one refused. After: the copy is refused as not run.

--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -328,3 +328,36 @@
 		return false
 	}, time.Minute, 20*time.Millisecond)
 }
+
+// TestCopiesOfAPoisonRequestAtDifferentInstances sends a request that crashes engines
+// to one instance after the other. Each has one engine for the first layers, so that no
+// instance sees more than one crash.
+func TestCopiesOfAPoisonRequestAtDifferentInstances(t *testing.T) {
+	t.Parallel()
+	d, err := Start(Options{Instances: 3, Spec: fleet.Dev(), Configuration: DevConfiguration})
+	require.NoError(t, err)
+	defer d.Close(context.Background())
+	engines := []string{"dev-0-3-l0", "dev-0-3-l1"}
+	served := func(app int) {
+		require.Eventually(t, func() bool {
+			r := d.doOn(t, d.Apps[app].CallerAddr(), http.MethodPost, "/v1/completions",
+				`{"model":"dev","prompt":"innocent","max_tokens":2}`, "X-Masticbank-Deadline", "2")
+			return r.status == http.StatusOK
+		}, time.Minute, 50*time.Millisecond)
+	}
+	const poisoned = `{"model":"dev","prompt":"poison","max_tokens":4}`
+	for i, engine := range engines {
+		served(i)
+		require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: engines[1-i], Kind: fault.Crash}))
+		require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: engine, Kind: fault.Poison, Text: "poison"}))
+		r := d.doOn(t, d.Apps[i].CallerAddr(), http.MethodPost, "/v1/completions", poisoned, "X-Masticbank-Deadline", "3")
+		require.NotEqual(t, "not_run", r.header.Get("X-Masticbank-Execution"))
+		for _, in := range engines {
+			require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: in, Kind: fault.Restore}))
+		}
+	}
+	served(2)
+	r := d.doOn(t, d.Apps[2].CallerAddr(), http.MethodPost, "/v1/completions", poisoned)
+	require.Equal(t, "poison_request", r.parse(t).Error.Code, string(r.body))
+	require.Equal(t, "not_run", r.header.Get("X-Masticbank-Execution"))
+}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -274,3 +274,26 @@
 	require.Empty(t, tr.suspects)
 	require.Empty(t, tr.told)
 }
+
+// Two instances that each saw one crash know together that the request is to blame, and
+// which suspects of a crash they have in common.
+func TestEvidenceOfAnotherInstanceCounts(t *testing.T) {
+	here, there := NewTracker(retention), NewTracker(retention)
+	a, b, c := print("a"), print("b"), print("c")
+	here.Crash(start, "x", a, b)
+	there.Crash(start.Add(time.Second), "x", c)
+	there.LearnEvidence(start.Add(time.Second), here.News())
+	here.LearnEvidence(start.Add(time.Second), there.News())
+	require.Equal(t, []Verdict{Stop}, there.Crash(start.Add(time.Minute), "y", a))
+	require.True(t, there.Blocked(start.Add(time.Minute), a))
+	here.LearnEvidence(start.Add(time.Minute), there.News())
+	require.True(t, here.Blocked(start.Add(time.Minute), a))
+	require.Len(t, here.crashes, 2, "one crash seen by both is one")
+	require.False(t, here.Blocked(start.Add(time.Minute), b))
+	require.False(t, here.Blocked(start.Add(time.Minute), c))
+
+	there.Completed(start.Add(time.Minute), a)
+	here.LearnEvidence(start.Add(time.Minute), there.News())
+	require.False(t, here.Blocked(start.Add(time.Minute), a))
+	require.True(t, here.News().Empty() || len(here.News().Clears) == 0, "what was learnt is not told again")
+}
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -19,6 +19,8 @@
 	// cleared are the fingerprints that completed although they were blocked,
 	// until the time given.
 	cleared map[Fingerprint]time.Time
+	// news is what this instance saw and did not tell yet.
+	news State
 }
 
 // suspect is a fingerprint that was running on a replica when it crashed.
@@ -30,7 +32,11 @@
 
 // last returns the time of the last crash.
 func (s *suspect) last() time.Time {
-	return s.crashes[len(s.crashes)-1].at
+	last := s.crashes[0].at
+	for _, c := range s.crashes {
+		last = later(last, c.at)
+	}
+	return last
 }
 
 // NewTracker returns an empty tracker that forgets after the retention period.
@@ -51,7 +57,9 @@
 	t.expire(now)
 	c := t.crashOf(now, replica)
 	for _, f := range suspects {
-		t.accuse(c, f)
+		if t.accuse(c, f) {
+			t.tell(Crash{Fingerprint: f, Replica: Incarnation{Replica: replica}, At: now})
+		}
 	}
 	verdicts := make([]Verdict, len(suspects))
 	for i, f := range suspects {
@@ -60,22 +68,58 @@
 	return verdicts
 }
 
+// tell keeps a crash for the next call of News.
+func (t *Tracker) tell(c Crash) {
+	if len(t.news.Crashes) < MaxState {
+		t.news.Crashes = append(t.news.Crashes, c)
+	}
+}
+
+// News returns what this instance saw since the last call.
+func (t *Tracker) News() State {
+	news := t.news
+	t.news = State{}
+	return news
+}
+
+// LearnEvidence takes what another instance saw.
+func (t *Tracker) LearnEvidence(now time.Time, s State) {
+	t.expire(now)
+	for _, c := range s.Crashes {
+		if now.Sub(c.At) < t.retention {
+			t.accuse(t.crashOf(c.At, c.Replica.Replica), c.Fingerprint)
+		}
+	}
+	for _, c := range s.Clears {
+		t.complete(now, c.Fingerprint)
+	}
+}
+
 // Completed records that a request ran to its end, which proves that its
 // fingerprint crashes nothing.
 func (t *Tracker) Completed(now time.Time, f Fingerprint) {
+	if t.complete(now, f) && len(t.news.Clears) < MaxState {
+		t.news.Clears = append(t.news.Clears, Clear{Fingerprint: f, At: now})
+	}
+}
+
+// complete returns whether there was anything against the fingerprint.
+func (t *Tracker) complete(now time.Time, f Fingerprint) bool {
 	if t.Blocked(now, f) {
 		t.cleared[f] = now.Add(t.retention)
 		bound(t.cleared)
 	}
+	_, told := t.told[f]
 	delete(t.told, f)
 	s, ok := t.suspects[f]
 	if !ok {
-		return
+		return told
 	}
 	for _, c := range s.crashes {
 		c.remove(f)
 	}
 	delete(t.suspects, f)
+	return true
 }
 
 // Blocked tells whether a request with this fingerprint is to be refused.
@@ -174,7 +218,7 @@
 // crashOf returns the replica's crash under way or begins one.
 func (t *Tracker) crashOf(now time.Time, replica string) *crash {
 	for _, c := range slices.Backward(t.crashes) {
-		if c.replica == replica && now.Sub(c.at) <= crashWindow {
+		if c.replica == replica && now.Sub(c.at).Abs() <= crashWindow {
 			return c
 		}
 	}
@@ -186,9 +230,10 @@
 	return c
 }
 
-func (t *Tracker) accuse(c *crash, f Fingerprint) {
+// accuse returns whether the suspect is new to the crash.
+func (t *Tracker) accuse(c *crash, f Fingerprint) bool {
 	if len(c.suspects) >= maxSuspects || c.has(f) {
-		return
+		return false
 	}
 	c.suspects = append(c.suspects, f)
 	s, ok := t.suspects[f]
@@ -198,6 +243,7 @@
 	}
 	s.placed = nil
 	s.crashes = append(s.crashes, c)
+	return true
 }
 
 // expire drops the crashes that no longer count.
--- a/node/app/peers.go
+++ b/node/app/peers.go
@@ -91,6 +91,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if news := a.router.PoisonNews(); !news.Empty() {
+				a.broadcast(peer.EncodeEvidence(news, now))
+			}
 			a.tellPoison(now, told)
 		}
 	}
@@ -206,6 +209,11 @@
 	h.app.router.LearnPoison(f, time.Duration(p.GetTtlMs())*time.Millisecond)
 }
 
+// CrashEvidence implements peer.Handler.
+func (h *peerHandler) CrashEvidence(_ string, m *peerpb.CrashEvidence) {
+	h.app.router.LearnPoisonEvidence(peer.DecodeEvidence(m, time.Now()))
+}
+
 // ConfigState implements peer.Handler.
 func (h *peerHandler) ConfigState(from string, state *peerpb.ConfigState) {
 	r, err := record.Decode(state.GetContent())
--- /dev/null
+++ b/node/peer/evidence.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"time"
+
+	"masticbank.example/core/poison"
+	"masticbank.example/node/peer/peerpb"
+)
+
+// EncodeEvidence makes the message of evidence on requests that crash upstreams.
+func EncodeEvidence(s poison.State, now time.Time) *peerpb.CrashEvidence {
+	out := &peerpb.CrashEvidence{}
+	for _, c := range s.Crashes {
+		out.Crashes = append(out.Crashes, &peerpb.Crash{
+			Fingerprint: c.Fingerprint[:],
+			Attempt:     c.Run.Attempt,
+			Run:         c.Run.Number,
+			Upstream:    c.Replica.Replica,
+			Born:        c.Replica.Born,
+			Progressed:  c.Progressed,
+			AgeMs:       age(now, c.At),
+		})
+	}
+	for _, c := range s.Clears {
+		out.Cleared = append(out.Cleared, &peerpb.ClearedRequest{Fingerprint: c.Fingerprint[:], AgeMs: age(now, c.At)})
+	}
+	return out
+}
+
+func age(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
+
+// DecodeEvidence leaves out what has no whole fingerprint.
+func DecodeEvidence(m *peerpb.CrashEvidence, now time.Time) poison.State {
+	var s poison.State
+	for _, c := range m.GetCrashes() {
+		f, ok := poison.FingerprintFrom(c.GetFingerprint())
+		if !ok {
+			continue
+		}
+		s.Crashes = append(s.Crashes, poison.Crash{
+			Fingerprint: f,
+			Run:         poison.Run{Attempt: c.GetAttempt(), Number: c.GetRun()},
+			Replica:     poison.Incarnation{Replica: c.GetUpstream(), Born: c.GetBorn()},
+			Progressed:  c.GetProgressed(),
+			At:          now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
+		})
+	}
+	for _, c := range m.GetCleared() {
+		if f, ok := poison.FingerprintFrom(c.GetFingerprint()); ok {
+			s.Clears = append(s.Clears, poison.Clear{Fingerprint: f, At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
+		}
+	}
+	return s
+}
--- a/node/router/poison.go
+++ b/node/router/poison.go
@@ -32,8 +32,10 @@
 	p.tracker = poison.NewTracker(retention)
 }
 
+// fingerprintOf includes the workspace, so that no caller can have the requests of
+// another one refused.
 func fingerprintOf(req *Request) poison.Fingerprint {
-	return poison.FingerprintOf(req.Model, req.Prompt, strconv.Itoa(req.MaxTokens))
+	return poison.FingerprintOf(req.Model, req.Prompt, strconv.Itoa(req.MaxTokens), req.Workspace)
 }
 
 func (p *poisons) blocked(f poison.Fingerprint) bool {
@@ -82,6 +84,21 @@
 	return r.poisons.tracker.Recent(time.Now())
 }
 
+// PoisonNews returns the evidence on requests that crash replicas which this instance
+// found since the last call.
+func (r *Router) PoisonNews() poison.State {
+	r.poisons.mu.Lock()
+	defer r.poisons.mu.Unlock()
+	return r.poisons.tracker.News()
+}
+
+// LearnPoisonEvidence takes the evidence of a peer.
+func (r *Router) LearnPoisonEvidence(s poison.State) {
+	r.poisons.mu.Lock()
+	defer r.poisons.mu.Unlock()
+	r.poisons.tracker.LearnEvidence(time.Now(), s)
+}
+
 // LearnPoison takes a fingerprint from a peer.
 func (r *Router) LearnPoison(f poison.Fingerprint, ttl time.Duration) {
 	r.poisons.mu.Lock()
