Calls that crash replicas of plain services are stopped on the product's path too

Callers saw: nothing reported; the same cause was looked for elsewhere. node/router kept evidence for completions only; calls to plain services, which crash replicas just as well, had none.

Change: a call whose connection broke is a suspect when its replica answers no probe afterwards; copies are refused as not run, before they claim a key.

--- a/node/router/router.go
+++ b/node/router/router.go
@@ -34,6 +34,7 @@
 	// poisonRetention is the time for which evidence on crashes is kept until a
 	// configuration is in force.
 	poisonRetention = 10 * time.Minute
+	poisonMessage   = "requests like this one crashed several upstreams"
 	// retryAfterFailure is the hint given when upstreams failed.
 	retryAfterFailure = 2 * time.Second
 	// retryAfterReplaced is the hint given when a new configuration replaced the
@@ -178,6 +179,7 @@
 			sp = newServicePool(name, s, r.admitter(policy), serviceOptions{
 				reporter:   r.reporter(),
 				client:     r.opts.Services,
+				poisons:    r.poisons,
 				background: r.background,
 				wake:       r.wake,
 				seed:       r.opts.Seed,
@@ -247,7 +249,7 @@
 	}
 	f := fingerprintOf(req)
 	if r.poisons.blocked(f) {
-		res := Result{RequestID: req.ID, Workspace: req.Workspace, Rank: req.Rank, Model: req.Model, Code: CodePoison, Message: "requests like this one crashed several upstreams"}
+		res := Result{RequestID: req.ID, Workspace: req.Workspace, Rank: req.Rank, Model: req.Model, Code: CodePoison, Message: poisonMessage}
 		r.finished(res)
 		return res
 	}
--- a/node/router/service.go
+++ b/node/router/service.go
@@ -11,6 +11,7 @@
 	"masticbank.example/core/config"
 	"masticbank.example/core/execution"
 	"masticbank.example/core/health"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/service"
 )
 
@@ -37,6 +38,11 @@
 	Arrived  time.Time
 }
 
+// fingerprint identifies the call, whatever its ID and key.
+func (r *ServiceRequest) fingerprint() poison.Fingerprint {
+	return poison.FingerprintOf("service "+r.Service, string(r.Body), r.Method, r.Path, r.Workspace)
+}
+
 // ServiceResult is the outcome of a call to a plain service. Answer is nil
 // unless the service answered.
 type ServiceResult struct {
@@ -67,6 +73,9 @@
 	if pool == nil {
 		return failedCall(CodeUnknownService, execution.NotRun, "unknown service "+req.Service)
 	}
+	if r.poisons.blocked(req.fingerprint()) {
+		return failedCall(CodePoison, execution.NotRun, poisonMessage)
+	}
 	cfg := pool.config()
 	deadline := req.Arrived.Add(cfg.Timeout)
 	if req.Deadline.Before(deadline) {
@@ -102,7 +111,10 @@
 	exclude := map[string]bool{}
 	res := failedCall(CodeNoUpstream, execution.NotRun, "no replica is available")
 	worst := execution.NotRun
-	for range maxServiceAttempts {
+	for attempt := range maxServiceAttempts {
+		if attempt > 0 && r.poisons.blocked(req.fingerprint()) {
+			break
+		}
 		var id string
 		res, id = r.callReplica(ctx, pool, req, exclude, true)
 		if res.Answer != nil || id == "" || ctx.Err() != nil {
@@ -140,7 +152,7 @@
 		return res, ""
 	}
 	defer pool.end(c)
-	answer, err := r.do(ctx, pool, c, service.Call{
+	answer, err := r.do(ctx, pool, c, req.fingerprint(), service.Call{
 		Method: req.Method, Path: req.Path, Header: req.Header, Body: req.Body, Idempotent: idempotent,
 	})
 	if err != nil {
@@ -151,6 +163,7 @@
 		return failedCall(CodeUpstreamFailed, execution.NotRun, "the replica leaves"), c.id
 	}
 	pool.observe(c.replica, health.Progress{Connection: c.number})
+	r.poisons.completed(req.fingerprint())
 	res := ServiceResult{Answer: answer}
 	res.Complete = true
 	res.Execution = execution.Ran
@@ -161,7 +174,7 @@
 // do sends a call and tells the pool of silence and of a failed connection. A
 // call that may be repeated ends when the replica is found not to answer; one
 // that may not waits for its answer as long as it can.
-func (r *Router) do(ctx context.Context, pool *servicePool, c serviceCall, call service.Call) (*service.Answer, error) {
+func (r *Router) do(ctx context.Context, pool *servicePool, c serviceCall, f poison.Fingerprint, call service.Call) (*service.Answer, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if call.Idempotent {
@@ -174,7 +187,7 @@
 	defer silence.Stop()
 	answer, err := r.opts.Services.Do(callCtx, c.address, call)
 	if err != nil && callCtx.Err() == nil && connectionFailed(err) {
-		pool.observe(c.replica, health.Lost{Connection: c.number})
+		pool.lost(c, f, err)
 	}
 	return answer, err
 }
--- a/node/router/servicepool.go
+++ b/node/router/servicepool.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"masticbank.example/core/admission"
 	"masticbank.example/core/config"
+	"masticbank.example/core/execution"
 	"masticbank.example/core/health"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/service"
 	"masticbank.example/node/wire"
 )
@@ -19,7 +22,8 @@
 // serviceOptions is what a service pool shares with its router.
 type serviceOptions struct {
 	reporter
-	client *service.Client
+	client  *service.Client
+	poisons *poisons
 	// background runs a function that the router's Close waits for.
 	background func(func())
 	// wake is called when a request has to wait.
@@ -147,6 +151,18 @@
 	s.step(rep, e)
 }
 
+// lost takes a call whose connection broke. It is a suspect if the replica turns out not
+// to answer, unless nothing was sent.
+func (s *servicePool) lost(c serviceCall, f poison.Fingerprint, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var failure *service.Error
+	if !errors.As(err, &failure) || failure.Execution != execution.NotRun {
+		c.replica.lost[c.number] = f
+	}
+	s.step(c.replica, health.Lost{Connection: c.number})
+}
+
 // step feeds one event to a replica's state machine and carries out its effects.
 // The caller holds s.mu.
 func (s *servicePool) step(rep *serviceReplica, e health.Event) {
--- a/node/router/servicepool_test.go
+++ b/node/router/servicepool_test.go
@@ -10,6 +10,7 @@
 
 	"masticbank.example/core/execution"
 	"masticbank.example/core/health"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/wire"
 )
 
@@ -145,7 +146,7 @@
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() {
-		_, err := r.do(ctx, s, c, readCall("/x", true))
+		_, err := r.do(ctx, s, c, poison.Fingerprint{}, readCall("/x", true))
 		ended <- err
 	}()
 	s.observe(c.replica, health.Silent{Connection: c.number})
@@ -154,3 +155,53 @@
 	require.NoError(t, ctx.Err())
 	require.Equal(t, []string{"a"}, e.ejected)
 }
+
+// TestCallThatCrashesServiceReplicasIsStopped sends a call that crashes each replica that
+// runs it, with four replicas.
+func TestCallThatCrashesServiceReplicasIsStopped(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			r, _ := newPlainRouter(t)
+			crashes := make(chan string, 16)
+			var list []wire.Instance
+			for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+				rep := newReplica(t, id)
+				rep.server.Config.Handler = crashOn(rep, crashes)
+				list = append(list, rep.Instance)
+			}
+			r.list(list...)
+			var last ServiceResult
+			for range 6 {
+				last = r.CallService(t.Context(), crashCall(method))
+				r.work.Wait()
+			}
+			require.LessOrEqual(t, len(crashes), 3)
+			require.Equal(t, CodePoison, last.Code)
+			require.Equal(t, execution.NotRun, last.Execution)
+			require.True(t, callOf(t, r, http.MethodGet).Complete, "other calls are served")
+		})
+	}
+}
+
+func crashCall(method string) *ServiceRequest {
+	now := time.Now()
+	return &ServiceRequest{
+		ID: "crash", Workspace: "w", Service: "s", Method: method, Path: "/crash", Header: http.Header{},
+		Deadline: now.Add(10 * time.Second), Arrived: now,
+	}
+}
+
+// crashOn ends a replica's server when a call to /crash comes.
+func crashOn(rep *replica, crashes chan<- string) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path != "/crash" {
+			rep.ServeHTTP(w, req)
+			return
+		}
+		crashes <- rep.ID
+		_ = rep.server.Listener.Close()
+		go rep.server.CloseClientConnections()
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/node/router/servicereplica.go
+++ b/node/router/servicereplica.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 
 	"masticbank.example/core/health"
+	"masticbank.example/core/poison"
 	"masticbank.example/node/service"
 	"masticbank.example/node/wire"
 )
@@ -18,13 +21,16 @@
 	instance wire.Instance
 	health   *health.Upstream
 	inFlight int
+	// lost holds the requests whose connection broke and of which it is not known yet
+	// whether the replica answers, by call number.
+	lost map[uint64]poison.Fingerprint
 	// live ends when the open attempts on the replica are to end.
 	live context.Context
 	fail context.CancelFunc
 }
 
 func newServiceReplica(in wire.Instance, h *health.Upstream) *serviceReplica {
-	rep := &serviceReplica{instance: in, health: h}
+	rep := &serviceReplica{instance: in, health: h, lost: map[uint64]poison.Fingerprint{}}
 	rep.live, rep.fail = context.WithCancel(context.Background())
 	return rep
 }
@@ -74,12 +80,23 @@
 
 // replaceConnection closes the idle connections, of which any may be as silent
 // as the one that was replaced. That one ends with its call.
-func (a *serviceActions) replaceConnection(uint64) { a.pool.client.Close() }
+func (a *serviceActions) replaceConnection(number uint64) {
+	delete(a.replica.lost, number)
+	a.pool.client.Close()
+}
 
 // setWeight does nothing: the state machine holds the weight.
 func (a *serviceActions) setWeight(float64) {}
 
-func (a *serviceActions) failAttempts() { a.replica.failAttempts() }
+// failAttempts ends the open calls on a replica that does not answer. When connections
+// broke before, it crashed.
+func (a *serviceActions) failAttempts() {
+	if lost := a.replica.lost; len(lost) > 0 {
+		a.pool.poisons.crashed(a.replica.instance.ID, slices.Collect(maps.Values(lost)))
+		clear(lost)
+	}
+	a.replica.failAttempts()
+}
 
 func (a *serviceActions) remove() {
 	if a.pool.replicas[a.replica.instance.ID] == a.replica {
