Evidence on crashes: a stream's own parts, cuts, address reuse, bounded messages

Cause: a move to another path was decided before the run on the part that is lost counted. Two more gaps of the same kind: copies were let in while the proof of a third crash was 0.2 s away, and a replica that is back under another ID counted only when its old entry lapsed.

Change: the lost part is noted before the move; copies wait outside, with a Retry-After, while open runs would block them; a start at the address of a listed replica ends it.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -252,3 +252,46 @@
 	require.Equal(t, 200, f.send("GET", "/look/2", "key1", crashBody).status, "another path")
 	require.Equal(t, 200, f.send("GET", "/look/1", "key1", "y").status, "another body")
 }
+
+// TestStreamThatCrashesPartsIsNotMovedOnAndOn sends streams that crash a later part of
+// their path, and each part that takes its place.
+func TestStreamThatCrashesPartsIsNotMovedOnAndOn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "llm", 0, 1)
+	first := f.replica("i-first")
+	f.entry(first, "llm", f.born, 0, 2)
+	byAddress := map[string]*platformtest.Replica{}
+	for i := range 8 {
+		r := f.replica(fmt.Sprintf("i-part-%d", i))
+		byAddress[r.Address()] = r
+		f.entry(r, "llm", f.born, 2, 4)
+	}
+	f.eventually(func() bool { return f.send("POST", "/chat/1", "key1", "x").status == 200 }, "a path")
+	crashed := make(chan string, 64)
+	first.Set(platformtest.Behavior{CrashPartOn: crashBody, OnPartCrash: func(address string) {
+		crashed <- address
+		byAddress[address].Crash()
+	}})
+	var last answer
+	for range 4 {
+		last = f.send("POST", "/chat/1", "key1", crashBody)
+	}
+	require.LessOrEqual(t, len(crashed), maxCrashes)
+	require.Equal(t, 503, last.status)
+}
+
+// TestStoppedRequestIsReadFromTheStoreByOneThatIsCutOff starts an instance that cannot
+// reach the others.
+func TestStoppedRequestIsReadFromTheStoreByOneThatIsCutOff(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "plain", 4, 2)
+	f.peerPort = freePort(f.t)
+	f.addInstance()
+	alone := f.instance
+	f.sendCopies(6, "GET", "/look/1", crashBody)
+	f.eventually(func() bool { return alone.Evidence() >= maxCrashes }, "the evidence is read")
+	before := f.crashes()
+	f.instance = alone
+	require.Equal(t, 503, f.send("GET", "/look/1", "key1", crashBody).status)
+	require.Equal(t, before, f.crashes())
+}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -69,6 +69,9 @@
 	// matchWithin bounds the time between the loss of a run and the sign that a replica
 	// ended. A dead replica stays listed for some seconds.
 	matchWithin = 10 * time.Second
+	// proofTime is how long copies of a request that has crashed replicas wait outside
+	// for the proof of another crash. A replica that refuses connections is found in 0.2 s.
+	proofTime = time.Second
 	// shieldTime is how long a success speaks against crashes that follow it.
 	shieldTime = time.Minute
 	// trialAfter is the time after the last crash at which a blocked request may run
@@ -111,6 +114,9 @@
 	clears map[Fingerprint]time.Time
 	// news is what was not told yet.
 	news State
+	// digest is kept until the evidence changes.
+	digest      uint64
+	digestKnown bool
 }
 
 // record is what is known of one fingerprint.
@@ -237,7 +243,9 @@
 	if !l.add(now, c) {
 		return nil
 	}
-	l.news.Crashes = append(l.news.Crashes, c)
+	if len(l.news.Crashes) < maxTracked {
+		l.news.Crashes = append(l.news.Crashes, c)
+	}
 	return []Crash{c}
 }
 
@@ -259,12 +267,19 @@
 	}
 	l.clears[c.Fingerprint] = c.At
 	bound(l.clears)
-	l.news.Clears = append(l.news.Clears, c)
+	l.tellClear(c)
 	l.applyClear(c)
 }
 
+func (l *Ledger) tellClear(c Clear) {
+	if len(l.news.Clears) < maxTracked {
+		l.news.Clears = append(l.news.Clears, c)
+	}
+}
+
 // applyClear drops the crashes that a success speaks against.
 func (l *Ledger) applyClear(c Clear) {
+	l.digestKnown = false
 	r := l.tracked[c.Fingerprint]
 	if r == nil {
 		return
@@ -279,6 +294,8 @@
 		return false
 	}
 	if at, ok := l.clears[c.Fingerprint]; ok && !c.At.After(at.Add(shieldTime)) {
+		// Who told the crash does not know of the success.
+		l.tellClear(Clear{Fingerprint: c.Fingerprint, At: at})
 		return false
 	}
 	if at, ok := l.successes.last(c.Fingerprint); ok && !c.At.After(at.Add(shieldTime)) {
@@ -294,6 +311,7 @@
 	if len(r.crashes) >= maxCrashesEach || slices.ContainsFunc(r.crashes, func(x Crash) bool { return x.Run == c.Run && x.Replica == c.Replica }) {
 		return false
 	}
+	l.digestKnown = false
 	r.crashes = append(r.crashes, c)
 	r.trialUntil = time.Time{}
 	l.reassess(c.Fingerprint)
@@ -310,19 +328,14 @@
 	for f := range l.tracked {
 		all = append(all, f)
 	}
-	slices.SortFunc(all, func(a, b Fingerprint) int {
-		ra, rb := l.tracked[a], l.tracked[b]
-		if n := len(ra.crashes) - len(rb.crashes); n != 0 {
-			return n
-		}
-		return ra.last().Compare(rb.last())
-	})
+	slices.SortFunc(all, l.compare)
 	for _, f := range all[:maxTracked/boundShare] {
 		l.forget(f)
 	}
 }
 
 func (l *Ledger) forget(f Fingerprint) {
+	l.digestKnown = false
 	delete(l.tracked, f)
 	for r, by := range l.explained {
 		if by == f {
@@ -424,6 +437,7 @@
 	}
 	for f, at := range l.clears {
 		if now.Sub(at) >= l.retention {
+			l.digestKnown = false
 			delete(l.clears, f)
 		}
 	}
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -178,6 +178,10 @@
 	l.Lost(start, run)
 	require.False(t, l.MayRetry(f, run.Run.Attempt))
 	require.True(t, l.MayRetry(f, run.Run.Attempt+1))
+	refusal := l.Admit(start, f, run.Run.Attempt+1)
+	require.NotNil(t, refusal)
+	require.Equal(t, proofTime, refusal.RetryAfter)
+	require.Nil(t, l.Admit(start.Add(proofTime), f, run.Run.Attempt+1))
 	require.True(t, l.MayRetry(print("b"), run.Run.Attempt), "without other evidence a loss is only a loss")
 }
 
--- a/core/poison/state.go
+++ b/core/poison/state.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 // MaxState is the largest number of crashes, and of clears, that State returns.
-const MaxState = 1024
+const MaxState = 256
 
 // Learn merges evidence of other instances. It returns the crashes that it proves of
 // runs that were lost here.
@@ -24,6 +25,7 @@
 		l.applyClear(c)
 	}
 	bound(l.clears)
+	l.digestKnown = false
 	var proved []Crash
 	for _, c := range s.Crashes {
 		if c.At.After(now) {
@@ -45,15 +47,20 @@
 }
 
 // State returns the evidence to tell an instance that may lack some. The requests with
-// the most crashes come first.
+// the most crashes come first, then those with the latest.
 func (l *Ledger) State() State {
+	order := make([]Fingerprint, 0, len(l.tracked))
+	for f := range l.tracked {
+		order = append(order, f)
+	}
+	slices.SortFunc(order, func(a, b Fingerprint) int { return l.compare(b, a) })
 	var s State
-	for n := maxCrashesEach; n > 0 && len(s.Crashes) < MaxState; n-- {
-		for _, r := range l.tracked {
-			if len(r.crashes) == n && len(s.Crashes)+n <= MaxState {
-				s.Crashes = append(s.Crashes, r.crashes...)
-			}
+	for _, f := range order {
+		crashes := l.tracked[f].crashes
+		if len(s.Crashes)+len(crashes) > MaxState {
+			break
 		}
+		s.Crashes = append(s.Crashes, crashes...)
 	}
 	for f, at := range l.clears {
 		if len(s.Clears) == MaxState {
@@ -64,6 +71,15 @@
 	return s
 }
 
+// compare sorts by the number of crashes, then by the time of the last.
+func (l *Ledger) compare(a, b Fingerprint) int {
+	ra, rb := l.tracked[a], l.tracked[b]
+	if n := len(ra.crashes) - len(rb.crashes); n != 0 {
+		return n
+	}
+	return ra.last().Compare(rb.last())
+}
+
 // CrashesOf returns the crashes of a request.
 func (l *Ledger) CrashesOf(f Fingerprint) []Crash {
 	r := l.tracked[f]
@@ -75,6 +91,13 @@
 
 // Digest is equal for two ledgers that know the same; 0 for one that knows nothing.
 func (l *Ledger) Digest() uint64 {
+	if !l.digestKnown {
+		l.digest, l.digestKnown = l.computeDigest(), true
+	}
+	return l.digest
+}
+
+func (l *Ledger) computeDigest() uint64 {
 	var sum uint64
 	for _, r := range l.tracked {
 		for _, c := range r.crashes {
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -17,9 +17,12 @@
 // some time after its last crash, at the instance that saw that crash only.
 func (l *Ledger) Admit(now time.Time, f Fingerprint, attempt uint64) *Refusal {
 	r := l.tracked[f]
-	if r == nil || !r.blocked {
+	if r == nil {
 		return nil
 	}
+	if !r.blocked {
+		return l.awaitProof(now, f, r)
+	}
 	last := r.last()
 	if now.Sub(last) >= l.retention {
 		l.forget(f)
@@ -37,6 +40,23 @@
 	return &Refusal{Crashes: slices.Clone(r.crashes), RetryAfter: at.Sub(now)}
 }
 
+// awaitProof refuses a request while runs are open that would block it if their replicas
+// turn out to have ended.
+func (l *Ledger) awaitProof(now time.Time, f Fingerprint, r *record) *Refusal {
+	open := 0
+	var until time.Time
+	for i, run := range l.pending {
+		if at := l.pendingAt[i].Add(proofTime); run.Fingerprint == f && now.Before(at) {
+			open++
+			until = later(until, at)
+		}
+	}
+	if open == 0 || l.weight(f)+float64(open) < blockAt {
+		return nil
+	}
+	return &Refusal{Crashes: slices.Clone(r.crashes), RetryAfter: until.Sub(now)}
+}
+
 // trialAt returns when this instance may let a copy run.
 func (r *record) trialAt(last time.Time) (time.Time, bool) {
 	trials := max(0, len(incidents(r.crashes))-int(blockAt))
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -144,6 +144,7 @@
 func (r *Roster) Put(e Entry) Change {
 	old := r.entries[e.ID]
 	if old == nil {
+		r.takeOver(e)
 		r.entries[e.ID] = &record{Entry: e, leaving: e.State == Draining}
 		return joinedOrLeft(e)
 	}
@@ -174,6 +175,15 @@
 	}
 }
 
+// takeOver notes the end of a replica at whose address another one starts.
+func (r *Roster) takeOver(e Entry) {
+	for id, old := range r.entries {
+		if old.Address == e.Address && !old.leaving && old.Born < e.Born {
+			r.ended = append(r.ended, Ended{ID: id, Born: old.Born, Restarted: true})
+		}
+	}
+}
+
 func joinedOrLeft(e Entry) Change {
 	if e.State == Draining {
 		return Left
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -85,7 +85,7 @@
 	dead := s.pool.idAt(address)
 	if dead != "" {
 		s.silent(dead, "requests stall there")
-		s.checkPart(dead)
+		s.lostPart(dead)
 	}
 	if w.repath(ctx, first) {
 		w.timer.Reset(s.grant.choice.FirstToken + firstSuspicion)
@@ -104,28 +104,17 @@
 	}
 }
 
-// checkPart has a part of the path checked that is silent.
-func (s *stream) checkPart(id string) {
+// lostPart notes that the run is lost on a part that is silent, and has the part
+// checked.
+func (s *stream) lostPart(id string) {
 	for _, h := range s.grant.path() {
 		if h.ID == id {
+			s.g.crashes.lost(s.call, s.pool.partsOf(pipeline.Path{h}), s.runAt, s.progressed())
 			s.g.crashes.check(poison.Incarnation{Replica: h.ID, Born: h.Born}, h.Address)
 		}
 	}
 }
 
-// movedAway notes that the run on the parts that are left is lost; the rest of the
-// stream is another run.
-func (s *stream) movedAway(next pipeline.Path) {
-	var left pipeline.Path
-	for _, h := range s.grant.path() {
-		if !next.Uses(h.ID) {
-			left = append(left, h)
-		}
-	}
-	s.g.crashes.lost(s.call, s.pool.partsOf(left), s.runAt, s.progressed())
-	s.runAt, s.runEvents = time.Now(), s.events
-}
-
 // repath moves the running request to a path without the replicas that failed.
 func (w *watch) repath(ctx context.Context, first pipeline.Hop) bool {
 	s := w.s
@@ -147,8 +136,9 @@
 		case err != nil:
 			return false
 		case res.Status == OrderTaken:
-			s.movedAway(choice.Path)
 			s.grant.confirm(choice)
+			// What follows on the new parts is another run.
+			s.runAt, s.runEvents = time.Now(), s.events
 			s.repaths++
 			return true
 		case res.Status == OrderConflict && res.Part != "":
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -101,8 +101,8 @@
 	mu    sync.Mutex
 	peers int
 	loads map[string]*peerLoads
-	// evidenceAt holds when all evidence was last sent to a peer.
-	evidenceAt map[string]time.Time
+	// differing holds the peers that know other evidence than this instance.
+	differing map[string]difference
 }
 
 type peerLoads struct {
@@ -114,7 +114,7 @@
 // Start listens for peers.
 func Start(o Options) (*Mesh, error) {
 	key := sha256.Sum256([]byte("masticbank peers of " + o.Cluster))
-	m := &Mesh{opts: o, loads: map[string]*peerLoads{}, evidenceAt: map[string]time.Time{}}
+	m := &Mesh{opts: o, loads: map[string]*peerLoads{}, differing: map[string]difference{}}
 	node, err := peer.New(peer.Options{
 		ID: o.Member,
 		// The name is new for each process, so that one incarnation is enough. The
@@ -299,7 +299,7 @@
 // stale: its requests go on if only the session broke.
 func (h *handler) PeerDown(info peer.Info) {
 	h.mesh.mu.Lock()
-	delete(h.mesh.evidenceAt, info.ID)
+	delete(h.mesh.differing, info.ID)
 	h.mesh.mu.Unlock()
 	h.mesh.opts.Logger.Info("peer lost", zap.String("peer", info.ID))
 }
