Evidence: lost runs in the log, replicas that restarted empty, expired records

Callers saw: nothing; found while the fix was read again. A replica that crashes restarts without layers and left the list of usable parts, so that a stream found lost after that was no evidence. Lines about crashes had no request ID: run lost now has it with the hash that the others carry. Records beyond their retention stayed in the store for ever.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -59,6 +59,9 @@
 // Empty tells whether there is nothing to tell.
 func (s State) Empty() bool { return len(s.Crashes) == 0 && len(s.Clears) == 0 }
 
+// Retention is how long instances remember a request without another crash.
+const Retention = 10 * time.Minute
+
 const (
 	// blockAt is the weight of independent crashes from which on a request is
 	// blocked: the users' rules let a request crash three replicas.
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -341,3 +341,21 @@
 		l.Admit(start, f, 1)
 	}
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := string(make([]byte, 800))
+	for b.Loop() {
+		FingerprintOf("workspace w1", body, "POST", "h.example", "/chat/1")
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	l := NewLedger(retention)
+	for i := range maxTracked {
+		crashOnce(l, start, print(fmt.Sprint(i)), process(fmt.Sprint(i), 1))
+	}
+	for b.Loop() {
+		l.digestKnown = false
+		l.Digest()
+	}
+}
--- a/node/control/evidence.go
+++ b/node/control/evidence.go
@@ -22,6 +22,9 @@
 	// connectedShare is the part of the other instances from which on they are relied on
 	// for evidence: it comes round those that cannot reach each other.
 	connectedShare = 0.75
+	// maxExpired is the number of crashes beyond their retention that may stay in the
+	// store; a record takes some 200 bytes.
+	maxExpired = 256
 	// maxKept bounds the crashes that wait to be written.
 	maxKept = 1024
 )
@@ -34,6 +37,8 @@
 	Next(ctx context.Context, cursor int64, wait time.Duration) ([]poison.Crash, int64, error)
 	// Add writes crashes; writing one again changes nothing.
 	Add(ctx context.Context, crashes []poison.Crash) error
+	// Drop removes crashes.
+	Drop(ctx context.Context, crashes []poison.Crash) error
 }
 
 // KeepEvidence has crashes written to the store, so that they outlast all instances.
@@ -101,11 +106,30 @@
 // fetchEvidence reads all evidence without a cursor, else what was added since.
 func (c *Control) fetchEvidence(ctx context.Context, cursor int64) ([]poison.Crash, int64, error) {
 	if cursor < 0 {
-		return c.opts.Evidence.Newest(ctx)
+		list, next, err := c.opts.Evidence.Newest(ctx)
+		if err != nil {
+			return nil, cursor, err
+		}
+		return list, next, c.dropExpired(ctx, list)
 	}
 	return c.opts.Evidence.Next(ctx, cursor, evidenceWait)
 }
 
+// dropExpired removes the crashes beyond their retention when there are many.
+func (c *Control) dropExpired(ctx context.Context, list []poison.Crash) error {
+	var expired []poison.Crash
+	for _, crash := range list {
+		if time.Since(crash.At) >= poison.Retention {
+			expired = append(expired, crash)
+		}
+	}
+	if len(expired) <= maxExpired {
+		return nil
+	}
+	c.log.Info("expired evidence dropped", zap.Int("crashes", len(expired)))
+	return c.opts.Evidence.Drop(ctx, expired)
+}
+
 // connected tells whether enough other instances are connected.
 func (c *Control) connected() bool {
 	if c.opts.Peers == nil {
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// crashRetention is how long a request without another crash is remembered.
-	crashRetention = 10 * time.Minute
 	// recheckDelay is the time between two connections that must be refused before a
 	// replica is taken to have ended. One that is only full answers others meanwhile.
 	recheckDelay = 200 * time.Millisecond
@@ -68,7 +66,7 @@
 		log:     log,
 		client:  client,
 		metrics: metrics,
-		ledger:  poison.NewLedger(crashRetention),
+		ledger:  poison.NewLedger(poison.Retention),
 		checked: map[poison.Incarnation]time.Time{},
 		checks:  make(chan check, queuedChecks),
 	}
@@ -118,6 +116,8 @@
 		Began:       began,
 	}
 	c.runs++
+	k.log.Info("run lost", zap.String("request", c.ID), zap.Stringer("fingerprint", c.fingerprint), zap.Uint64("attempt", run.Run.Attempt),
+		zap.Uint32("run", run.Run.Number), zap.Any("parts", parts), zap.Bool("progressed", progressed), zap.Duration("after", time.Since(began)))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.report(k.ledger.Lost(time.Now(), run), "ended before")
@@ -328,7 +328,7 @@
 	defer p.mu.Unlock()
 	var out []poison.Incarnation
 	for _, h := range path {
-		if _, listed := p.fleet.Replica(h.ID); listed {
+		if p.listed[h.ID] {
 			out = append(out, poison.Incarnation{Replica: h.ID, Born: h.Born})
 		}
 	}
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -31,9 +31,11 @@
 	control ReplicaControl
 	log     *zap.Logger
 
-	mu         sync.Mutex
-	fleet      *pipeline.Fleet
-	born       map[string]int64
+	mu    sync.Mutex
+	fleet *pipeline.Fleet
+	born  map[string]int64
+	// listed holds the replicas that may get new work, those without layers too.
+	listed     map[string]bool
 	waiting    waitlist.List
 	waiters    map[*waitlist.Item]*waiter
 	reports    map[string]*sharedReport
@@ -96,7 +98,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []pipeline.Replica
+	p.listed = make(map[string]bool, len(entries))
 	for _, e := range entries {
+		p.listed[e.ID] = true
 		if e.Layers == nil {
 			continue
 		}
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 	"masticbank.example/core/waitlist"
@@ -118,3 +119,12 @@
 		require.False(t, two.fleet.Blocked("b", time.Now()))
 	})
 }
+
+// A replica that crashed is listed again, without layers, before a stream through it is
+// found lost; one that leaves is not listed.
+func TestReplicasThatRestartedEmptyAreStillParts(t *testing.T) {
+	p := newPool()
+	g := p.take("c")
+	p.set([]roster.Entry{{ID: "a", Service: "s", Born: 2}})
+	require.Equal(t, []poison.Incarnation{{Replica: "a", Born: 1}}, p.partsOf(g.path()))
+}
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -45,7 +45,7 @@
 	var mu sync.Mutex
 	out := map[string]pipeline.Observed{}
 	for _, p := range g.modelPools() {
-		for _, r := range p.listed() {
+		for _, r := range p.holders() {
 			wg.Go(func() {
 				report, err := g.opts.Control.Report(ctx, r)
 				if err != nil {
@@ -64,8 +64,8 @@
 	return out
 }
 
-// listed returns the replicas that hold layers.
-func (p *modelPool) listed() []Replica {
+// holders returns the replicas that hold layers.
+func (p *modelPool) holders() []Replica {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Replica
