Ends of replicas: look-up by address, one lost run for each silent part

Callers saw: nothing; found while the diff was read again. Each new entry was compared with all others, 72 million comparisons when 12,000 replicas are read; and a stream that cannot be moved noted the same lost run at each look at its part.

TestEndsThatWereNotAnnounced covers restarts, reuse of an address, lapses and planned ends.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -67,6 +67,8 @@
 // Roster is not safe for concurrent use.
 type Roster struct {
 	entries map[string]*record
+	// byAddress holds the ID of the replica that was listed last at an address.
+	byAddress map[string]string
 	// away is true while the store does not answer; backAt is the time at which
 	// it answered again.
 	away   bool
@@ -99,7 +101,9 @@
 }
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{entries: map[string]*record{}} }
+func New() *Roster {
+	return &Roster{entries: map[string]*record{}, byAddress: map[string]string{}}
+}
 
 // Change tells what an update did.
 type Change int
@@ -144,7 +148,7 @@
 func (r *Roster) Put(e Entry) Change {
 	old := r.entries[e.ID]
 	if old == nil {
-		r.takeOver(e)
+		r.takeAddress(e)
 		r.entries[e.ID] = &record{Entry: e, leaving: e.State == Draining}
 		return joinedOrLeft(e)
 	}
@@ -156,6 +160,9 @@
 		return Same
 	}
 	was := *old
+	if e.Address != was.Address {
+		r.byAddress[e.Address] = e.ID
+	}
 	if restarted && !was.leaving {
 		r.ended = append(r.ended, Ended{ID: e.ID, Born: was.Born, Restarted: true})
 	}
@@ -175,13 +182,13 @@
 	}
 }
 
-// takeOver notes the end of a replica at whose address another one starts.
-func (r *Roster) takeOver(e Entry) {
-	for id, old := range r.entries {
-		if old.Address == e.Address && !old.leaving && old.Born < e.Born {
-			r.ended = append(r.ended, Ended{ID: id, Born: old.Born, Restarted: true})
-		}
+// takeAddress notes the end of the replica at whose address another one starts.
+func (r *Roster) takeAddress(e Entry) {
+	id := r.byAddress[e.Address]
+	if old := r.entries[id]; old != nil && old.Address == e.Address && !old.leaving && old.Born < e.Born {
+		r.ended = append(r.ended, Ended{ID: id, Born: old.Born, Restarted: true})
 	}
+	r.byAddress[e.Address] = e.ID
 }
 
 func joinedOrLeft(e Entry) Change {
@@ -217,10 +224,17 @@
 	if !old.leaving {
 		r.ended = append(r.ended, Ended{ID: id, Born: old.Born})
 	}
-	delete(r.entries, id)
+	r.drop(old)
 	return Left
 }
 
+func (r *Roster) drop(e *record) {
+	delete(r.entries, e.ID)
+	if r.byAddress[e.Address] == e.ID {
+		delete(r.byAddress, e.Address)
+	}
+}
+
 // Apply takes one update, read at now.
 func (r *Roster) Apply(now time.Time, u Update) Change {
 	if u.Entry == nil {
@@ -261,7 +275,7 @@
 	for id, e := range r.entries {
 		if !e.lapsedAt.IsZero() {
 			r.ended = append(r.ended, Ended{ID: id, Born: e.Born})
-			delete(r.entries, id)
+			r.drop(e)
 			gone = append(gone, id)
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -115,3 +115,32 @@
 	require.False(t, r.Leave("a", 100))
 	require.Empty(t, usable(r))
 }
+
+// Replicas that end without having said that they leave: by a restart, by another one at
+// their address, and by the removal of their entry.
+func TestEndsThatWereNotAnnounced(t *testing.T) {
+	now := time.Unix(0, 0)
+	entry := func(id, address string, born int64, state roster.State) roster.Entry {
+		return roster.Entry{ID: id, Service: "s", Address: address, Born: born, State: state}
+	}
+	r := roster.New()
+	for _, e := range []roster.Entry{
+		entry("restarts", "a", 1, roster.Ready), entry("replaced", "b", 1, roster.Ready), entry("lapses", "c", 1, roster.Ready),
+		entry("leaves", "d", 1, roster.Draining), entry("leaves-and-restarts", "e", 1, roster.Draining),
+	} {
+		r.Put(e)
+	}
+	require.Empty(t, r.TakeEnded())
+	r.Put(entry("restarts", "a", 2, roster.Ready))
+	r.Put(entry("other", "b", 2, roster.Ready))
+	r.Remove(now, "lapses")
+	r.Remove(now, "leaves")
+	r.Put(entry("after", "d", 2, roster.Ready))
+	r.Put(entry("leaves-and-restarts", "e", 2, roster.Ready))
+	require.Equal(t, []roster.Ended{
+		{ID: "restarts", Born: 1, Restarted: true},
+		{ID: "replaced", Born: 1, Restarted: true},
+		{ID: "lapses", Born: 1},
+	}, r.TakeEnded())
+	require.Empty(t, r.TakeEnded())
+}
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -84,8 +84,10 @@
 	}
 	dead := s.pool.idAt(address)
 	if dead != "" {
+		if !s.avoid[dead] {
+			s.lostPart(dead)
+		}
 		s.silent(dead, "requests stall there")
-		s.lostPart(dead)
 	}
 	if w.repath(ctx, first) {
 		w.timer.Reset(s.grant.choice.FirstToken + firstSuspicion)
