Engines that give no load reports are asked whether they answer

Cause: only requests found out that a replica is silent, and it got none; missing reports counted for nothing.

Evidence: TestSilentUpstreamWithoutRequestsIsEjected, replica 50 times slower, then silent: live after 60 s before, ejected after. Four reports in a row that do not come lead to a probe, whose answer decides.

--- a/cmd/internal/local/local_test.go
+++ b/cmd/internal/local/local_test.go
@@ -238,6 +238,19 @@
 	d.post(t, "p")
 }
 
+// TestSilentUpstreamWithoutRequestsIsEjected has a replica that is too slow to be chosen
+// when it stops answering, so that no request finds out.
+func TestSilentUpstreamWithoutRequestsIsEjected(t *testing.T) {
+	d := start(t)
+	require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: "dev-4-8-m0", Kind: fault.Slow, Factor: 50}))
+	for range 8 {
+		d.post(t, "warm")
+	}
+	require.NoError(t, d.Fleet.Inject(fault.Fault{Instance: "dev-4-8-m0", Kind: fault.HangAll}))
+	require.Eventually(t, func() bool { return d.states()["dev-4-8-m0"] == "ejected" }, time.Minute, 20*time.Millisecond)
+	d.post(t, "p")
+}
+
 // TestOrderThroughTwoInstances sends one order with the same key through two
 // instances, once after the other and then many times at once.
 func TestOrderThroughTwoInstances(t *testing.T) {
--- a/node/router/load.go
+++ b/node/router/load.go
@@ -52,6 +52,9 @@
 	defer cancel()
 	report, err := p.engines.Load(ctx, t)
 	if err != nil {
+		if r.ctx.Err() == nil {
+			p.noReport(t)
+		}
 		return
 	}
 	p.report(t, report)
--- a/node/router/pool.go
+++ b/node/router/pool.go
@@ -118,6 +118,27 @@
 	p.queue.setCapacity(slots)
 }
 
+// silentReports is the number of load reports in a row that must not come before a
+// replica is asked whether it answers: one may be lost, and requests may not be sent to
+// it because it was slow.
+const silentReports = 4
+
+// noReport notes that a replica gave no load report.
+func (p *pool) noReport(t engine.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.at(t)
+	if !ok {
+		return
+	}
+	if u.unreported++; u.unreported < silentReports {
+		return
+	}
+	u.unreported = 0
+	p.calls++
+	p.step(u, health.Silent{Connection: p.calls})
+}
+
 // report takes the load report of one replica.
 func (p *pool) report(t engine.Target, r *wire.LoadReport) {
 	p.mu.Lock()
@@ -126,6 +147,7 @@
 	if !ok {
 		return
 	}
+	u.unreported = 0
 	p.table.Report(time.Now(), t.ID, route.Load{
 		Running:                r.Running,
 		Waiting:                r.Waiting,
--- a/node/router/upstream.go
+++ b/node/router/upstream.go
@@ -23,6 +23,8 @@
 	inForce int
 	// cacheNext is the sequence number of the next cache event to read.
 	cacheNext uint64
+	// unreported counts the load reports in a row that did not come.
+	unreported int
 	// retired is true while only open attempts keep the replica known.
 	retired bool
 	// inFlight counts the attempts of this instance on the replica.
