--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -5,60 +5,6 @@
 	"time"
 )
 
-// Incarnation is one process of a replica. It ends once.
-type Incarnation struct {
-	Replica string
-	// Born is the start of the process, in Unix milliseconds.
-	Born int64
-}
-
-// Run is one sending of a request to replicas. A move to another path is a run of
-// its own.
-type Run struct {
-	// Attempt is a hash of the ID of the caller's attempt.
-	Attempt uint64
-	Number  uint32
-}
-
-// LostRun is a run that ended without a whole answer.
-type LostRun struct {
-	Fingerprint Fingerprint
-	Run         Run
-	// Parts are the replicas that it passed through.
-	Parts []Incarnation
-	// Progressed is true when a part of the answer had come.
-	Progressed bool
-	// Began is when the request was sent.
-	Began time.Time
-}
-
-// Crash is a replica that ended while it ran a request.
-type Crash struct {
-	Fingerprint Fingerprint
-	Run         Run
-	Replica     Incarnation
-	Progressed  bool
-	At          time.Time
-	// Own is true for a run of this instance.
-	Own bool
-}
-
-// Clear tells that a request has succeeded.
-type Clear struct {
-	Fingerprint Fingerprint
-	At          time.Time
-}
-
-// State is evidence, as instances tell it to each other. It may be merged in any
-// order and any number of times.
-type State struct {
-	Crashes []Crash
-	Clears  []Clear
-}
-
-// Empty tells whether there is nothing to tell.
-func (s State) Empty() bool { return len(s.Crashes) == 0 && len(s.Clears) == 0 }
-
 // Retention is how long instances remember a request without another crash.
 const Retention = 10 * time.Minute
 
@@ -66,14 +12,14 @@
 	// blockAt is the weight of independent crashes from which on a request is
 	// blocked: the users' rules let a request crash three replicas.
 	blockAt = 3.0
-	// progressedWeight is the weight of a crash after the request had progressed. Most
-	// of them are requests that another one took down with the replica.
+	// progressedWeight is the weight of a crash after a part of the answer had come. Most
+	// such requests only ran beside the one that crashed the replica.
 	progressedWeight = 0.5
 	// matchWithin bounds the time between the loss of a run and the sign that a replica
 	// ended. A dead replica stays listed for some seconds.
 	matchWithin = 10 * time.Second
-	// proofTime is how long copies of a request that has crashed replicas wait outside
-	// for the proof of another crash. A replica that refuses connections is found in 0.2 s.
+	// proofTime is how long copies are refused while it is open whether a lost run was
+	// the crash that blocks the request. Refused connections tell within 0.2 s.
 	proofTime = time.Second
 	// shieldTime is how long a success speaks against crashes that follow it.
 	shieldTime = time.Minute
@@ -85,7 +31,8 @@
 	// trialTime keeps other copies away while a trial runs: about a long request.
 	trialTime = 30 * time.Second
 
-	// maxPending, maxEnded, maxTracked, maxCrashesEach and maxSuccesses bound memory.
+	// maxPending to maxSuccesses bound memory: lost runs that are not proved, ends of
+	// replicas, fingerprints with crashes, crashes of one of them, successes.
 	maxPending     = 1024
 	maxEnded       = 1024
 	maxTracked     = 4096
@@ -98,8 +45,8 @@
 //
 // A lost run is evidence only once a replica on its path is known to have ended
 // without being asked to. Crashes that share a replica or a run are one incident.
-// Incidents in which a blocked request took part do not count against others. A
-// success clears its fingerprint everywhere.
+// Incidents of a blocked request do not count against the others that its replicas
+// were running. A success clears its fingerprint everywhere.
 //
 // It is bounded in memory and not safe for concurrent use.
 type Ledger struct {
@@ -374,49 +321,6 @@
 	}
 }
 
-// weight adds up the incidents that count against a fingerprint.
-func (l *Ledger) weight(f Fingerprint) float64 {
-	r := l.tracked[f]
-	if r == nil {
-		return 0
-	}
-	sum := 0.0
-	for _, incident := range incidents(r.crashes) {
-		sum += l.weightOf(f, incident)
-	}
-	return sum
-}
-
-func (l *Ledger) weightOf(f Fingerprint, incident []Crash) float64 {
-	weight := progressedWeight
-	for _, c := range incident {
-		if by, ok := l.explained[c.Replica]; ok && by != f {
-			return 0
-		}
-		if !c.Progressed {
-			weight = 1
-		}
-	}
-	return weight
-}
-
-// incidents groups crashes that share a replica or a run.
-func incidents(crashes []Crash) [][]Crash {
-	var groups [][]Crash
-	for _, c := range crashes {
-		group := []Crash{c}
-		groups = slices.DeleteFunc(groups, func(g []Crash) bool {
-			shared := slices.ContainsFunc(g, func(x Crash) bool { return x.Run == c.Run || x.Replica == c.Replica })
-			if shared {
-				group = append(group, g...)
-			}
-			return shared
-		})
-		groups = append(groups, group)
-	}
-	return groups
-}
-
 // expire drops the lost runs that are too old.
 func (l *Ledger) expire(now time.Time) {
 	for len(l.pending) > 0 && now.Sub(l.pendingAt[0]) > matchWithin {
--- a/core/poison/ledger_test.go
+++ b/core/poison/ledger_test.go
@@ -149,7 +149,7 @@
 	require.False(t, a.IsBlocked(f))
 }
 
-// Requests that were on board with a blocked one are not to blame.
+// Requests that ran beside a blocked one on the replicas that it crashed stay free.
 func TestBlockedRequestExplainsCrashesOfOthers(t *testing.T) {
 	l := NewLedger(retention)
 	bad, innocent := print("bad"), print("innocent")
@@ -254,7 +254,7 @@
 			l := ledgers[rapid.IntRange(0, instances-1).Draw(t, "instance")]
 			id := fmt.Sprint("r", rapid.IntRange(0, 5).Draw(t, "replica"))
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
-			case 0: // a copy, with an innocent request on board that goes on elsewhere
+			case 0: // a copy, beside an innocent request that goes on elsewhere
 				if l.Admit(now, poison, uint64(i)) != nil {
 					continue
 				}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,6 +1,9 @@
 // Package poison finds requests that crash each replica that runs them, so that
 // they are stopped and copies of them refused.
 //
+// A Ledger does so where a request passes through many replicas and each of their
+// processes has a start of its own, a Tracker where replicas are known by ID only.
+//
 // When a replica crashes, all requests that it was running are suspects, and it may
 // have failed for its own reasons. A Tracker keeps the crashes of the recent past
 // with their suspects and weighs them anew at each question:
