Crashes soon after the first event count in full

Callers saw: a request that crashes replicas after its first events reached a fourth one, as an incident counted half after any event.

Cause: one event was taken for a run that goes well. A request that crashes replicas does so when it begins to run, and its first tokens may arrive.

Evidence: TestRequestThatCrashesReplicasReachesNoMoreThanThree, stream that crashes after two events: 4 crashes before, 3 after. Events must have come for half a second. Lines of lost runs name their parts as ID and start.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -154,14 +154,19 @@
 	for name, c := range map[string]struct {
 		method, path, service string
 		layers                []int
+		after                 int // events
 	}{
-		"idempotent":     {"GET", "/look/1", "plain", nil},
-		"non-idempotent": {"POST", "/order/1", "plain", nil},
-		"stream":         {"POST", "/chat/1", "llm", []int{0, 4}},
+		"idempotent":          {"GET", "/look/1", "plain", nil, 0},
+		"non-idempotent":      {"POST", "/order/1", "plain", nil, 0},
+		"stream":              {"POST", "/chat/1", "llm", []int{0, 4}, 0},
+		"stream with a start": {"POST", "/chat/1", "llm", []int{0, 4}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, c.service, 4, 2, c.layers...)
+			for _, r := range f.replicas {
+				r.Set(platformtest.Behavior{CrashOn: crashBody, CrashAfter: c.after})
+			}
 			last := f.sendCopies(8, c.method, c.path, crashBody)
 			require.LessOrEqual(t, f.crashes(), maxCrashes)
 			require.Equal(t, 503, last.status, "a copy that is stopped has not run")
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,12 +118,21 @@
 	}
 	c.runs++
 	k.log.Info("run lost", zap.String("request", c.ID), zap.Stringer("fingerprint", c.fingerprint), zap.Uint64("attempt", run.Run.Attempt),
-		zap.Uint32("run", run.Run.Number), zap.Any("parts", parts), zap.Bool("progressed", progressed), zap.Duration("after", time.Since(began)))
+		zap.Uint32("run", run.Run.Number), zap.Strings("parts", namesOf(parts)), zap.Bool("progressed", progressed), zap.Duration("after", time.Since(began)))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.report(k.ledger.Lost(time.Now(), run), "ended before")
 }
 
+// namesOf returns the IDs of replicas with their starts.
+func namesOf(parts []poison.Incarnation) []string {
+	out := make([]string, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, p.Replica+"@"+strconv.FormatInt(p.Born, 10))
+	}
+	return out
+}
+
 // ended takes a replica whose process ended.
 func (k *crashGuard) ended(r poison.Incarnation, sign string) {
 	k.mu.Lock()
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -57,9 +57,9 @@
 	// longest is the longest pause between two events, repaths the changes of path.
 	longest time.Duration
 	repaths int
-	// runAt is when the present run began, runEvents the number of events before it.
-	runAt     time.Time
-	runEvents int
+	// runAt is when the present run began, runFirstAt when its first event came.
+	runAt      time.Time
+	runFirstAt time.Time
 }
 
 // serveModel runs a request over a path through all layers.
@@ -119,8 +119,17 @@
 	s.g.crashes.check(took, first.Address)
 }
 
-// progressed tells whether the present run has brought events.
-func (s *stream) progressed() bool { return s.events > s.runEvents }
+// progressTime is how long events must have come for a run to speak for its request. One
+// that crashes replicas does so when it begins to run, at times after its first event.
+const progressTime = 500 * time.Millisecond
+
+// progressed tells whether the present run went well for a while.
+func (s *stream) progressed() bool {
+	return !s.runFirstAt.IsZero() && s.lastAt.Sub(s.runFirstAt) >= progressTime
+}
+
+// beginRun notes that the request runs on replicas that it was not running on.
+func (s *stream) beginRun(now time.Time) { s.runAt, s.runFirstAt = now, time.Time{} }
 
 // demandOf estimates what a request asks of the replicas.
 func demandOf(c *call) pipeline.Demand {
@@ -191,7 +200,7 @@
 		send.LastEvent = strconv.FormatInt(s.last, 10)
 	}
 	s.lastAt = time.Now()
-	s.runAt, s.runEvents = s.lastAt, s.events
+	s.beginRun(s.lastAt)
 	resp, err := s.head(ctx, cancel, first, s.g.request(s.call, send, false))
 	if err != nil {
 		s.blame(first, err)
@@ -364,6 +373,9 @@
 	}
 	s.events++
 	s.lastAt = now
+	if s.runFirstAt.IsZero() {
+		s.runFirstAt = now
+	}
 	return false, 0, nil
 }
 
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -140,7 +140,7 @@
 		case res.Status == OrderTaken:
 			s.grant.confirm(choice)
 			// What follows on the new parts is another run.
-			s.runAt, s.runEvents = time.Now(), s.events
+			s.beginRun(time.Now())
 			s.repaths++
 			return true
 		case res.Status == OrderConflict && res.Part != "":
