Replicas that say they leave or ask for a pause get nothing more

Cause: the answer's headers Server-Leaving and Retry-After were not read. A replica that says on each answer that it leaves while its entry stays ready got all later requests; one that asks for a pause was asked again with the next request.

The roster remembers processes that leave (core/roster.departures), so that an entry that comes back after an outage or an old one of a peer changes nothing; a later start ends it. Other instances are told with the start of the process, new peers get all that is known. What another instance says of a removed entry is told apart: it ends with the next heartbeat. Pauses (core/pause) hold for plain replicas and for parts of a path; a pause told by the first replica for a part holds for both. When pauses leave no replica, callers get 503 at once with the time left.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -150,6 +150,7 @@
 			i.mesh.Silent(replica)
 			i.control.Suspect(replica)
 		},
+		OnLeaving:  func(p roster.Process) { i.control.ReplicaLeaves(p) },
 		OnRejected: func(replica string, count int) { i.mesh.Rejected(replica, count) },
 		OnEvidence: func(news poison.State, recurring []poison.Crash) {
 			i.mesh.Evidence(news)
@@ -167,7 +168,8 @@
 		Logger:     i.log,
 		LeastTTL:   s.Store.LeastMembership,
 		OnMembers:  i.setMembers,
-		OnLeaving:  func(replica string) { i.mesh.Leaving(replica) },
+		OnLeaving:  func(p roster.Process) { i.mesh.Leaving(p) },
+		OnRemoved:  func(replica string) { i.mesh.Removed(replica) },
 		OnConfig:   func(version int64, content []byte) { i.mesh.SetConfig(version, content) },
 		OnUpdates:  func(u roster.Updates) { i.mesh.Updates(u) },
 		Peers:      func() int { return i.mesh.Peers() },
@@ -179,7 +181,9 @@
 		Listen:    net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)),
 		Cluster:   s.Store.Address,
 		Gateway:   i.gateway,
-		OnLeaving: func(replica string) { i.control.Leaving(replica) },
+		OnLeaving: func(p roster.Process) { i.control.Leaving(p) },
+		OnRemoved: func(replica string) { i.control.Removed(replica) },
+		Departed:  func() []roster.Process { return i.control.Departed() },
 		OnSilent:  func(replica string) { i.control.Suspect(replica) },
 		OnConfig:  func(content []byte) { i.control.TakeConfig(content) },
 		OnUpdates: func(u roster.Updates) { i.control.TakeUpdates(u) },
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -259,6 +259,37 @@
 	return true
 }
 
+// CoveredAt returns when every layer will be held by a replica that may be used, if it
+// is held at all: blocked replicas count from the end of their block, others from now.
+// Only blocks for which counts returns true are taken into account; it returns false if a
+// layer has no replica, or only such as are blocked for another reason.
+func (f *Fleet) CoveredAt(now time.Time, counts func(id string) (time.Time, bool)) (time.Time, bool) {
+	at := now
+	for _, members := range f.atLayer {
+		var first time.Time
+		for _, m := range members {
+			free := now
+			if now.Before(m.blockedUntil) {
+				end, ok := counts(m.ID)
+				if !ok || m.blockedUntil.After(end) {
+					continue
+				}
+				free = end
+			}
+			if first.IsZero() || free.Before(first) {
+				first = free
+			}
+		}
+		if first.IsZero() {
+			return time.Time{}, false
+		}
+		if first.After(at) {
+			at = first
+		}
+	}
+	return at, len(f.atLayer) > 0
+}
+
 // Reserve adds the load of a request on its path.
 func (f *Fleet) Reserve(now time.Time, p Path, d Demand) {
 	f.shift(p, d, 1)
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -74,6 +74,14 @@
 	away   bool
 	backAt time.Time
 	ended  []Ended
+	// departed holds the processes that leave for good.
+	departed departures
+}
+
+// Process is one process of a replica, from its start to its end.
+type Process struct {
+	ID   string
+	Born int64
 }
 
 // Ended is a process of a replica that ended without having said that it leaves.
@@ -98,11 +106,14 @@
 	// after, and may come back.
 	lapsedAt time.Time
 	leaving  bool
+	// removed is set while another instance says that the entry is gone. A later
+	// heartbeat ends it.
+	removed bool
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]*record{}, byAddress: map[string]string{}}
+	return &Roster{entries: map[string]*record{}, byAddress: map[string]string{}, departed: newDepartures()}
 }
 
 // Change tells what an update did.
@@ -146,11 +157,15 @@
 
 // Put takes an entry. An older heartbeat of the same start is ignored.
 func (r *Roster) Put(e Entry) Change {
+	if e.State == Draining {
+		r.departed.add(Process{ID: e.ID, Born: e.Born})
+	}
+	leaving := e.State == Draining || r.departed.has(Process{ID: e.ID, Born: e.Born})
 	old := r.entries[e.ID]
 	if old == nil {
 		r.takeAddress(e)
-		r.entries[e.ID] = &record{Entry: e, leaving: e.State == Draining}
-		return joinedOrLeft(e)
+		r.entries[e.ID] = &record{Entry: e, leaving: leaving}
+		return joinedOrLeft(leaving)
 	}
 	if e.Born < old.Born {
 		return Same
@@ -169,13 +184,14 @@
 	old.Entry = e
 	old.lapsedAt = time.Time{}
 	// A replica that leaves does not come back before it restarts.
-	old.leaving = e.State == Draining || (!restarted && was.leaving)
+	old.leaving = leaving || (!restarted && was.leaving)
+	old.removed = was.removed && !restarted && e.Sequence == was.Sequence
 	switch {
 	case restarted:
-		return joinedOrLeft(e)
+		return joinedOrLeft(leaving)
 	case old.leaving != was.leaving:
 		return Left
-	case !sameUse(was.Entry, e) || !was.lapsedAt.IsZero():
+	case !sameUse(was.Entry, e) || !was.lapsedAt.IsZero() || old.removed != was.removed:
 		return Updated
 	default:
 		return Same
@@ -191,8 +207,8 @@
 	r.byAddress[e.Address] = e.ID
 }
 
-func joinedOrLeft(e Entry) Change {
-	if e.State == Draining {
+func joinedOrLeft(leaving bool) Change {
+	if leaving {
 		return Left
 	}
 	return Joined
@@ -283,21 +299,42 @@
 	return gone
 }
 
-// Leave marks a replica as leaving on the word of another instance.
-func (r *Roster) Leave(id string, born int64) bool {
-	old := r.entries[id]
-	if old == nil || old.leaving || old.Born != born {
+// Leave notes that a process leaves for good, by its own word. Entries of it that come
+// later, from the store or from another instance, change nothing. It returns whether a
+// replica that took new work takes none now.
+func (r *Roster) Leave(p Process) bool {
+	old := r.entries[p.ID]
+	if old != nil && old.Born > p.Born {
+		return false
+	}
+	r.departed.add(p)
+	if old == nil || old.leaving {
 		return false
 	}
 	old.leaving = true
 	return true
 }
 
+// Removed notes another instance's word that the entry of a replica is gone. It returns
+// whether a replica that took new work takes none now.
+func (r *Roster) Removed(id string) bool {
+	old := r.entries[id]
+	if old == nil || old.leaving || old.removed {
+		return false
+	}
+	old.removed = true
+	return true
+}
+
+// Departed returns the processes that leave for good or have left, as far as they are
+// remembered.
+func (r *Roster) Departed() []Process { return r.departed.list() }
+
 // Usable returns the entries of a service that take new work, sorted by ID.
 func (r *Roster) Usable(service string) []Entry {
 	var out []Entry
 	for _, e := range r.entries {
-		if e.Service == service && !e.leaving {
+		if e.Service == service && !e.leaving && !e.removed {
 			out = append(out, e.Entry)
 		}
 	}
@@ -305,11 +342,11 @@
 	return out
 }
 
-// Get returns an entry and whether it is leaving.
+// Get returns an entry and whether it gets no new work.
 func (r *Roster) Get(id string) (e Entry, leaving, ok bool) {
 	old := r.entries[id]
 	if old == nil {
 		return Entry{}, false, false
 	}
-	return old.Entry, old.leaving, true
+	return old.Entry, old.leaving || old.removed, true
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -110,12 +110,58 @@
 func TestLeaveOnAnothersWord(t *testing.T) {
 	r := roster.New()
 	r.Put(entry("a", 1))
-	require.False(t, r.Leave("a", 99), "another start of the replica")
-	require.True(t, r.Leave("a", 100))
-	require.False(t, r.Leave("a", 100))
+	require.False(t, r.Leave(roster.Process{ID: "a", Born: 99}), "another start of the replica")
+	require.True(t, r.Leave(roster.Process{ID: "a", Born: 100}))
+	require.False(t, r.Leave(roster.Process{ID: "a", Born: 100}))
 	require.Empty(t, usable(r))
 }
 
+// TestOldEntryDoesNotBringALeavingProcessBack removes the entry of a replica that leaves,
+// in an outage of the store and without one, and lists an old entry again.
+func TestOldEntryDoesNotBringALeavingProcessBack(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		r := roster.New()
+		r.Put(entry("a", 5))
+		r.Leave(roster.Process{ID: "a", Born: 100})
+		if away {
+			r.StoreAway()
+		}
+		r.Remove(start, "a")
+		r.StoreBack(start)
+		require.Equal(t, roster.Left, r.Put(entry("a", 6)))
+		require.Empty(t, usable(r))
+		r.Replace(start, []roster.Entry{entry("a", 7)})
+		require.Empty(t, usable(r))
+		again := entry("a", 1)
+		again.Born = 101
+		require.Equal(t, roster.Joined, r.Put(again))
+		require.Equal(t, []string{"a"}, usable(r))
+	}
+}
+
+// TestLeavingIsKnownBeforeTheEntry has a peer's word come before the entry, at an
+// instance that has just started.
+func TestLeavingIsKnownBeforeTheEntry(t *testing.T) {
+	r := roster.New()
+	require.False(t, r.Leave(roster.Process{ID: "a", Born: 100}))
+	require.Equal(t, roster.Left, r.Put(entry("a", 1)))
+	require.Empty(t, usable(r))
+	require.Equal(t, []roster.Process{{ID: "a", Born: 100}}, r.Departed())
+}
+
+// TestRemovedOnAnothersWord ends with a later heartbeat: the replica was only silent.
+func TestRemovedOnAnothersWord(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	require.True(t, r.Removed("a"))
+	require.False(t, r.Removed("a"))
+	require.Empty(t, usable(r))
+	require.Equal(t, roster.Same, r.Put(entry("a", 1)))
+	require.Empty(t, usable(r))
+	require.Equal(t, roster.Updated, r.Put(entry("a", 2)))
+	require.Equal(t, []string{"a"}, usable(r))
+}
+
 // Replicas that end without having said that they leave: by a restart, by another one at
 // their address, and by the removal of their entry.
 func TestEndsThatWereNotAnnounced(t *testing.T) {
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -76,8 +76,10 @@
 	LeastTTL time.Duration
 	// OnMembers, if set, is called with the names of all members.
 	OnMembers func([]string)
-	// OnLeaving, if set, is called with the ID of a replica that begins to leave.
-	OnLeaving func(replica string)
+	// OnLeaving, if set, is called with a process of a replica that begins to leave,
+	// OnRemoved with the ID of one whose entry is gone.
+	OnLeaving func(roster.Process)
+	OnRemoved func(replica string)
 	// OnConfig, if set, is called with each configuration that is put in force.
 	OnConfig func(version int64, content []byte)
 	// OnUpdates, if set, is called with what this instance reads of the replicas while
@@ -278,15 +280,47 @@
 	return true
 }
 
-// Leaving takes another instance's word that a replica is leaving. It counts only
-// while the store does not answer here.
-func (c *Control) Leaving(id string) {
+// ReplicaLeaves takes the word of a replica, in an answer to this instance, that its
+// process leaves, and tells the other instances.
+func (c *Control) ReplicaLeaves(p roster.Process) {
+	if c.leave(p, "its own answer") && c.opts.OnLeaving != nil {
+		c.opts.OnLeaving(p)
+	}
+}
+
+// Leaving takes another instance's word that the process of a replica leaves.
+func (c *Control) Leaving(p roster.Process) { c.leave(p, "another instance") }
+
+// leave keeps new work off a process for good, and returns whether that is new.
+func (c *Control) leave(p roster.Process, source string) bool {
+	c.mu.Lock()
+	marked := c.roster.Leave(p)
+	if marked {
+		c.log.Info("replica leaves", zap.String("replica", p.ID), zap.Int64("born", p.Born), zap.String("source", source))
+		if e, _, ok := c.roster.Get(p.ID); ok {
+			c.changedAt[e.Zone] = time.Now()
+		}
+	}
+	c.mu.Unlock()
+	c.publish(marked)
+	return marked
+}
+
+// Removed takes another instance's word that the entry of a replica is gone. It counts
+// only while the store does not answer here.
+func (c *Control) Removed(id string) {
 	c.mu.Lock()
-	e, _, ok := c.roster.Get(id)
-	marked := ok && c.store.away && c.roster.Leave(id, e.Born)
+	marked := c.store.away && c.roster.Removed(id)
 	if marked {
-		c.log.Info("replica leaves, another instance says", zap.String("replica", id))
+		c.log.Info("entry of a replica is gone", zap.String("replica", id), zap.String("source", "another instance"))
 	}
 	c.mu.Unlock()
 	c.publish(marked)
 }
+
+// Departed returns the processes of replicas that leave for good or have left.
+func (c *Control) Departed() []roster.Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.Departed()
+}
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -354,8 +354,12 @@
 	res, err := c.opts.Orders.Place(ctx, gateway.Replica{ID: e.ID, Address: e.Address}, o.From, o.To, token)
 	c.log.Info("layers ordered", zap.String("replica", o.ID), zap.String("kind", e.Kind), zap.String("zone", e.Zone),
 		zap.Int("from", o.From), zap.Int("to", o.To), zap.String("why", o.Why), zap.Int64("fence", token),
-		zap.Int64("heartbeat", e.Sequence), zap.Stringer("result", res.Status), zap.Error(err))
+		zap.Int64("heartbeat", e.Sequence), zap.Stringer("result", res.Status), zap.Duration("pause", res.Pause), zap.Error(err))
+	if res.Leaving {
+		c.ReplicaLeaves(roster.Process{ID: e.ID, Born: e.Born})
+	}
 	if err != nil {
+		c.wait(o.ID, res.Pause)
 		return
 	}
 	c.mu.Lock()
@@ -375,6 +379,18 @@
 	}
 }
 
+// wait keeps orders off a replica that asked for a pause.
+func (c *Control) wait(id string, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.placed[id]
+	p.until = time.Now().Add(pause)
+	c.placed[id] = p
+}
+
 // loadTime is the longest time expected for loading layers beside other loads.
 func loadTime(m *pipeline.Model, layers, together int) time.Duration {
 	queue := 1.0
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -232,8 +232,19 @@
 	if change != roster.Updated {
 		c.changedAt[e.Zone] = now
 	}
-	if change == roster.Left && c.opts.OnLeaving != nil {
-		c.opts.OnLeaving(id)
+	if change == roster.Left {
+		c.tellLeft(id, e)
+	}
+}
+
+// tellLeft tells the other instances of a replica that is to get no new work: by its own
+// word if its entry e is there still, else because its entry is gone.
+func (c *Control) tellLeft(id string, e roster.Entry) {
+	switch {
+	case e.ID != "" && c.opts.OnLeaving != nil:
+		c.opts.OnLeaving(roster.Process{ID: id, Born: e.Born})
+	case e.ID == "" && c.opts.OnRemoved != nil:
+		c.opts.OnRemoved(id)
 	}
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"masticbank.example/core/poison"
 	"masticbank.example/core/retry"
+	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/bounded"
 	"masticbank.example/node/exchange"
@@ -59,6 +60,9 @@
 	// OnRejected, if set, is called with a replica that rejected a request though it has
 	// room, for the count-th time in a row.
 	OnRejected func(replica string, count int)
+	// OnLeaving, if set, is called with a process of a replica that said in an answer
+	// that it leaves; more than once if it answers more than once.
+	OnLeaving func(roster.Process)
 	// OnEvidence, if set, is called with evidence on requests that crash replicas, for
 	// the other instances. recurring holds the crashes of requests that have crashed
 	// more than one, which have to outlast this process.
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -70,6 +70,10 @@
 	}
 	h := forward.History{Repeatable: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts}
 	for {
+		if s.pool.paused(time.Now()) > longestWait {
+			s.endWithoutPath(ctx, &h)
+			return
+		}
 		s.grant = s.pool.acquire(ctx, s.item(), s.demand, pipeline.Constraint{Avoid: s.avoid})
 		if s.grant == nil {
 			s.endWithoutPath(ctx, &h)
@@ -136,11 +140,13 @@
 		s.g.finish(s.call, statusCallerLeft, "caller_left")
 		return
 	}
-	why := "no_room"
-	if !s.pool.covered() {
+	why, retryAfter := "no_room", modelRetryAfter
+	if left := s.pool.paused(time.Now()); left > 0 {
+		why, retryAfter = outcomePaused, left
+	} else if !s.pool.covered() {
 		why = "layers_missing"
 	}
-	s.g.refuse(s.call, http.StatusServiceUnavailable, why, modelRetryAfter)
+	s.g.refuse(s.call, http.StatusServiceUnavailable, why, retryAfter)
 }
 
 // end finishes a request without a whole answer.
@@ -180,6 +186,7 @@
 	defer resp.Close()
 	s.g.crashes.sign(first.ID)
 	info := s.g.opts.Codec.Answer(resp.Status, resp.Header)
+	s.heed(first, info)
 	switch {
 	case info.ID != s.ID:
 		resp.Discard()
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"masticbank.example/core/pause"
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
@@ -40,6 +41,7 @@
 	waiters    map[*waitlist.Item]*waiter
 	reports    map[string]*sharedReport
 	rejections *pipeline.Rejections
+	pauses     *pause.List
 }
 
 // waiter is a request that waits for a path.
@@ -83,6 +85,7 @@
 		reports: map[string]*sharedReport{},
 
 		rejections: pipeline.NewRejections(),
+		pauses:     pause.New(),
 	}
 }
 
@@ -120,6 +123,7 @@
 	}
 	now := time.Now()
 	p.fleet.Set(now, list)
+	p.keepPauses(now)
 	p.grantWaiting(now)
 }
 
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -42,7 +42,7 @@
 	for {
 		replica, ok := pool.pick(time.Now(), tried)
 		if !ok {
-			g.endWithoutReplica(ctx, c, &h, len(tried))
+			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
 			return
 		}
 		if !h.MayHaveRun() && g.refuseBlocked(c) {
@@ -65,7 +65,7 @@
 		case forward.Deliver:
 			g.deliver(c, answer)
 		case forward.Refuse:
-			g.refuse(c, http.StatusServiceUnavailable, "rejected_everywhere", plainRetryAfter)
+			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
 		case forward.GiveUp:
 			g.giveUp(ctx, c)
 		}
@@ -74,10 +74,12 @@
 }
 
 // endWithoutReplica answers a request for which no replica is left.
-func (g *Gateway) endWithoutReplica(ctx context.Context, c *call, h *forward.History, tried int) {
+func (g *Gateway) endWithoutReplica(ctx context.Context, c *call, pool *plainPool, h *forward.History, tried int) {
 	switch {
 	case h.MayHaveRun():
 		g.giveUp(ctx, c)
+	case pool.paused(time.Now()) > 0:
+		g.refuse(c, http.StatusServiceUnavailable, outcomePaused, pool.paused(time.Now()))
 	case tried > 0:
 		g.refuse(c, http.StatusServiceUnavailable, "rejected_everywhere", plainRetryAfter)
 	default:
@@ -148,6 +150,10 @@
 		return forward.Lost, nil, errOtherRequest
 	}
 	pool.loaded(replica.ID, info)
+	g.heed(replica, info)
+	if info.Pause > 0 {
+		g.logPause(c.ID, replica.ID, info.Pause, pool.pause(replica, info.Pause))
+	}
 	if info.NotRun {
 		drain(resp)
 		return forward.Rejected, nil, nil
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 
 	"masticbank.example/core/forward"
+	"masticbank.example/core/pause"
 	"masticbank.example/core/roster"
 )
 
@@ -27,6 +29,7 @@
 	mu       sync.Mutex
 	zone     string
 	replicas map[string]*plainReplica
+	pauses   *pause.List
 }
 
 type plainReplica struct {
@@ -44,7 +47,7 @@
 }
 
 func newPlainPool(zone string) *plainPool {
-	return &plainPool{zone: zone, replicas: map[string]*plainReplica{}}
+	return &plainPool{zone: zone, replicas: map[string]*plainReplica{}, pauses: pause.New()}
 }
 
 // set replaces the list of replicas.
@@ -62,16 +65,42 @@
 		next[e.ID] = r
 	}
 	p.replicas = next
+	p.pauses.Prune(time.Now())
 }
 
-// pick returns the replica with the least work that was not tried. Replicas that
-// fail are used only when no other one is left.
+// pause keeps requests off a replica that asked for it, and returns until when.
+func (p *plainPool) pause(r Replica, d time.Duration) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pauses.Add(time.Now(), r.ID, r.Born, d, rand.Float64())
+}
+
+// paused returns the time until the first replica takes requests again if all of them
+// asked for a pause, else 0.
+func (p *plainPool) paused(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var least time.Duration
+	for id, r := range p.replicas {
+		end, ok := p.pauses.Until(now, id, r.Born)
+		if !ok {
+			return 0
+		}
+		if left := end.Sub(now); least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// pick returns the replica with the least work that was not tried and has not asked for
+// a pause. Replicas that fail are used only when no other one is left.
 func (p *plainPool) pick(now time.Time, tried map[string]bool) (Replica, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var list []*plainReplica
 	for id, r := range p.replicas {
-		if !tried[id] {
+		if _, paused := p.pauses.Until(now, id, r.Born); !tried[id] && !paused {
 			list = append(list, r)
 		}
 	}
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -60,6 +60,12 @@
 	// Running and Waiting are counts of requests, if HasLoad.
 	Running, Waiting int
 	HasLoad          bool
+	// Leaving is the word of the replica that answers that it leaves: it wants no new
+	// requests.
+	Leaving bool
+	// Pause is how long the replica wants no more requests from this instance; 0 if it
+	// does not say.
+	Pause time.Duration
 }
 
 // Codec translates headers.
@@ -95,6 +101,11 @@
 	From, To int
 	// HasLayers is false if the report does not tell.
 	HasLayers bool
+	// Born is the start of the replica's process, in Unix milliseconds; 0 if the report
+	// does not tell.
+	Born int64
+	// Leaving replicas want no new requests.
+	Leaving bool
 	// Stalled holds, by request ID, the address of the part that is silent.
 	Stalled map[string]string
 }
@@ -126,6 +137,9 @@
 	Status OrderStatus
 	// Part is the address of the part that was missing or full, or "".
 	Part string
+	// Leaving and Pause have the meaning that they have in an Answer.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // ReplicaControl reads the state of replicas and orders them.
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -52,6 +52,9 @@
 					g.log.Info("no report", zap.String("replica", r.ID), zap.Error(err))
 					return
 				}
+				if report.Leaving {
+					g.leaves(r)
+				}
 				o := report.observed()
 				p.observe(r.ID, o)
 				mu.Lock()
@@ -64,13 +67,17 @@
 	return out
 }
 
-// holders returns the replicas that hold layers.
+// holders returns the replicas that hold layers and have not asked for a pause.
 func (p *modelPool) holders() []Replica {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Replica
+	now := time.Now()
 	for _, r := range p.fleet.Replicas() {
-		out = append(out, Replica{ID: r.ID, Address: r.Address})
+		if _, paused := p.pauses.Until(now, r.ID, r.Born); paused {
+			continue
+		}
+		out = append(out, Replica{ID: r.ID, Address: r.Address, Born: r.Born})
 	}
 	return out
 }
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -77,6 +77,9 @@
 		return true
 	}
 	w.unanswered = 0
+	if report.Leaving {
+		s.g.leaves(Replica{ID: first.ID, Born: first.Born})
+	}
 	address, stalled := report.Stalled[s.ID]
 	if !stalled {
 		return false
@@ -119,6 +122,9 @@
 			return false
 		}
 		res, err := s.pool.control.Repath(ctx, Replica{ID: first.ID, Address: first.Address}, s.ID, choice.Path)
+		if res.Leaving {
+			s.g.leaves(Replica{ID: first.ID, Born: first.Born})
+		}
 		s.g.log.Info("path changed", zap.String("request", s.ID), zap.String("first", first.ID),
 			zap.Stringer("result", res.Status), zap.String("part", res.Part), zap.Int("parts", len(choice.Path)),
 			zap.Duration("silent", time.Since(s.lastAt)), zap.Error(err))
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -78,8 +78,12 @@
 	// each other is made from it.
 	Cluster string
 	Gateway Gateway
-	// OnLeaving is called with the ID of a replica that a peer saw leaving.
-	OnLeaving func(replica string)
+	// OnLeaving is called with a process of a replica that leaves by its own word,
+	// OnRemoved with the ID of a replica whose entry is gone.
+	OnLeaving func(roster.Process)
+	OnRemoved func(replica string)
+	// Departed, if set, returns the processes that leave or have left, for new peers.
+	Departed func() []roster.Process
 	// OnSilent is called with the ID of a replica that a peer found silent.
 	OnSilent func(replica string)
 	// Duty returns the generation under which this instance holds the duty, or 0.
@@ -190,8 +194,13 @@
 	m.broadcast(&peerpb.Rejection{Upstream: replica, Count: uint32(count)})
 }
 
-// Leaving tells the peers of a replica that is to get no new work.
-func (m *Mesh) Leaving(replica string) {
+// Leaving tells the peers of a process of a replica that leaves by its own word.
+func (m *Mesh) Leaving(p roster.Process) {
+	m.broadcast(encodeDepartures([]roster.Process{p}))
+}
+
+// Removed tells the peers of a replica whose entry is gone.
+func (m *Mesh) Removed(replica string) {
 	m.broadcast(&peerpb.Leaving{Upstream: replica})
 }
 
@@ -293,6 +302,7 @@
 // PeerUp implements peer.Handler.
 func (h *handler) PeerUp(info peer.Info) {
 	h.mesh.opts.Logger.Info("peer connected", zap.String("peer", info.ID), zap.String("zone", info.Zone))
+	h.mesh.tellDeparted(info.ID)
 }
 
 // PeerDown implements peer.Handler. The load of the peer counts until it is
@@ -364,7 +374,17 @@
 
 // Leaving implements peer.Handler.
 func (h *handler) Leaving(_ string, l *peerpb.Leaving) {
-	if h.mesh.opts.OnLeaving != nil {
-		h.mesh.opts.OnLeaving(l.GetUpstream())
+	if h.mesh.opts.OnRemoved != nil {
+		h.mesh.opts.OnRemoved(l.GetUpstream())
+	}
+}
+
+// Departures implements peer.Handler.
+func (h *handler) Departures(_ string, d *peerpb.Departures) {
+	if h.mesh.opts.OnLeaving == nil {
+		return
+	}
+	for _, p := range d.GetProcesses() {
+		h.mesh.opts.OnLeaving(roster.Process{ID: p.GetUpstream(), Born: p.GetBorn()})
 	}
 }
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -142,14 +142,20 @@
 	port := freePort(t)
 	a, b := newFake(), newFake()
 	var mu sync.Mutex
-	var leaving, silent string
+	var leaving roster.Process
+	var removed, silent string
 	var duty int64
 	ma := start(t, "a", net.JoinHostPort("127.0.0.1", port), a, mesh.Options{Duty: func() int64 { return 42 }})
 	mb := start(t, "b", net.JoinHostPort("127.0.0.2", port), b, mesh.Options{
-		OnLeaving: func(id string) {
+		OnLeaving: func(p roster.Process) {
 			mu.Lock()
 			defer mu.Unlock()
-			leaving = id
+			leaving = p
+		},
+		OnRemoved: func(id string) {
+			mu.Lock()
+			defer mu.Unlock()
+			removed = id
 		},
 		OnSilent: func(id string) {
 			mu.Lock()
@@ -182,11 +188,12 @@
 
 	require.Eventually(t, func() bool {
 		ma.Silent("r1")
-		ma.Leaving("r2")
+		ma.Leaving(roster.Process{ID: "r2", Born: 7})
+		ma.Removed("r3")
 		ma.Rejected("r2", 3)
 		ma.Observed(map[string]pipeline.Observed{"r1": {Pace: 1.5, Used: 3000, Room: 9000, HasLayers: true, From: 2, To: 7}})
 		mu.Lock()
-		told := leaving == "r2" && silent == "r1" && duty == 42
+		told := leaving == roster.Process{ID: "r2", Born: 7} && removed == "r3" && silent == "r1" && duty == 42
 		mu.Unlock()
 		return told && b.see(func() bool {
 			return b.suspects["r1"] && b.avoided["r2"] == 3 && b.avoided["r1"] == 0 && b.observed["r1"] == pipeline.Observed{Pace: 1.5, Used: 3000, Room: 9000, HasLayers: true, From: 2, To: 7}
@@ -205,6 +212,16 @@
 	return a, b
 }
 
+// TestNewPeerLearnsWhoLeaves has a replica that said that it leaves before the other
+// instance started.
+func TestNewPeerLearnsWhoLeaves(t *testing.T) {
+	got := make(chan roster.Process, 10)
+	left := roster.Process{ID: "r", Born: 5}
+	pair(t, mesh.Options{Departed: func() []roster.Process { return []roster.Process{left} }},
+		mesh.Options{OnLeaving: func(p roster.Process) { got <- p }})
+	require.Equal(t, left, <-got)
+}
+
 func TestConfigurationComesFromAPeer(t *testing.T) {
 	content := make(chan string, 10)
 	a, b := pair(t, mesh.Options{}, mesh.Options{OnConfig: func(c []byte) { content <- string(c) }})
--- a/node/mesh/updates.go
+++ b/node/mesh/updates.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"go.uber.org/zap"
+
 	"masticbank.example/core/roster"
 	"masticbank.example/node/peer/peerpb"
 )
@@ -8,6 +10,29 @@
 // Updates passes on what this instance read in the platform's list of replicas.
 func (m *Mesh) Updates(u roster.Updates) { m.broadcast(encodeUpdates(u)) }
 
+// tellDeparted tells a new peer which processes of replicas leave or have left: it may
+// have started anew, and the store need not say so.
+func (m *Mesh) tellDeparted(to string) {
+	if m.opts.Departed == nil {
+		return
+	}
+	list := m.opts.Departed()
+	if len(list) == 0 {
+		return
+	}
+	if err := m.node.Send(to, encodeDepartures(list)); err != nil {
+		m.opts.Logger.Info("leaving replicas not told", zap.String("peer", to), zap.Error(err))
+	}
+}
+
+func encodeDepartures(list []roster.Process) *peerpb.Departures {
+	out := &peerpb.Departures{}
+	for _, p := range list {
+		out.Processes = append(out.Processes, &peerpb.UpstreamProcess{Upstream: p.ID, Born: p.Born})
+	}
+	return out
+}
+
 func encodeUpdates(u roster.Updates) *peerpb.UpstreamChanges {
 	out := &peerpb.UpstreamChanges{FromOffset: uint64(u.From), ToOffset: uint64(u.To)}
 	for _, one := range u.List {
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -41,6 +41,8 @@
 	Rejection(from string, rejection *peerpb.Rejection)
 	// Leaving is called when an upstream is to get no new work.
 	Leaving(from string, leaving *peerpb.Leaving)
+	// Departures is called for processes of upstreams that leave by their own word.
+	Departures(from string, departures *peerpb.Departures)
 	// UpstreamLoads is called for the peer's work on all upstreams.
 	UpstreamLoads(from string, loads *peerpb.UpstreamLoads)
 	// UpstreamStates is called for what the peer has read from upstreams.
@@ -90,6 +92,9 @@
 // UpstreamStates implements Handler.
 func (NopHandler) UpstreamStates(string, *peerpb.UpstreamStates) {}
 
+// Departures implements Handler.
+func (NopHandler) Departures(string, *peerpb.Departures) {}
+
 // CrashEvidence implements Handler.
 func (NopHandler) CrashEvidence(string, *peerpb.CrashEvidence) {}
 
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -35,6 +35,8 @@
 func (r *recorder) PeerDown(info Info)                              { r.down <- info }
 func (r *recorder) Digest(_ string, d *peerpb.Digest)               { r.messages <- d }
 func (r *recorder) ConfigState(_ string, state *peerpb.ConfigState) { r.messages <- state }
+func (r *recorder) Departures(_ string, d *peerpb.Departures)       { r.messages <- d }
+
 func (r *recorder) CrashEvidence(_ string, e *peerpb.CrashEvidence) { r.messages <- e }
 func (r *recorder) Poison(_ string, poison *peerpb.Poison)          { r.messages <- poison }
 func (r *recorder) Suspicion(_ string, suspicion *peerpb.Suspicion) { r.messages <- suspicion }
@@ -89,6 +91,7 @@
 		&peerpb.Poison{Fingerprint: []byte{1, 2}, TtlMs: 500},
 		&peerpb.Suspicion{Upstream: "replica-1"},
 		&peerpb.Leaving{Upstream: "replica-2"},
+		&peerpb.Departures{Processes: []*peerpb.UpstreamProcess{{Upstream: "replica-4", Born: 7}}},
 		&peerpb.CrashEvidence{Crashes: []*peerpb.Crash{{Fingerprint: []byte{1, 2}, Upstream: "replica-3", Born: 5}}},
 		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: 7}}},
 	} {
