Parts that fill are passed over more and more often when many instances share them

Change: pipeline.Fleet passes over a part at random, with a chance that grows as it fills; the width grows with the number of instances.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -92,6 +92,7 @@
 	// orphansUntil is the time until which replicas may run requests of processes
 	// that are gone, which no reservation shows.
 	orphansUntil time.Time
+	sharing      Sharing
 }
 
 type member struct {
--- /dev/null
+++ b/core/pipeline/sharing.go
@@ -0,0 +1,35 @@
+package pipeline
+
+// Sharing tells a Fleet that other instances choose paths over the same replicas.
+type Sharing struct {
+	// Random returns numbers from 0 to 1; nil without other instances.
+	Random func() float64
+	// Instances is the number of instances, this one included.
+	Instances int
+}
+
+const (
+	// thinForPeer is the share of a part's room for each other instance, below its
+	// limit, over which the part is passed over more and more often. The more instances
+	// there are, the later they learn of each other's requests.
+	thinForPeer = 0.01
+	// thinMost bounds that share, so that a part that is nearly empty is always used.
+	thinMost = 0.9
+)
+
+// SetSharing tells how many instances choose paths over the same replicas.
+func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
+
+// thinned tells whether a choice is to pass over a part that has room and is used to a
+// share of it. The load that it answers: the fastest parts are the cheapest until they
+// are full, and what other instances have placed there is known some tenths of a second
+// late. All of them would fill such a part far beyond its room, where requests wait for
+// memory. With random early detection they fill it ever more slowly.
+func (f *Fleet) thinned(use float64) bool {
+	peers := f.sharing.Instances - 1
+	if f.sharing.Random == nil || peers < 1 {
+		return false
+	}
+	width := min(thinMost, thinForPeer*float64(peers))
+	return f.sharing.Random() > (fullAt-use)/width
+}
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -89,6 +89,13 @@
 	}
 }
 
+// setInstances tells how many entry instances use the replicas.
+func (p *modelPool) setInstances(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.SetSharing(pipeline.Sharing{Random: rand.Float64, Instances: n})
+}
+
 // setModel puts changed figures of the model in force.
 func (p *modelPool) setModel(m *pipeline.Model) {
 	p.mu.Lock()
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -97,6 +97,9 @@
 	if n < 1 || n == g.instances {
 		return
 	}
+	for _, p := range g.models {
+		p.setInstances(n)
+	}
 	first := g.instances == 0
 	g.instances = n
 	if first {
