Reports of replicas are read by one instance after a common start

Change: an instance reads them itself only when nobody has told any for 1.2 to 2.7 s, a time drawn anew each time, so that the first one tells the rest.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -84,6 +84,10 @@
 	table atomic.Pointer[routing.Table]
 	// drainAfter is a Unix time in nanoseconds, 0 while the process stays.
 	drainAfter atomic.Int64
+	// started is the time from which observed counts. observed is when reports of all
+	// replicas were last read here or told by another instance, since then.
+	started  time.Time
+	observed atomic.Int64
 
 	mu      sync.Mutex
 	models  map[string]*modelPool
@@ -107,6 +111,7 @@
 		budgets: map[string]*retry.Budget{},
 		memory:  bounded.NewMemory(max(o.AnswerBytes, leastAnswerBytes)),
 		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
+		started: time.Now(),
 	}
 }
 
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,28 +17,49 @@
 const surveyInterval = time.Second
 
 // Survey reads the reports of all replicas that hold layers until ctx ends, while
-// wanted returns true, and tells the result.
+// wanted returns true, and tells the result. It also does when no other instance has told
+// its own for a while, as after a start of all instances together; one of them is the
+// first then.
 func (g *Gateway) Survey(ctx context.Context, wanted func() bool, tell func(map[string]pipeline.Observed)) {
 	ticker := time.NewTicker(surveyInterval)
 	defer ticker.Stop()
-	begun := time.Now()
+	silence := drawSilence()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			// After a start all instances look for themselves: peers and the duty may
-			// not be there yet.
-			if wanted() || now.Sub(begun) < ownSurveys {
-				tell(g.survey(ctx))
+		case <-time.After(silence - time.Since(g.observedAt())):
+			if time.Since(g.observedAt()) < silence {
+				continue // another instance told its reports meanwhile
+			}
+			silence = drawSilence()
+			g.noteObserved()
+		case <-ticker.C:
+			if !wanted() {
+				continue
 			}
 		}
+		tell(g.survey(ctx))
 	}
 }
 
-// ownSurveys is the time after a start in which an instance reads reports in any
-// case.
-const ownSurveys = 3 * time.Second
+const (
+	// surveySilence is the shortest time without the reports of another instance after
+	// which one reads them itself; paths are chosen by reports for 3 s.
+	surveySilence = 1200 * time.Millisecond
+	// surveySpread is added to it at random, so that the first one tells the others
+	// before they read.
+	surveySpread = 1500 * time.Millisecond
+)
+
+func drawSilence() time.Duration {
+	return surveySilence + time.Duration(rand.Float64()*float64(surveySpread))
+}
+
+// observedAt is on the steady clock: the time of day may jump.
+func (g *Gateway) observedAt() time.Time { return g.started.Add(time.Duration(g.observed.Load())) }
+
+func (g *Gateway) noteObserved() { g.observed.Store(int64(time.Since(g.started))) }
 
 // survey asks all replicas at the same time.
 func (g *Gateway) survey(ctx context.Context) map[string]pipeline.Observed {
@@ -85,6 +107,7 @@
 // Observe takes what another instance has read, by replica; replicas that it does
 // not know are left out.
 func (g *Gateway) Observe(of func(replica string) (pipeline.Observed, bool)) {
+	g.noteObserved()
 	now := time.Now()
 	for _, p := range g.modelPools() {
 		p.mu.Lock()
