Streams wait for room and for the retry budget as long as their callers stay

Change: waitlist.LongestWait from the route's figures; a retry that only the budget forbids waits for what other requests pay, until then.

Tests: TestStreamsWaitAsLongAsTheirCallersStay, TestStreamWaitsForTheBudget.

--- a/node/gateway/budget_test.go
+++ b/node/gateway/budget_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"masticbank.example/core/routing"
 	"masticbank.example/node/exchange"
 )
 
@@ -49,3 +51,40 @@
 		require.GreaterOrEqual(t, float64(total), slack/2)
 	})
 }
+
+// TestStreamWaitsForTheBudget has a request that may be sent again but for the budget: it
+// waits for what other requests pay, as long as its caller stays.
+func TestStreamWaitsForTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Options{
+			Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
+			Retries: RetryBound{Ratio: 0.2, Window: 10 * time.Second},
+		})
+		g.SetInstances(95)
+		c := &call{service: &routing.Service{Name: "s"}}
+		spend(g)
+		began := time.Now()
+		require.False(t, g.awaitRetry(t.Context(), c, began.Add(1500*time.Millisecond)))
+		require.Equal(t, deniedBudget, c.denied)
+		require.LessOrEqual(t, time.Since(began), 1500*time.Millisecond)
+
+		began = time.Now()
+		time.AfterFunc(300*time.Millisecond, func() {
+			for range 20 {
+				g.countFirst("s")
+			}
+		})
+		require.True(t, g.awaitRetry(t.Context(), c, began.Add(1500*time.Millisecond)))
+		require.LessOrEqual(t, time.Since(began), 300*time.Millisecond+budgetInterval)
+		require.Empty(t, c.denied)
+
+		spend(g)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		began = time.Now()
+		require.False(t, g.awaitRetry(ctx, c, began.Add(1500*time.Millisecond)), "the caller left")
+		require.LessOrEqual(t, time.Since(began), 50*time.Millisecond)
+		require.Equal(t, deniedDeadline, c.denied)
+		require.False(t, g.awaitRetry(ctx, c, began), "no time is left")
+	})
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// longestWait bounds how long a request waits for room before it is told to
-	// come back; callers leave a stream that does not begin after 2 s or more.
-	longestWait = 1500 * time.Millisecond
 	// modelRetryAfter is told to a refused request: the order of the time that a
 	// usual answer takes, after which room is free again.
 	modelRetryAfter = 3 * time.Second
@@ -53,6 +50,8 @@
 	grant  *grant
 	// lastAt is when the last event came, or when the request was sent.
 	lastAt time.Time
+	// lastEvent is when the caller was last sent an event.
+	lastEvent time.Time
 	// longest is the longest pause between two events, repaths the changes of path.
 	longest time.Duration
 	repaths int
@@ -70,7 +69,7 @@
 	}
 	h := forward.History{Repeatable: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts}
 	for {
-		if s.pool.paused(time.Now()) > longestWait {
+		if time.Now().Add(s.pool.paused(time.Now())).After(s.waitsUntil()) {
 			s.endWithoutPath(ctx, &h)
 			return
 		}
@@ -90,7 +89,7 @@
 			s.lost(ctx, err)
 		}
 		s.grant.release()
-		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
+		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitsUntil()) })
 		if outcome == forward.Answered || (outcome == forward.Failed && next != forward.Retry) {
 			return
 		}
@@ -123,12 +122,21 @@
 }
 
 func (s *stream) item() *waitlist.Item {
-	now := time.Now()
-	giveUp := now.Add(longestWait)
-	if s.deadline.Before(giveUp) {
-		giveUp = s.deadline
+	return &waitlist.Item{Rank: s.rank, Arrival: s.arrival, GiveUp: s.waitsUntil()}
+}
+
+// waitsUntil is when the caller has waited so long, since its request came or since the
+// last event, that it would leave before another one reached it.
+func (s *stream) waitsUntil() time.Time {
+	since := s.arrival
+	if s.begun {
+		since = s.lastEvent
+	}
+	end := since.Add(waitlist.LongestWait(s.route.Objective, s.route.GapObjective))
+	if s.deadline.Before(end) {
+		return s.deadline
 	}
-	return &waitlist.Item{Rank: s.rank, Arrival: s.arrival, GiveUp: giveUp}
+	return end
 }
 
 func (s *stream) endWithoutPath(ctx context.Context, h *forward.History) {
@@ -350,7 +358,7 @@
 		s.longest = max(s.longest, now.Sub(s.lastAt))
 	}
 	s.events++
-	s.lastAt = now
+	s.lastAt, s.lastEvent = now, now
 	if s.runFirstAt.IsZero() {
 		s.runFirstAt = now
 	}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -16,18 +16,54 @@
 
 // mayRetry tells whether a request may be sent again, and spends a retry then.
 func (g *Gateway) mayRetry(ctx context.Context, c *call) bool {
+	c.denied = g.denial(ctx, c)
+	if c.denied != "" {
+		g.opts.Metrics.RetryDenied(c.denied)
+	}
+	return c.denied == ""
+}
+
+// denial returns why a request may not be sent again, or "" and spends a retry.
+func (g *Gateway) denial(ctx context.Context, c *call) string {
 	switch {
 	case ctx.Err() != nil:
-		c.denied = deniedDeadline
+		return deniedDeadline
 	case !g.crashes.mayRetry(c):
-		c.denied = deniedCrashes
+		return deniedCrashes
 	case !g.retryAllowed(c.service.Name):
-		c.denied = deniedBudget
+		return deniedBudget
 	default:
+		return ""
+	}
+}
+
+// budgetInterval is the time between two looks whether the budget allows a retry.
+const budgetInterval = 100 * time.Millisecond
+
+// awaitRetry is mayRetry that waits while only the budget forbids the retry, until a time:
+// other requests pay into the budget.
+func (g *Gateway) awaitRetry(ctx context.Context, c *call, until time.Time) bool {
+	c.denied = deniedBudget
+	for time.Now().Add(budgetInterval).Before(until) {
+		if c.denied = g.denial(ctx, c); c.denied != deniedBudget {
+			break
+		}
+		t := time.NewTimer(budgetInterval)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+	switch c.denied {
+	case "":
 		return true
+	case deniedBudget:
+		return g.mayRetry(ctx, c)
+	default:
+		g.opts.Metrics.RetryDenied(c.denied)
+		return false
 	}
-	g.opts.Metrics.RetryDenied(c.denied)
-	return false
 }
 
 // retryAllowed spends one retry of a service.
