Load is told within zones, and between zones over one relay each

Cause: with 95 instances each tells 94 others its load on all replicas each 0.95 s: messages grow with the square of the instances, and what an instance knows is up to 0.95 s old, long enough for all to fill the same part.

Change: with 20 peers and more, instances tell their load to those of their own zone (each 0.2 s at 19 of them). The relay of a zone, chosen by rank among those connected, tells the sum to the other relays and theirs to its zone (core/zoneload); other peers get evidence, duty and whether the store answers once a second.

--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -27,6 +27,7 @@
 				if readers.Among(self, others, count) {
 					reading++
 				}
+				require.Equal(t, readers.First(names) == self, readers.Among(self, others, 1))
 			}
 			require.Equal(t, min(count, len(names)), reading)
 		}
--- /dev/null
+++ b/node/mesh/loads_test.go
@@ -0,0 +1,64 @@
+package mesh_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/core/pipeline"
+	"masticbank.example/core/readers"
+	"masticbank.example/node/mesh"
+)
+
+// TestZonesTellEachOtherOverRelays has more instances than tell each other everything: each
+// knows the load of all others, also after the relay of a zone has ended.
+func TestZonesTellEachOtherOverRelays(t *testing.T) {
+	const instances, zones = 24, 3
+	port := freePort(t)
+	members := map[string]string{}
+	byZone := map[string][]string{}
+	fakes := map[string]*fake{}
+	all := map[string]*mesh.Mesh{}
+	for i := range instances {
+		id, ip, zone := fmt.Sprintf("m%d", i), fmt.Sprintf("127.0.0.%d", i+1), fmt.Sprintf("z%d", i%zones)
+		members[id] = ip
+		byZone[zone] = append(byZone[zone], id)
+		f := newFake()
+		f.own["r1"] = pipeline.Load{Reserved: 3000, Sequences: 1, Reading: 1000}
+		fakes[id] = f
+		all[id] = start(t, id, net.JoinHostPort(ip, port), f, mesh.Options{Zone: zone})
+	}
+	for _, m := range all {
+		m.SetMembers(members)
+	}
+	known := func(others int) func() bool {
+		want := pipeline.Load{Reserved: 3000 * float64(others), Sequences: float64(others), Reading: 1000 * float64(others)}
+		return func() bool {
+			for id := range all {
+				f := fakes[id]
+				f.mu.Lock()
+				ok := f.foreign != nil && f.foreign("r1") == want
+				f.mu.Unlock()
+				if !ok {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, known(instances-1), patience, 20*time.Millisecond)
+	relay := readers.First(byZone["z0"])
+	require.NoError(t, all[relay].Close(t.Context()))
+	delete(all, relay)
+	require.Eventually(t, known(instances-2), patience, 20*time.Millisecond, "another relay of the zone")
+	reading := 0
+	for _, m := range all {
+		if m.Reads() {
+			reading++
+		}
+	}
+	require.Equal(t, 6, reading, "few follow the configuration")
+}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -20,20 +20,12 @@
 	"masticbank.example/core/poison"
 	"masticbank.example/core/readers"
 	"masticbank.example/core/roster"
+	"masticbank.example/core/zoneload"
 	"masticbank.example/node/peer"
 	"masticbank.example/node/peer/peerpb"
 )
 
 const (
-	// tellPeriod is the shortest time between two messages about load. A usual
-	// request lasts several seconds.
-	tellPeriod = 200 * time.Millisecond
-	// periodForPeer lengthens it with the number of instances, so that what an
-	// instance receives is bounded.
-	periodForPeer = 10 * time.Millisecond
-	// staleAfter is the number of periods after which the load of a silent peer is
-	// dropped.
-	staleAfter = 20
 	// pullDelay is how long a version that a peer has in force may take to come from
 	// the store. It usually comes within milliseconds.
 	pullDelay = 400 * time.Millisecond
@@ -113,24 +105,24 @@
 
 	mu    sync.Mutex
 	peers int
-	loads map[string]*peerLoads
-	// connected holds the peers with a session, with the value true if the platform's
-	// store does not answer them.
-	connected map[string]bool
+	sums  *zoneload.Sums
+	// connected holds the peers with a session.
+	connected map[string]connected
 	// differing holds the peers that know other evidence than this instance.
 	differing map[string]difference
 }
 
-type peerLoads struct {
-	at    time.Time
-	loads []*peerpb.UpstreamLoad
-	links []*peerpb.LinkLoad
+// connected is a peer with a session.
+type connected struct {
+	zone string
+	// away is true if the platform's store does not answer it.
+	away bool
 }
 
 // Start listens for peers.
 func Start(o Options) (*Mesh, error) {
 	key := sha256.Sum256([]byte("masticbank peers of " + o.Cluster))
-	m := &Mesh{opts: o, loads: map[string]*peerLoads{}, connected: map[string]bool{}, differing: map[string]difference{}}
+	m := &Mesh{opts: o, sums: zoneload.NewSums(o.Zone), connected: map[string]connected{}, differing: map[string]difference{}}
 	node, err := peer.New(peer.Options{
 		ID: o.Member,
 		// The name is new for each process, so that one incarnation is enough. The
@@ -171,27 +163,6 @@
 	m.node.SetPeers(peers)
 }
 
-// Run tells and takes loads until ctx ends.
-func (m *Mesh) Run(ctx context.Context) {
-	for {
-		t := time.NewTimer(m.period())
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-t.C:
-			m.tell()
-			m.take(time.Now())
-		}
-	}
-}
-
-func (m *Mesh) period() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return max(tellPeriod, time.Duration(m.peers)*periodForPeer)
-}
-
 // Close ends the sessions.
 func (m *Mesh) Close(ctx context.Context) error { return trace.Wrap(m.node.Close(ctx)) }
 
@@ -239,8 +210,8 @@
 		return true
 	}
 	served := make([]string, 0, len(m.connected))
-	for id, away := range m.connected {
-		if !away {
+	for id, c := range m.connected {
+		if !c.away {
 			served = append(served, id)
 		}
 	}
@@ -270,58 +241,6 @@
 
 func linkKey(p pipeline.Link) uint32 { return key(p.A + " " + p.B) }
 
-// tell sends the work of this instance.
-func (m *Mesh) tell() {
-	message := &peerpb.UpstreamLoads{Evidence: m.opts.Gateway.EvidenceDigest()}
-	for _, loads := range m.opts.Gateway.Loads() {
-		for id, l := range loads {
-			message.Loads = append(message.Loads, &peerpb.UpstreamLoad{
-				Upstream:  key(id),
-				Sequences: uint32(l.Sequences),
-				Reserved:  uint32(l.Reserved / unit),
-				Reading:   uint32(l.Reading / unit),
-			})
-		}
-	}
-	message.StoreAway = m.opts.StoreAway != nil && m.opts.StoreAway()
-	if m.opts.Duty != nil {
-		message.DutyGeneration = uint64(m.opts.Duty())
-	}
-	for link, rate := range m.opts.Gateway.Links() {
-		message.Links = append(message.Links, &peerpb.LinkLoad{Link: linkKey(link), TokensPerSecond: uint32(rate)})
-	}
-	m.broadcast(message)
-}
-
-// take adds up what the peers told and hands it to the gateway.
-func (m *Mesh) take(now time.Time) {
-	oldest := now.Add(-staleAfter * m.period())
-	sum := map[uint32]pipeline.Load{}
-	links := map[uint32]float64{}
-	m.mu.Lock()
-	for id, p := range m.loads {
-		if p.at.Before(oldest) {
-			delete(m.loads, id)
-			continue
-		}
-		for _, l := range p.loads {
-			s := sum[l.GetUpstream()]
-			s.Sequences += float64(l.GetSequences())
-			s.Reserved += float64(l.GetReserved()) * unit
-			s.Reading += float64(l.GetReading()) * unit
-			sum[l.GetUpstream()] = s
-		}
-		for _, l := range p.links {
-			links[l.GetLink()] += float64(l.GetTokensPerSecond())
-		}
-	}
-	m.mu.Unlock()
-	m.opts.Gateway.SetForeign(
-		func(replica string) pipeline.Load { return sum[key(replica)] },
-		func(link pipeline.Link) float64 { return links[linkKey(link)] },
-	)
-}
-
 func (m *Mesh) broadcast(message proto.Message) {
 	if _, err := m.node.Broadcast(message); err != nil {
 		m.opts.Logger.Error("message to peers", zap.Error(err))
@@ -338,7 +257,7 @@
 func (h *handler) PeerUp(info peer.Info) {
 	h.mesh.opts.Logger.Info("peer connected", zap.String("peer", info.ID), zap.String("zone", info.Zone))
 	h.mesh.mu.Lock()
-	h.mesh.connected[info.ID] = false
+	h.mesh.connected[info.ID] = connected{zone: info.Zone}
 	h.mesh.mu.Unlock()
 	h.mesh.tellDeparted(info.ID)
 }
@@ -353,20 +272,6 @@
 	h.mesh.opts.Logger.Info("peer lost", zap.String("peer", info.ID))
 }
 
-// UpstreamLoads implements peer.Handler.
-func (h *handler) UpstreamLoads(from string, loads *peerpb.UpstreamLoads) {
-	if n := loads.GetDutyGeneration(); n > 0 && h.mesh.opts.OnDuty != nil {
-		h.mesh.opts.OnDuty(int64(n))
-	}
-	h.mesh.compareEvidence(from, loads.GetEvidence())
-	h.mesh.mu.Lock()
-	defer h.mesh.mu.Unlock()
-	if _, ok := h.mesh.connected[from]; ok {
-		h.mesh.connected[from] = loads.GetStoreAway()
-	}
-	h.mesh.loads[from] = &peerLoads{at: time.Now(), loads: loads.GetLoads(), links: loads.GetLinks()}
-}
-
 // UpstreamStates implements peer.Handler.
 func (h *handler) UpstreamStates(_ string, m *peerpb.UpstreamStates) {
 	states := make(map[uint32]pipeline.Observed, len(m.GetStates()))
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -111,7 +111,10 @@
 
 // start runs a mesh on an address of its own, as the port is the same everywhere.
 func start(t *testing.T, name, address string, f *fake, o mesh.Options) *mesh.Mesh {
-	o.Member, o.Zone, o.Listen, o.Cluster, o.Gateway, o.Logger = name, "z", address, "cluster", f, zap.NewNop()
+	o.Member, o.Listen, o.Cluster, o.Gateway, o.Logger = name, address, "cluster", f, zap.NewNop()
+	if o.Zone == "" {
+		o.Zone = "z"
+	}
 	m, err := mesh.Start(o)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -45,6 +45,8 @@
 	Departures(from string, departures *peerpb.Departures)
 	// UpstreamLoads is called for the peer's work on all upstreams.
 	UpstreamLoads(from string, loads *peerpb.UpstreamLoads)
+	// ZoneLoads is called for the sum of the loads of a zone, or of all others.
+	ZoneLoads(from string, loads *peerpb.ZoneLoads)
 	// UpstreamStates is called for what the peer has read from upstreams.
 	UpstreamStates(from string, states *peerpb.UpstreamStates)
 	// UpstreamChanges is called for what the peer read in the platform's list.
@@ -92,6 +94,9 @@
 // UpstreamStates implements Handler.
 func (NopHandler) UpstreamStates(string, *peerpb.UpstreamStates) {}
 
+// ZoneLoads implements Handler.
+func (NopHandler) ZoneLoads(string, *peerpb.ZoneLoads) {}
+
 // Departures implements Handler.
 func (NopHandler) Departures(string, *peerpb.Departures) {}
 
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -268,6 +268,8 @@
 		envelope.Body = &peerpb.Envelope_UpstreamLoads{UpstreamLoads: m}
 	case *peerpb.UpstreamStates:
 		envelope.Body = &peerpb.Envelope_UpstreamStates{UpstreamStates: m}
+	case *peerpb.ZoneLoads:
+		envelope.Body = &peerpb.Envelope_ZoneLoads{ZoneLoads: m}
 	case *peerpb.Departures:
 		envelope.Body = &peerpb.Envelope_Departures{Departures: m}
 	case *peerpb.CrashEvidence:
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -35,6 +35,8 @@
 func (r *recorder) PeerDown(info Info)                              { r.down <- info }
 func (r *recorder) Digest(_ string, d *peerpb.Digest)               { r.messages <- d }
 func (r *recorder) ConfigState(_ string, state *peerpb.ConfigState) { r.messages <- state }
+func (r *recorder) ZoneLoads(_ string, l *peerpb.ZoneLoads) { r.messages <- l }
+
 func (r *recorder) Departures(_ string, d *peerpb.Departures)       { r.messages <- d }
 
 func (r *recorder) CrashEvidence(_ string, e *peerpb.CrashEvidence) { r.messages <- e }
@@ -91,6 +93,7 @@
 		&peerpb.Poison{Fingerprint: []byte{1, 2}, TtlMs: 500},
 		&peerpb.Suspicion{Upstream: "replica-1"},
 		&peerpb.Leaving{Upstream: "replica-2"},
+		&peerpb.ZoneLoads{Zone: "z", Loads: []*peerpb.UpstreamLoad{{Upstream: 9, Sequences: 2}}},
 		&peerpb.Departures{Processes: []*peerpb.UpstreamProcess{{Upstream: "replica-4", Born: 7}}},
 		&peerpb.CrashEvidence{Crashes: []*peerpb.Crash{{Fingerprint: []byte{1, 2}, Upstream: "replica-3", Born: 5}}},
 		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: 7}}},
--- a/node/peer/queue.go
+++ b/node/peer/queue.go
@@ -26,6 +26,7 @@
 	state     *peerpb.Envelope
 	digests   []*peerpb.Envelope
 	loads     *peerpb.Envelope
+	zoneLoads *peerpb.Envelope
 	states    *peerpb.Envelope
 	dropped   uint64
 	closed    bool
@@ -55,6 +56,8 @@
 		q.addDigest(message)
 	case *peerpb.Envelope_UpstreamLoads:
 		q.loads = message
+	case *peerpb.Envelope_ZoneLoads:
+		q.zoneLoads = message
 	case *peerpb.Envelope_UpstreamStates:
 		q.states = message
 	default:
@@ -97,6 +100,8 @@
 		message, q.state = q.state, nil
 	case q.loads != nil:
 		message, q.loads = q.loads, nil
+	case q.zoneLoads != nil:
+		message, q.zoneLoads = q.zoneLoads, nil
 	case q.states != nil:
 		message, q.states = q.states, nil
 	case len(q.digests) > 0:
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -179,6 +179,8 @@
 		handler.UpstreamStates(s.remoteID, body.UpstreamStates)
 	case *peerpb.Envelope_UpstreamChanges:
 		handler.UpstreamChanges(s.remoteID, body.UpstreamChanges)
+	case *peerpb.Envelope_ZoneLoads:
+		handler.ZoneLoads(s.remoteID, body.ZoneLoads)
 	case *peerpb.Envelope_Departures:
 		handler.Departures(s.remoteID, body.Departures)
 	case *peerpb.Envelope_CrashEvidence:
