The number of instances is known a second after a restart

Cause: after all instances lost power each sent hardly any request again until it knew how many there are, which took 2.5 s and more; the callers come back within the first. Change: the list of members is read again after a second, not 2.5 s, when the system was there before.

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -67,6 +67,10 @@
 	// start too.
 	startMemberInterval = 2500 * time.Millisecond
 	startTime           = 10 * time.Second
+	// restartMemberInterval takes its place when the system was there before: callers
+	// come back at once, and until the number of instances is known hardly any request is
+	// sent again.
+	restartMemberInterval = time.Second
 	// joinInterval is the time between two joins, three within memberTTL.
 	joinInterval = time.Second
 	// changedJoinInterval is the time between joins within joinInterval after a change
--- a/node/control/duty.go
+++ b/node/control/duty.go
@@ -55,11 +55,13 @@
 	readAt  time.Time
 	members int
 	started time.Time
+	// restart is true when the system was there before this process.
+	restart bool
 }
 
 // keepMembership stays in the group until ctx ends, and leaves it then.
 func (c *Control) keepMembership(ctx context.Context) error {
-	m := membership{started: time.Now()}
+	m := membership{started: time.Now(), restart: !c.opts.FirstStart}
 	for ctx.Err() == nil && !c.retired.Load() {
 		sent := time.Now()
 		if err := c.join(ctx, sent, &m); err != nil {
@@ -91,6 +93,9 @@
 	interval := memberInterval
 	if sent.Sub(m.started) < startTime {
 		interval = startMemberInterval
+		if m.restart {
+			interval = restartMemberInterval
+		}
 	}
 	return m.generation != m.listed && sent.Sub(m.readAt) >= interval
 }
