Reports of replicas are read by deputies only, and layers told by the duty holder

Silence of 1.2 s is less than what the holder of the duty takes when replicas do not answer, so that many instances read and told reports at once; each such report counted as new at the holder of the duty, also when it was late, and its orders seemed not to be carried out.

Change: two deputies by rank read after 2.5 to 4.5 s (0.8 to 2.8 after a start); reports of others tell no layers, and leave those told before.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -210,7 +210,7 @@
 	i.group.Go(func() error { i.gateway.Run(ctx); return nil })
 	i.group.Go(func() error { i.watchSettings(ctx); return nil })
 	i.group.Go(func() error { i.mesh.Run(ctx); return nil })
-	i.group.Go(func() error { i.gateway.Survey(ctx, i.control.Duty, i.mesh.Observed); return nil })
+	i.group.Go(func() error { i.gateway.Survey(ctx, i.control.Duty, i.mesh.Deputy, i.mesh.Observed); return nil })
 	i.log.Info("started", zap.String("version", o.Version), zap.String("zone", s.Zone), zap.String("callers", s.CallersAddress),
 		zap.String("ready", s.ReadyAddress), zap.String("store", s.Store.Address), zap.Int("metrics_port", o.MetricsPort))
 	return i, nil
--- a/core/pipeline/observed.go
+++ b/core/pipeline/observed.go
@@ -8,7 +8,8 @@
 	Pace float64
 	// Used and Room are the KV cache in tokens times layers.
 	Used, Room float64
-	// From and To bound the layers held, if HasLayers.
+	// From and To bound the layers held, if HasLayers; otherwise those of the report
+	// before go on to count.
 	From, To  int
 	HasLayers bool
 }
@@ -22,12 +23,17 @@
 	if m == nil {
 		return
 	}
+	if o.HasLayers {
+		m.layersAt = now
+	} else {
+		o.HasLayers, o.From, o.To = m.observed.HasLayers, m.observed.From, m.observed.To
+	}
 	m.observed, m.observedAt = o, now
 	m.pace = 1
 	if o.Pace > 0 {
 		m.pace = o.Pace
 	}
-	if o.HasLayers && (o.From != m.From || o.To != m.To) {
+	if m.layersAt.Equal(now) && (o.From != m.From || o.To != m.To) {
 		m.From, m.To = o.From, o.To
 		m.setRoom(now, f.model.Room(m.Kind, m.To-m.From), false)
 		f.index()
@@ -37,7 +43,7 @@
 // Layers returns the layers that a replica reported lately.
 func (f *Fleet) Layers(now time.Time, id string) (from, to int, ok bool) {
 	m := f.replicas[id]
-	if m == nil || !m.observed.HasLayers || now.Sub(m.observedAt) > layersFor {
+	if m == nil || !m.observed.HasLayers || now.Sub(m.layersAt) > layersFor {
 		return 0, 0, false
 	}
 	return m.observed.From, m.observed.To, true
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -74,6 +74,8 @@
 	pace       float64
 	observed   Observed
 	observedAt time.Time
+	// layersAt is when a report last told the layers.
+	layersAt time.Time
 	// blockedUntil takes the replica out of use.
 	blockedUntil time.Time
 }
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -17,13 +17,12 @@
 const surveyInterval = time.Second
 
 // Survey reads the reports of all replicas that hold layers until ctx ends, while
-// wanted returns true, and tells the result. It also does when no other instance has told
-// its own for a while, as after a start of all instances together; one of them is the
-// first then.
-func (g *Gateway) Survey(ctx context.Context, wanted func() bool, tell func(map[string]pipeline.Observed)) {
+// wanted returns true, and tells the result. While deputy returns true it also does when
+// no other instance has told its own for a while, as after a start of all together.
+func (g *Gateway) Survey(ctx context.Context, wanted, deputy func() bool, tell func(map[string]pipeline.Observed)) {
 	ticker := time.NewTicker(surveyInterval)
 	defer ticker.Stop()
-	silence := drawSilence()
+	silence := drawSilence(startSilence, startSpread)
 	for {
 		select {
 		case <-ctx.Done():
@@ -32,28 +31,48 @@
 			if time.Since(g.observedAt()) < silence {
 				continue // another instance told its reports meanwhile
 			}
-			silence = drawSilence()
+			silence = drawSilence(surveySilence, surveySpread)
 			g.noteObserved()
-		case <-ticker.C:
-			if !wanted() {
+			if !deputy() {
 				continue
 			}
+			tell(withoutLayers(g.survey(ctx)))
+		case <-ticker.C:
+			if wanted() {
+				g.noteObserved()
+				tell(g.survey(ctx))
+			}
 		}
-		tell(g.survey(ctx))
 	}
 }
 
+// withoutLayers leaves out what replicas hold. Which layers are where is told by the
+// instance with the duty alone: reports of others may come late and in another order, and
+// its own orders would seem not to have been carried out.
+func withoutLayers(states map[string]pipeline.Observed) map[string]pipeline.Observed {
+	for id, o := range states {
+		o.HasLayers, o.From, o.To = false, 0, 0
+		states[id] = o
+	}
+	return states
+}
+
 const (
 	// surveySilence is the shortest time without the reports of another instance after
-	// which one reads them itself; paths are chosen by reports for 3 s.
-	surveySilence = 1200 * time.Millisecond
-	// surveySpread is added to it at random, so that the first one tells the others
-	// before they read.
-	surveySpread = 1500 * time.Millisecond
+	// which one reads them itself. The one with the duty tells them each second, and half
+	// a second later if replicas do not answer.
+	surveySilence = 2500 * time.Millisecond
+	// surveySpread is added to it at random, so that the first deputy tells the others
+	// before they read; reading and telling take some tenths of a second.
+	surveySpread = 2 * time.Second
+	// startSilence and startSpread take their place after a start, when callers come back
+	// and replicas still run what others have sent.
+	startSilence = 800 * time.Millisecond
+	startSpread  = 2 * time.Second
 )
 
-func drawSilence() time.Duration {
-	return surveySilence + time.Duration(rand.Float64()*float64(surveySpread))
+func drawSilence(least, spread time.Duration) time.Duration {
+	return least + time.Duration(rand.Float64()*float64(spread))
 }
 
 // observedAt is on the steady clock: the time of day may jump.
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -35,6 +35,8 @@
 	// of them are turned away by the store at once, in an outage for a third of the
 	// machines, once in 700 times; others take over within seconds then.
 	configReaders = 6
+	// deputies is the number of instances that step in for the one with the duty.
+	deputies = 2
 	// fewPeers is the number of peers below which each instance follows it.
 	fewPeers = 20
 	// paceUnit is what a pace of 1 is told as.
@@ -218,6 +220,18 @@
 	return readers.Among(m.opts.Member, served, configReaders)
 }
 
+// Deputy tells whether this instance is one of the few that step in for the one with the
+// duty: by rank among those that are connected.
+func (m *Mesh) Deputy() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	others := make([]string, 0, len(m.connected))
+	for id := range m.connected {
+		others = append(others, id)
+	}
+	return readers.Among(m.opts.Member, others, deputies)
+}
+
 // Observed tells the peers what replicas reported.
 func (m *Mesh) Observed(states map[string]pipeline.Observed) {
 	message := &peerpb.UpstreamStates{}
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -35,9 +35,9 @@
 func (r *recorder) PeerDown(info Info)                              { r.down <- info }
 func (r *recorder) Digest(_ string, d *peerpb.Digest)               { r.messages <- d }
 func (r *recorder) ConfigState(_ string, state *peerpb.ConfigState) { r.messages <- state }
-func (r *recorder) ZoneLoads(_ string, l *peerpb.ZoneLoads) { r.messages <- l }
+func (r *recorder) ZoneLoads(_ string, l *peerpb.ZoneLoads)         { r.messages <- l }
 
-func (r *recorder) Departures(_ string, d *peerpb.Departures)       { r.messages <- d }
+func (r *recorder) Departures(_ string, d *peerpb.Departures) { r.messages <- d }
 
 func (r *recorder) CrashEvidence(_ string, e *peerpb.CrashEvidence) { r.messages <- e }
 func (r *recorder) Poison(_ string, poison *peerpb.Poison)          { r.messages <- poison }
