After a common start requests wait for the configuration and are scattered

Change: a request waits up to 0.7 s after the start, and a quarter of its caller's time, until configuration and replicas are read; the list of members is read again after half a second; while nothing is known of other instances costs of replicas are changed at random. A waiter that avoids the only replicas with room no longer holds back those behind it.

The test of the number of instances at the start of the whole system now says that it is the first start.

--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -370,3 +370,27 @@
 	require.Equal(t, wholeStream(), head+string(rest))
 	require.NoError(t, <-stopped)
 }
+
+// TestRequestsJustAfterTheStartAreServed sends a request before the instance has read
+// anything: its caller's connection broke with the process before.
+func TestRequestsJustAfterTheStartAreServed(t *testing.T) {
+	for range 5 {
+		w := newWorld(t)
+		w.config(1, "")
+		w.put(w.replica("i-a"), "plain", "ready")
+		w.instance = w.launch()
+		require.Equal(t, http.StatusOK, w.send("GET", "/look/1", "key1", "").status)
+		require.NoError(t, w.instance.Stop())
+	}
+}
+
+// TestWaitForTheStoreIsBounded has a store that does not answer after the start.
+func TestWaitForTheStoreIsBounded(t *testing.T) {
+	w := newWorld(t)
+	w.store.Fail(http.StatusServiceUnavailable)
+	w.instance = w.launch()
+	t.Cleanup(func() { require.NoError(t, w.instance.Stop()) })
+	got := w.send("GET", "/look/1", "key1", "")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -171,7 +171,7 @@
 			s.usable[i] = !s.limit.Avoid[m.ID]
 		}
 		if s.usable[i] {
-			s.layerCost[i] = s.costOfLayer(m, used, room)
+			s.layerCost[i] = s.costOfLayer(m, used, room) * f.scatter()
 		}
 	}
 }
--- a/core/pipeline/herd_test.go
+++ b/core/pipeline/herd_test.go
@@ -35,14 +35,14 @@
 }
 
 // newCrowd returns five zones with three copies of the model each, of four parts. One
-// copy of each zone is faster than the others.
-func newCrowd(t require.TestingT, instances int) *crowd {
+// copy of each zone is faster than the others, by a factor.
+func newCrowd(t require.TestingT, instances int, faster float64) *crowd {
 	c := &crowd{t: t, random: rand.New(rand.NewPCG(3, 4)), model: model(80), held: map[string]float64{}}
 	c.model.KVTokenBytes = 10_000
 	c.model.LinkMbps = 6300
 	c.model.ActivationBytes = 29_500
 	c.model.Kinds["small"] = pipeline.Kind{Name: "small", MemoryMB: 2400, StepFactor: 12, ReadFactor: 9}
-	c.model.Kinds["large"] = pipeline.Kind{Name: "large", MemoryMB: 2400, StepFactor: 3, ReadFactor: 2}
+	c.model.Kinds["large"] = pipeline.Kind{Name: "large", MemoryMB: 2400, StepFactor: 12 / faster, ReadFactor: 9 / faster}
 	for z := range 5 {
 		for row := range 3 {
 			kind := "small"
@@ -140,6 +140,22 @@
 	}
 }
 
+// TestInstancesThatKnowNothingScatterTheirRequests replays the second after a start of 66
+// instances together: broken streams come back, and nobody knows of anybody. They need
+// half of the room.
+func TestInstancesThatKnowNothingScatterTheirRequests(t *testing.T) {
+	over := func(blind bool) float64 {
+		c := newCrowd(t, 66, 1.25)
+		for _, f := range c.instances {
+			f.SetSharing(pipeline.Sharing{Random: c.random.Float64, Blind: blind})
+		}
+		c.play(1, int(c.room()*0.5), time.Hour)
+		return float64(c.over) / float64(c.placed)
+	}
+	require.GreaterOrEqual(t, over(false), 0.2, "all take the fastest parts")
+	require.LessOrEqual(t, over(true), 0.02)
+}
+
 // room returns the number of usual requests that fit at the same time.
 func (c *crowd) room() float64 { return 15 * c.model.Room("small", 20) / 20 / 890 }
 
@@ -148,7 +164,7 @@
 // full.
 func TestManyInstancesSpreadTheirRequests(t *testing.T) {
 	for _, instances := range []int{1, 9, 95} {
-		c := newCrowd(t, instances)
+		c := newCrowd(t, instances, 4)
 		perSecond := int(c.room() * 0.6 / 5)
 		period := max(200*time.Millisecond, time.Duration(instances)*10*time.Millisecond)
 		c.play(8, perSecond, period)
--- a/core/pipeline/sharing.go
+++ b/core/pipeline/sharing.go
@@ -6,6 +6,9 @@
 	Random func() float64
 	// Instances is the number of instances, this one included.
 	Instances int
+	// Blind is true while there are others of which nothing is known, as after a start of
+	// all together.
+	Blind bool
 }
 
 const (
@@ -17,6 +20,20 @@
 	thinMost = 0.9
 )
 
+// blindSpread is the largest share that is added to the cost of a replica at random while
+// nothing is known of the other instances.
+const blindSpread = 4
+
+// scatter returns a random factor for the cost of a replica in one choice. The load that it
+// answers: all instances start together, the callers of broken streams come back to all of
+// them at once, and each takes the fleet to be empty.
+func (f *Fleet) scatter() float64 {
+	if !f.sharing.Blind || f.sharing.Random == nil {
+		return 1
+	}
+	return 1 + blindSpread*f.sharing.Random()
+}
+
 // SetSharing tells how many instances choose paths over the same replicas.
 func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
 
--- a/core/waitlist/waitlist.go
+++ b/core/waitlist/waitlist.go
@@ -59,12 +59,12 @@
 	return false
 }
 
-// First returns the item whose turn it is, or nil.
-func (l *List) First() *Item {
-	if len(l.items) == 0 {
+// At returns the item with n items before it, or nil.
+func (l *List) At(n int) *Item {
+	if n >= len(l.items) {
 		return nil
 	}
-	return l.items[0]
+	return l.items[n]
 }
 
 // Len returns the number of items.
--- a/core/waitlist/waitlist_test.go
+++ b/core/waitlist/waitlist_test.go
@@ -22,10 +22,10 @@
 		l.Add(it)
 	}
 	for _, want := range []*waitlist.Item{urgent, returned, second, late} {
-		require.Same(t, want, l.First())
+		require.Same(t, want, l.At(0))
 		require.True(t, l.Remove(want))
 	}
-	require.Nil(t, l.First())
+	require.Nil(t, l.At(0))
 	require.False(t, l.Remove(late))
 }
 
@@ -36,7 +36,7 @@
 	l.Add(a)
 	l.Add(b)
 	require.Equal(t, []*waitlist.Item{a}, l.Expired(start))
-	require.Same(t, b, l.First())
+	require.Same(t, b, l.At(0))
 	require.Equal(t, 1, l.Len())
 }
 
@@ -56,7 +56,7 @@
 					if it.Rank != rank || it.Returned != returned {
 						continue
 					}
-					require.Same(t, it, l.First())
+					require.Same(t, it, l.At(0))
 					l.Remove(it)
 				}
 			}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -69,8 +69,8 @@
 	startTime           = 10 * time.Second
 	// restartMemberInterval takes its place when the system was there before: callers
 	// come back at once, and until the number of instances is known hardly any request is
-	// sent again.
-	restartMemberInterval = time.Second
+	// sent again. All that start together have joined within that time.
+	restartMemberInterval = 500 * time.Millisecond
 	// joinInterval is the time between two joins, three within memberTTL.
 	joinInterval = time.Second
 	// changedJoinInterval is the time between joins within joinInterval after a change
@@ -302,6 +302,9 @@
 	c.opts.Gateway.Configure(routing.NewTable(cfg))
 	c.opts.Gateway.SetReplicas(c.roster.Usable)
 	c.configured.Store(true)
+	if c.Ready() {
+		c.opts.Gateway.Open()
+	}
 	return true
 }
 
--- a/node/control/duty_test.go
+++ b/node/control/duty_test.go
@@ -111,7 +111,7 @@
 func TestNumberOfInstancesCountsWhenItIsStable(t *testing.T) {
 	w := newWorld()
 	w.members = []string{"a"}
-	run(t, w, func(_ *Control, g *gateway.Gateway) {
+	runWith(t, w, Options{FirstStart: true}, func(_ *Control, g *gateway.Gateway) {
 		time.Sleep(changedJoinInterval / 2)
 		require.Zero(t, g.Instances())
 		w.set(func() { w.generation, w.members = 8, []string{"a", "b", "c"} })
@@ -121,3 +121,18 @@
 		require.Equal(t, 3, g.Instances())
 	})
 }
+
+// TestNumberOfInstancesAfterARestart has all instances start again together: callers come
+// back at once, and the number is known within a second, from a list that was read when
+// all had joined.
+func TestNumberOfInstancesAfterARestart(t *testing.T) {
+	w := newWorld()
+	w.members = []string{"a"}
+	run(t, w, func(_ *Control, g *gateway.Gateway) {
+		time.Sleep(changedJoinInterval / 2)
+		require.Zero(t, g.Instances())
+		w.set(func() { w.generation, w.members = 8, []string{"a", "b", "c"} })
+		time.Sleep(time.Second)
+		require.Equal(t, 3, g.Instances())
+	})
+}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -189,6 +189,9 @@
 	c.mu.Unlock()
 	c.loaded.Store(true)
 	c.publish(len(changes) > 0)
+	if c.Ready() {
+		c.opts.Gateway.Open()
+	}
 	return nil
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -28,6 +28,11 @@
 	// noReplicaRetry is told when a service has no usable replica; the list of
 	// replicas is read again within this time.
 	noReplicaRetry = 700 * time.Millisecond
+	// openPatience is how long a request waits for the configuration and the replicas to be
+	// read after a start, and openShare the largest part of its caller's time that it takes.
+	// Both are read within some 200 ms.
+	openPatience = 700 * time.Millisecond
+	openShare    = 0.25
 	// drainingRetry is told by an instance that stops; another one serves at once.
 	drainingRetry = 50 * time.Millisecond
 	// defaultDeadline is used for callers that state none.
@@ -88,6 +93,9 @@
 	// replicas were last read here or told by another instance, since then.
 	started  time.Time
 	observed atomic.Int64
+	// opened is closed once by open when configuration and replicas are known.
+	open   sync.Once
+	opened chan struct{}
 
 	mu      sync.Mutex
 	models  map[string]*modelPool
@@ -112,6 +120,7 @@
 		memory:  bounded.NewMemory(max(o.AnswerBytes, leastAnswerBytes)),
 		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
 		started: time.Now(),
+		opened:  make(chan struct{}),
 	}
 }
 
@@ -155,6 +164,7 @@
 	defer c.hold.Release()
 	g.opts.Metrics.Began()
 	defer g.opts.Metrics.Ended()
+	g.awaitOpen(c)
 	if !g.admit(c) {
 		return
 	}
@@ -185,6 +195,34 @@
 	g.servePlain(ctx, c)
 }
 
+// Open tells that the configuration and the replicas are known.
+func (g *Gateway) Open() { g.open.Do(func() { close(g.opened) }) }
+
+// awaitOpen lets a request that comes just after the start wait until the router can tell
+// where it goes: callers whose connections broke with the process before come back at once,
+// and not all of them a second time.
+func (g *Gateway) awaitOpen(c *call) {
+	select {
+	case <-g.opened:
+		return
+	default:
+	}
+	wait := openPatience - time.Since(g.started)
+	if c.Deadline > 0 {
+		wait = min(wait, time.Duration(float64(c.Deadline)*openShare))
+	}
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-g.opened:
+	case <-t.C:
+	case <-c.http.Context().Done():
+	}
+}
+
 // admit finds the route, the workspace and the service of a request, or answers
 // it.
 func (g *Gateway) admit(c *call) bool {
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -89,11 +89,11 @@
 	}
 }
 
-// setInstances tells how many entry instances use the replicas.
-func (p *modelPool) setInstances(n int) {
+// share tells with whom the replicas are shared.
+func (p *modelPool) share(s pipeline.Sharing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet.SetSharing(pipeline.Sharing{Random: rand.Float64, Instances: n})
+	p.fleet.SetSharing(s)
 }
 
 // setModel puts changed figures of the model in force.
@@ -179,17 +179,27 @@
 	}
 }
 
-// grantWaiting grants paths to the first waiters. The caller holds the lock.
+// mostPassedOver bounds the waiters that are passed over in one look at the list.
+const mostPassedOver = 4
+
+// grantWaiting grants paths to the first waiters. One that avoids the only replicas with
+// room does not hold back those behind it; one that is too large for the room does, or
+// smaller ones would take the room for ever. The caller holds the lock.
 func (p *modelPool) grantWaiting(now time.Time) {
-	for {
-		it := p.waiting.First()
+	passed := 0
+	for passed < mostPassedOver {
+		it := p.waiting.At(passed)
 		if it == nil {
 			return
 		}
 		w := p.waiters[it]
 		choice, ok := p.fleet.Choose(now, w.demand, w.limit)
 		if !ok {
-			return
+			if !p.heldByAvoidance(now, w) {
+				return
+			}
+			passed++
+			continue
 		}
 		p.waiting.Remove(it)
 		delete(p.waiters, it)
@@ -197,6 +207,18 @@
 	}
 }
 
+// heldByAvoidance tells whether a waiter without a path would have one if it avoided no
+// replica.
+func (p *modelPool) heldByAvoidance(now time.Time, w *waiter) bool {
+	if len(w.limit.Avoid) == 0 {
+		return false
+	}
+	limit := w.limit
+	limit.Avoid = nil
+	_, ok := p.fleet.Choose(now, w.demand, limit)
+	return ok
+}
+
 func (p *modelPool) reserve(choice pipeline.Choice, d pipeline.Demand) *grant {
 	p.fleet.Reserve(time.Now(), choice.Path, d)
 	p.fleet.Reading(choice.Path, d, 1)
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -128,3 +128,58 @@
 	p.set([]roster.Entry{{ID: "a", Service: "s", Born: 2}})
 	require.Equal(t, []poison.Incarnation{{Replica: "a", Born: 1}}, p.partsOf(g.path()))
 }
+
+// TestWaiterThatAvoidsReplicasHoldsBackNobody has a request that is sent again wait for a
+// replica that it does not avoid, and one behind it that may use them all.
+func TestWaiterThatAvoidsReplicasHoldsBackNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		p.block("c", time.Minute, "test")
+		first := make(chan *grant, 1)
+		go func() { first <- p.take("b") }()
+		synctest.Wait()
+		second := p.take()
+		require.NotNil(t, second, "granted though another one waits")
+		second.release()
+		require.Nil(t, <-first)
+	})
+}
+
+// TestLargeWaiterIsNotOvertaken has a request that is too large for the room at present:
+// those behind it do not take the room that becomes free.
+func TestLargeWaiterIsNotOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		p.block("c", time.Minute, "test")
+		var held []*grant
+		for g := p.take(); g != nil; g = p.take() {
+			held = append(held, g)
+		}
+		large := make(chan *grant, 1)
+		it := func(at time.Duration) *waitlist.Item {
+			return &waitlist.Item{Arrival: time.Now(), GiveUp: time.Now().Add(at)}
+		}
+		go func() {
+			large <- p.acquire(context.Background(), it(5*time.Second), pipeline.Demand{Prompt: 200, Output: 200}, pipeline.Constraint{})
+		}()
+		synctest.Wait()
+		small := make(chan *grant, 1)
+		go func() {
+			small <- p.acquire(context.Background(), it(5*time.Second), pipeline.Demand{Prompt: 100, Output: 100}, pipeline.Constraint{})
+		}()
+		synctest.Wait()
+		for _, g := range held {
+			g.release()
+			synctest.Wait()
+			if len(large) > 0 {
+				break
+			}
+			require.Empty(t, small, "the room is kept for the one that came first")
+		}
+		require.Len(t, large, 1)
+		for _, g := range held {
+			g.release()
+		}
+		require.NotNil(t, <-small)
+	})
+}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"masticbank.example/core/pipeline"
 	"masticbank.example/core/retry"
 )
 
@@ -121,6 +123,12 @@
 	}
 }
 
+// sharing tells with whom the replicas are shared. An instance that does not know how many
+// there are knows nothing of their load. The caller holds the lock.
+func (g *Gateway) sharing() pipeline.Sharing {
+	return pipeline.Sharing{Random: rand.Float64, Instances: g.instances, Blind: g.instances == 0}
+}
+
 // Instances returns the number of entry instances, 0 while it is not known.
 func (g *Gateway) Instances() int {
 	g.mu.Lock()
@@ -135,11 +143,11 @@
 	if n < 1 || n == g.instances {
 		return
 	}
-	for _, p := range g.models {
-		p.setInstances(n)
-	}
 	first := g.instances == 0
 	g.instances = n
+	for _, p := range g.models {
+		p.share(g.sharing())
+	}
 	if first {
 		clear(g.budgets) // they start anew, with a full bank
 	}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -50,7 +50,7 @@
 	p := g.models[s.Name]
 	if p == nil {
 		p = newModelPool(s, g.opts.Control, g.log)
-		p.setInstances(g.instances)
+		p.share(g.sharing())
 		g.models[s.Name] = p
 	}
 	return p
