--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export GOBIN := $(CURDIR)/bin
 export CGO_ENABLED := 1
 
-.PHONY: all build test race lint fmt fmt-check fuzz fuzz-corpus reference reference-check tools proto dev tidy check slopes
+.PHONY: all build test race lint fmt fmt-check fuzz fuzz-corpus reference reference-check tools proto dev tidy check slopes soak
 
 all: build test
 
@@ -81,6 +81,14 @@
 lint:
 	@for m in $(MODULES); do (cd $$m && ../bin/golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
 
+SEEDS := 50
+FIRST := 1
+
+# Plays seeds of the fault soak; the logs of those with findings go to bin/soak.
+soak:
+	@mkdir -p bin/soak
+	go test -count=1 -v -timeout 120m ./cmd/internal/soak -run TestSoak -soak.seeds $(SEEDS) -soak.first $(FIRST) -soak.keep $(CURDIR)/bin/soak
+
 dev:
 	go run ./cmd/masticctl dev
 
