Stalled streams that trickle comments are moved

Cause: each event reset the time after which a stream is looked at, also a comment without a number, so that a replica whose stream stalls and which goes on sending comments kept its caller until the deadline. Change: only new events with a number count as progress. Tests: TestStalledStreamsThatTrickleAreMoved (ended at the caller's deadline of 15 s before), TestSlowButSoundStreamsAreNotCut.

--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -309,12 +309,16 @@
 	for {
 		select {
 		case ev := <-events:
+			before := s.last
 			done, outcome, err := s.take(ctx, resp, ev)
 			if done {
 				whole = outcome == forward.Answered
 				return outcome, err
 			}
-			watch.progress()
+			// Comments that a stalled replica goes on sending are no progress.
+			if s.last > before || s.last < 0 {
+				watch.progress()
+			}
 		case <-watch.timer.C:
 			if watch.check(ctx) {
 				return forward.Lost, errPartSilent
