--- a/core/pipeline/pipeline_test.go
+++ b/core/pipeline/pipeline_test.go
@@ -274,3 +274,19 @@
 	require.Equal(t, 5, from, "a report is newer than an entry")
 	require.Equal(t, 1.0, f.Pace(start.Add(time.Minute), "a"), "old reports do not count")
 }
+
+// TestReportsWithoutLayersKeepThoseTold has the report of another instance, which comes late
+// and tells no layers, after one that told what an order has brought about.
+func TestReportsWithoutLayersKeepThoseTold(t *testing.T) {
+	f := pipeline.NewFleet(model(8))
+	f.Set(start, []pipeline.Replica{replica("a", "z", "large", 0, 4), replica("b", "z", "large", 4, 8)})
+	f.Observe(start, "a", pipeline.Observed{Pace: 1, From: 0, To: 6, HasLayers: true})
+	late := start.Add(500 * time.Millisecond)
+	f.Observe(late, "a", pipeline.Observed{Pace: 2})
+	from, to, ok := f.Layers(late, "a")
+	require.True(t, ok)
+	require.Equal(t, []int{0, 6}, []int{from, to})
+	require.Equal(t, 2.0, f.Pace(late, "a"))
+	_, _, ok = f.Layers(start.Add(2*time.Second), "a")
+	require.False(t, ok, "the later report does not make the layers newer")
+}
