Removed replicas are let go of in time after the store has turned an instance away

The entry of a replica was removed at 11.95 s, without draining. The three took it for one that lapsed in the outage and may come back for 2.5 s, and looked whether that time was over only when they were to read again, a second later. The other five had had the store all the while and said that the entry is gone, which counted only while the store was away. Change: another instance's word of a removal counts also in the time to come back; that time is looked at each 0.2 s. Two things found on reading: an instance that passes on what it has read leaves out what it knew from others, but stated the place before that, so that a third one could miss it; an entry that says that a replica leaves is always passed on. Tests (each failed without its line): TestPeersTellOfRemovalsAfterAnOutage, TestEntriesThatDoNotComeBackAreDroppedInTime, TestFeedsThatPassOnLoseNothing.

--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -20,6 +20,9 @@
 	binary, settings string
 	log              io.Writer
 
+	// turn is held by the fault that acts on the process.
+	turn sync.Mutex
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
--- a/core/roster/feed.go
+++ b/core/roster/feed.go
@@ -25,12 +25,16 @@
 // Next returns the offset to read from, and false if the whole list has to be read.
 func (f *Feed) Next() (int64, bool) { return f.next, f.known }
 
-// Read takes what this instance read, and returns what of it is new.
-func (f *Feed) Read(u Updates) []Update {
+// Read takes what this instance read, and returns what of it is new, to be passed on;
+// false if it does not follow what is known. What others passed on while it was being read
+// is left out, and so is its place: to an instance that does not have that, it is a gap.
+func (f *Feed) Read(u Updates) (Updates, bool) {
 	if !f.known || u.From > f.next {
-		return nil
+		return Updates{}, false
 	}
-	return f.advance(u)
+	from := f.next
+	fresh := f.advance(u)
+	return Updates{From: from, To: f.next, List: fresh}, true
 }
 
 // Passed takes what another instance read and passed on, and returns what of it is
--- a/core/roster/feed_test.go
+++ b/core/roster/feed_test.go
@@ -58,7 +58,9 @@
 	next, known := f.Next()
 	require.True(t, known)
 	require.Equal(t, int64(5), next)
-	require.Equal(t, []int64{5, 6, 7}, offsets(f.Read(updates(5, 8))))
+	read, ok := f.Read(updates(5, 8))
+	require.True(t, ok)
+	require.Equal(t, []int64{5, 6, 7}, offsets(read.List))
 	f.Lose()
 	require.Empty(t, f.Passed(start, updates(8, 9)))
 }
@@ -76,7 +78,8 @@
 			if rapid.Bool().Draw(t, "passed") {
 				got = f.Passed(start, u)
 			} else {
-				got = f.Read(u)
+				read, _ := f.Read(u)
+				got = read.List
 			}
 			for _, one := range got {
 				require.Equal(t, want, one.Offset)
@@ -87,3 +90,53 @@
 		}
 	})
 }
+
+// TestFeedsThatPassOnLoseNothing has several instances read at their own pace, pass on what is
+// new to them, and lose messages: each sees every update once and in order.
+func TestFeedsThatPassOnLoseNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 3
+		feeds := make([]roster.Feed, instances)
+		seen := make([]int64, instances)
+		take := func(i int, list []roster.Update) {
+			for _, u := range list {
+				require.Equal(t, seen[i], u.Offset)
+				seen[i]++
+			}
+		}
+		for i := range feeds {
+			feeds[i].Start(0)
+		}
+		end := int64(0)
+		// reading holds what an instance is about to get from the store.
+		reading := make([]*roster.Updates, instances)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				end += rapid.Int64Range(0, 3).Draw(t, "written")
+			case 1:
+				next, _ := feeds[i].Next()
+				u := updates(next, end)
+				reading[i] = &u
+			default:
+				if reading[i] == nil {
+					continue
+				}
+				read, ok := feeds[i].Read(*reading[i])
+				reading[i] = nil
+				require.True(t, ok)
+				take(i, read.List)
+				for k := range feeds {
+					if k != i && rapid.Bool().Draw(t, "arrives") {
+						take(k, feeds[k].Passed(start, read))
+					}
+				}
+			}
+		}
+		for i := range feeds {
+			next, _ := feeds[i].Next()
+			require.Equal(t, seen[i], next, "nothing is passed over")
+		}
+	})
+}
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -49,6 +49,9 @@
 	// systems with so many instances the users allow 3 s and more.
 	latenessForPeer = 10 * time.Millisecond
 	mostLateness    = 900 * time.Millisecond
+	// expireInterval is the time between two looks at entries whose time to come back may
+	// be over.
+	expireInterval = 200 * time.Millisecond
 	// orderedInterval is the same while this instance waits for replicas to load
 	// layers; loading a few layers takes some hundred milliseconds.
 	orderedInterval = 250 * time.Millisecond
@@ -335,10 +338,11 @@
 }
 
 // Removed takes another instance's word that the entry of a replica is gone. It counts
-// only while the store does not answer here.
+// only while this instance waits for entries to come back, since the store does not answer
+// it or has just begun to: the other one has had the store all the while.
 func (c *Control) Removed(id string) {
 	c.mu.Lock()
-	marked := c.store.away && c.roster.Removed(id)
+	marked := c.roster.InGrace(time.Now()) && c.roster.Removed(id)
 	if marked {
 		c.log.Info("entry of a replica is gone", zap.String("replica", id), zap.String("source", "another instance"))
 	}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -116,8 +116,7 @@
 func (c *Control) followReplicas(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if left := c.passedOn(time.Now()); left > 0 {
-			c.expire()
-			sleep(ctx, left)
+			c.sleepExpiring(ctx, left)
 			continue
 		}
 		err := c.readReplicas(ctx)
@@ -134,12 +133,23 @@
 			continue
 		}
 		c.answered("replicas")
-		c.expire()
-		sleep(ctx, c.readInterval())
+		c.sleepExpiring(ctx, c.readInterval())
 	}
 	return nil
 }
 
+// sleepExpiring sleeps, and drops entries as soon as their time to come back is over.
+func (c *Control) sleepExpiring(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); ctx.Err() == nil; {
+		c.expire()
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, expireInterval))
+	}
+}
+
 // passedOn returns how long this instance may leave reading to the one with the duty.
 func (c *Control) passedOn(now time.Time) time.Duration {
 	c.mu.Lock()
@@ -202,13 +212,13 @@
 	}
 	c.reportMalformed(malformed)
 	c.mu.Lock()
-	changed := c.update(c.feed.Read(updates))
+	fresh, follows := c.feed.Read(updates)
+	fresh.List = c.update(fresh.List)
 	c.lateness = c.drawLateness()
 	c.mu.Unlock()
-	c.publish(len(changed) > 0)
-	if c.opts.OnUpdates != nil {
-		updates.List = changed
-		c.opts.OnUpdates(updates)
+	c.publish(len(fresh.List) > 0)
+	if follows && c.opts.OnUpdates != nil {
+		c.opts.OnUpdates(fresh)
 	}
 	return nil
 }
@@ -224,13 +234,15 @@
 }
 
 // update puts updates into the roster and returns those that are more than a
-// heartbeat. The caller holds the lock.
+// heartbeat, or say that a replica leaves: this instance may have known it. The caller
+// holds the lock.
 func (c *Control) update(list []roster.Update) []roster.Update {
 	var changed []roster.Update
 	now := time.Now()
 	for _, u := range list {
 		change := c.roster.Apply(now, u)
-		if change == roster.Same && u.Entry != nil {
+		draining := u.Entry != nil && u.Entry.State == roster.Draining
+		if change == roster.Same && u.Entry != nil && !draining {
 			continue
 		}
 		changed = append(changed, u)
--- a/node/control/follow_test.go
+++ b/node/control/follow_test.go
@@ -230,3 +230,42 @@
 		w.set(func() { require.InDelta(t, 3, w.polls, 1) })
 	})
 }
+
+// TestPeersTellOfRemovalsAfterAnOutage has the store turn this instance away and come back.
+// An entry that is removed then might come back, but another instance, which has had the
+// store all the while, says that it is gone.
+func TestPeersTellOfRemovalsAfterAnOutage(t *testing.T) {
+	w := newWorld()
+	w.duty = false
+	run(t, w, func(c *Control, _ *gateway.Gateway) {
+		time.Sleep(2 * time.Second)
+		w.set(func() { w.away = true })
+		time.Sleep(3 * time.Second)
+		w.set(func() { w.away = false })
+		time.Sleep(time.Second)
+		c.TakeUpdates(roster.Updates{To: 1, List: []roster.Update{{ID: "r"}}})
+		require.False(t, c.leaves("r"), "it may come back")
+		c.Removed("r")
+		require.True(t, c.leaves("r"))
+	})
+}
+
+// TestEntriesThatDoNotComeBackAreDroppedInTime has another instance pass on what it reads
+// while the time to come back ends.
+func TestEntriesThatDoNotComeBackAreDroppedInTime(t *testing.T) {
+	w := newWorld()
+	w.duty = false
+	run(t, w, func(c *Control, _ *gateway.Gateway) {
+		time.Sleep(2 * time.Second)
+		w.set(func() { w.away = true })
+		time.Sleep(3 * time.Second)
+		w.set(func() { w.away = false })
+		back := time.Now()
+		c.TakeUpdates(roster.Updates{To: 1, List: []roster.Update{{ID: "r"}}})
+		for time.Since(back) < 2900*time.Millisecond {
+			c.TakeUpdates(roster.Updates{From: 1, To: 1})
+			time.Sleep(dutyInterval / 4)
+		}
+		require.False(t, c.knows("r"), "2.5 s after the store is back, and a join and a look later")
+	})
+}
