Soak: one fault at a time for each process and replica

Cause in the soak itself: a series that waited for an instance to stop started it again beside another series that had killed and started it, so that the second one found its ports taken. Faults on one instance or replica now wait for each other; versions are counted without a race.

--- a/cmd/internal/soak/fault.go
+++ b/cmd/internal/soak/fault.go
@@ -11,57 +11,84 @@
 	"masticbank.example/platform/platformtest"
 )
 
-// fault is one kind of trouble. It returns when it is over.
+// fault is one kind of trouble.
 type fault struct {
 	name string
 	// planned work breaks nothing off.
 	planned bool
-	run     func(w *world, l *Ledger, random *rand.Rand)
+	// run returns when the trouble is over.
+	run func(w *world, l *Ledger, random *rand.Rand)
 }
 
-func (w *world) anyReplica(random *rand.Rand) *replica {
-	return w.replicas[random.IntN(len(w.replicas))]
+// onProcess acts on one instance, when earlier faults there are over.
+func onProcess(act func(p *process, l *Ledger, random *rand.Rand)) func(*world, *Ledger, *rand.Rand) {
+	return func(w *world, l *Ledger, random *rand.Rand) {
+		p := w.processes[random.IntN(len(w.processes))]
+		p.turn.Lock()
+		defer p.turn.Unlock()
+		act(p, l, random)
+	}
 }
 
-func (w *world) anyProcess(random *rand.Rand) *process {
-	return w.processes[random.IntN(len(w.processes))]
+// onReplica is the same for one replica.
+func onReplica(act func(w *world, r *replica, l *Ledger, random *rand.Rand)) func(*world, *Ledger, *rand.Rand) {
+	return func(w *world, l *Ledger, random *rand.Rand) {
+		r := w.replicas[random.IntN(len(w.replicas))]
+		r.turn.Lock()
+		defer r.turn.Unlock()
+		act(w, r, l, random)
+	}
 }
 
 // behave changes what a replica does for a while.
 func behave(b func(random *rand.Rand) platformtest.Behavior) func(*world, *Ledger, *rand.Rand) {
-	return func(w *world, _ *Ledger, random *rand.Rand) {
-		r := w.anyReplica(random)
+	return onReplica(func(_ *world, r *replica, _ *Ledger, random *rand.Rand) {
 		r.Set(b(random))
 		time.Sleep(between(random, 300*time.Millisecond, 1500*time.Millisecond))
 		r.Set(platformtest.Behavior{})
+	})
+}
+
+func startAgain(p *process, l *Ledger) {
+	if err := p.start(); err != nil {
+		l.Found("instance not started: %v", err)
+	}
+}
+
+func restartReplica(w *world, r *replica, l *Ledger, down time.Duration) {
+	if err := w.restart(r, down); err != nil {
+		l.Found("replica not started: %v", err)
 	}
 }
 
 // faults returns all kinds of trouble.
 func faults() []fault {
+	return append(processFaults(), append(storeFaults(), replicaFaults()...)...)
+}
+
+func processFaults() []fault {
 	return []fault{
-		{"instance stopped and started", true, func(w *world, l *Ledger, random *rand.Rand) {
-			p := w.anyProcess(random)
+		{"instance stopped and started", true, onProcess(func(p *process, l *Ledger, _ *rand.Rand) {
 			if !p.stop(syscall.SIGTERM) {
 				l.Found("an instance did not end within its grace time")
 			}
-			if err := p.start(); err != nil {
-				l.Found("instance not started: %v", err)
-			}
-		}},
-		{"settings signal", true, func(w *world, _ *Ledger, random *rand.Rand) { w.anyProcess(random).signal(syscall.SIGHUP) }},
-		{"configuration", true, func(w *world, _ *Ledger, _ *rand.Rand) { w.publish() }},
-		{"instance killed", false, func(w *world, l *Ledger, random *rand.Rand) {
-			p := w.anyProcess(random)
+			startAgain(p, l)
+		})},
+		{"settings signal", true, onProcess(func(p *process, _ *Ledger, _ *rand.Rand) { p.signal(syscall.SIGHUP) })},
+		{"instance killed", false, onProcess(func(p *process, l *Ledger, random *rand.Rand) {
 			p.stop(os.Kill)
 			time.Sleep(between(random, 0, time.Second))
-			if err := p.start(); err != nil {
-				l.Found("instance not started: %v", err)
-			}
-		}},
-		{"instance paused", false, func(w *world, _ *Ledger, random *rand.Rand) {
-			w.anyProcess(random).pause(between(random, 200*time.Millisecond, 3*time.Second))
-		}},
+			startAgain(p, l)
+		})},
+		{"instance paused", false, onProcess(func(p *process, _ *Ledger, random *rand.Rand) {
+			p.pause(between(random, 200*time.Millisecond, 3*time.Second))
+		})},
+	}
+}
+
+func storeFaults() []fault {
+	return []fault{
+		{"configuration", true, func(w *world, _ *Ledger, _ *rand.Rand) { w.publish() }},
 		{"store away", false, func(w *world, _ *Ledger, random *rand.Rand) {
 			w.store.Fail(http.StatusServiceUnavailable)
 			time.Sleep(between(random, 300*time.Millisecond, 3*time.Second))
@@ -69,25 +96,24 @@
 		}},
 		{"store loses answers", false, func(w *world, _ *Ledger, random *rand.Rand) { w.store.LoseAnswers(1 + random.IntN(8)) }},
 		{"store forgets history", false, func(w *world, _ *Ledger, _ *rand.Rand) { w.store.Forget(platform.ReplicaTopic) }},
-		{"replica restarted", false, func(w *world, l *Ledger, random *rand.Rand) {
-			if err := w.restart(w.anyReplica(random), between(random, 200*time.Millisecond, 2*time.Second)); err != nil {
-				l.Found("replica not started: %v", err)
-			}
-		}},
-		{"replica leaves", false, func(w *world, l *Ledger, random *rand.Rand) {
-			r := w.anyReplica(random)
+	}
+}
+
+func replicaFaults() []fault {
+	return []fault{
+		{"replica restarted", false, onReplica(func(w *world, r *replica, l *Ledger, random *rand.Rand) {
+			restartReplica(w, r, l, between(random, 200*time.Millisecond, 2*time.Second))
+		})},
+		{"replica leaves", false, onReplica(func(w *world, r *replica, l *Ledger, random *rand.Rand) {
 			r.Set(platformtest.Behavior{Leaving: true})
 			time.Sleep(between(random, 2500*time.Millisecond, 4*time.Second))
-			if err := w.restart(r, 200*time.Millisecond); err != nil {
-				l.Found("replica not started: %v", err)
-			}
-		}},
-		{"links", false, func(w *world, _ *Ledger, random *rand.Rand) {
-			r := w.anyReplica(random)
+			restartReplica(w, r, l, 200*time.Millisecond)
+		})},
+		{"links", false, onReplica(func(_ *world, r *replica, _ *Ledger, random *rand.Rand) {
 			r.proxy.Set(Mode(1 + random.IntN(int(modes)-1)))
 			time.Sleep(between(random, 300*time.Millisecond, 2500*time.Millisecond))
 			r.proxy.Set(Pass)
-		}},
+		})},
 		{"replica rejects", false, behave(func(*rand.Rand) platformtest.Behavior { return platformtest.Behavior{Reject: true} })},
 		{"replica asks for a pause", false, behave(func(*rand.Rand) platformtest.Behavior {
 			return platformtest.Behavior{Reject: true, Pause: "0.7"}
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -32,7 +33,8 @@
 	processes []*process
 	callers   []string
 	log       *os.File
-	config    int
+	// config is the last version that was published.
+	config atomic.Int64
 }
 
 // replica is a stand-in with its proxy and what it says of itself.
@@ -40,6 +42,8 @@
 	*platformtest.Replica
 	proxy *Proxy
 	model bool
+	// turn is held by the fault that acts on the replica.
+	turn sync.Mutex
 
 	mu   sync.Mutex
 	born int64
@@ -102,8 +106,7 @@
 
 // publish writes the next version of the configuration.
 func (w *world) publish() {
-	w.config++
-	w.store.Put(platform.OperatorTopic, "config", platformtest.Configuration(w.config))
+	w.store.Put(platform.OperatorTopic, "config", platformtest.Configuration(int(w.config.Add(1))))
 }
 
 // write writes the entry of a replica.
