--- a/core/pause/pause.go
+++ b/core/pause/pause.go
@@ -57,6 +57,9 @@
 	return p.end, true
 }
 
+// Empty tells whether no replica has asked for a pause lately.
+func (l *List) Empty() bool { return len(l.until) == 0 }
+
 // Prune forgets the pauses that are over.
 func (l *List) Prune(now time.Time) {
 	for id, p := range l.until {
--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -49,7 +49,7 @@
 	for range maxDetours {
 		s := &search{fleet: f, now: now, demand: d, limit: c}
 		choice, ok := s.run()
-		if !ok && s.thinned {
+		if !ok && s.passedOver {
 			// Every path leads over a part that was passed over, but has room.
 			s = &search{fleet: f, now: now, demand: d, limit: c, all: true}
 			choice, ok = s.run()
@@ -99,8 +99,8 @@
 	// layerCost and usable are by member index.
 	layerCost []float64
 	usable    []bool
-	// thinned is set when a replica with room was passed over, which all forbids.
-	thinned, all bool
+	// passedOver is set when a replica with room was passed over, which all forbids.
+	passedOver, all bool
 	// cross holds the cost of a hop between two zones by their indexes, below 0 if
 	// it was not needed yet.
 	cross []float64
@@ -164,14 +164,14 @@
 		free := room*fullAt - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.limit.Avoid[m.ID] &&
 			(s.limit.IgnoreRoom || free >= 0) && (f.model.Slots == 0 || m.first < f.model.Slots)
-		if s.usable[i] && !s.all && !s.limit.IgnoreRoom && room > 0 && f.thinned(used/room) {
-			s.usable[i], s.thinned = false, true
+		if s.usable[i] && !s.all && !s.limit.IgnoreRoom && room > 0 && f.passedOver(used/room) {
+			s.usable[i], s.passedOver = false, true
 		}
 		if m.ID == s.limit.First {
 			s.usable[i] = !s.limit.Avoid[m.ID]
 		}
 		if s.usable[i] {
-			s.layerCost[i] = s.costOfLayer(m, used, room) * f.scatter()
+			s.layerCost[i] = s.costOfLayer(m, used, room) * f.costFactor()
 		}
 	}
 }
--- a/core/pipeline/herd_test.go
+++ b/core/pipeline/herd_test.go
@@ -147,7 +147,7 @@
 	over := func(blind bool) float64 {
 		c := newCrowd(t, 66, 1.25)
 		for _, f := range c.instances {
-			f.SetSharing(pipeline.Sharing{Random: c.random.Float64, Blind: blind})
+			f.SetSharing(pipeline.Sharing{Random: c.random.Float64, Uninformed: blind})
 		}
 		c.play(1, int(c.room()*0.5), time.Hour)
 		return float64(c.over) / float64(c.placed)
--- a/core/pipeline/sharing.go
+++ b/core/pipeline/sharing.go
@@ -6,47 +6,47 @@
 	Random func() float64
 	// Instances is the number of instances, this one included.
 	Instances int
-	// Blind is true while there are others of which nothing is known, as after a start of
+	// Uninformed is true while there are others of which nothing is known, as after a start of
 	// all together.
-	Blind bool
+	Uninformed bool
 }
 
 const (
-	// thinForPeer is the share of a part's room for each other instance, below its
+	// passOverForPeer is the share of a part's room for each other instance, below its
 	// limit, over which the part is passed over more and more often. The more instances
 	// there are, the later they learn of each other's requests.
-	thinForPeer = 0.01
-	// thinMost bounds that share, so that a part that is nearly empty is always used.
-	thinMost = 0.9
+	passOverForPeer = 0.01
+	// passOverMost bounds that share, so that a part that is nearly empty is always used.
+	passOverMost = 0.9
 )
 
-// blindSpread is the largest share that is added to the cost of a replica at random while
+// uninformedSpread is the largest share that is added to the cost of a replica at random while
 // nothing is known of the other instances.
-const blindSpread = 4
+const uninformedSpread = 4
 
-// scatter returns a random factor for the cost of a replica in one choice. The load that it
+// costFactor returns a random factor for the cost of a replica in one choice. The load that it
 // answers: all instances start together, the callers of broken streams come back to all of
 // them at once, and each takes the fleet to be empty.
-func (f *Fleet) scatter() float64 {
-	if !f.sharing.Blind || f.sharing.Random == nil {
+func (f *Fleet) costFactor() float64 {
+	if !f.sharing.Uninformed || f.sharing.Random == nil {
 		return 1
 	}
-	return 1 + blindSpread*f.sharing.Random()
+	return 1 + uninformedSpread*f.sharing.Random()
 }
 
 // SetSharing tells how many instances choose paths over the same replicas.
 func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
 
-// thinned tells whether a choice is to pass over a part that has room and is used to a
+// passedOver tells whether a choice is to pass over a part that has room and is used to a
 // share of it. The load that it answers: the fastest parts are the cheapest until they
 // are full, and what other instances have placed there is known some tenths of a second
 // late. All of them would fill such a part far beyond its room, where requests wait for
 // memory. With random early detection they fill it ever more slowly.
-func (f *Fleet) thinned(use float64) bool {
+func (f *Fleet) passedOver(use float64) bool {
 	peers := f.sharing.Instances - 1
 	if f.sharing.Random == nil || peers < 1 {
 		return false
 	}
-	width := min(thinMost, thinForPeer*float64(peers))
+	width := min(passOverMost, passOverForPeer*float64(peers))
 	return f.sharing.Random() > (fullAt-use)/width
 }
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -194,7 +194,7 @@
 	defer resp.Close()
 	s.g.crashes.sign(first.ID)
 	info := s.g.opts.Codec.Answer(resp.Status, resp.Header)
-	s.heed(first, info)
+	s.noteAnswer(first, info)
 	switch {
 	case info.ID != s.ID:
 		resp.Discard()
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -150,7 +150,7 @@
 		return forward.Lost, nil, errOtherRequest
 	}
 	pool.loaded(replica.ID, info)
-	g.heed(replica, info)
+	g.noteAnswer(replica, info)
 	if info.Pause > 0 {
 		g.logPause(c.ID, replica.ID, info.Pause, pool.pause(replica, info.Pause))
 	}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -126,7 +126,7 @@
 // sharing tells with whom the replicas are shared. An instance that does not know how many
 // there are knows nothing of their load. The caller holds the lock.
 func (g *Gateway) sharing() pipeline.Sharing {
-	return pipeline.Sharing{Random: rand.Float64, Instances: g.instances, Blind: g.instances == 0}
+	return pipeline.Sharing{Random: rand.Float64, Instances: g.instances, Uninformed: g.instances == 0}
 }
 
 // Instances returns the number of entry instances, 0 while it is not known.
--- a/node/gateway/standing.go
+++ b/node/gateway/standing.go
@@ -14,18 +14,18 @@
 // could run them have asked for a pause.
 const outcomePaused = "replicas_paused"
 
-// heed passes on that a replica leaves, by its own answer.
-func (g *Gateway) heed(r Replica, a Answer) {
+// noteAnswer passes on that a replica leaves, by its own answer.
+func (g *Gateway) noteAnswer(r Replica, a Answer) {
 	if a.Leaving {
 		g.leaves(r)
 	}
 }
 
-// heed takes what the first replica of a path says of itself and of the part that turned
+// noteAnswer takes what the first replica of a path says of itself and of the part that turned
 // the request away. A pause holds for both: the first replica has asked for it, and the
 // part is the reason.
-func (s *stream) heed(first pipeline.Hop, a Answer) {
-	s.g.heed(Replica{ID: first.ID, Born: first.Born}, a)
+func (s *stream) noteAnswer(first pipeline.Hop, a Answer) {
+	s.g.noteAnswer(Replica{ID: first.ID, Born: first.Born}, a)
 	if a.Pause <= 0 {
 		return
 	}
@@ -35,6 +35,7 @@
 	}
 }
 
+// leaves passes on that the process of a replica takes no new work.
 func (g *Gateway) leaves(r Replica) {
 	if g.opts.OnLeaving != nil {
 		g.opts.OnLeaving(roster.Process{ID: r.ID, Born: r.Born})
@@ -72,6 +73,9 @@
 func (p *modelPool) paused(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.pauses.Empty() {
+		return 0
+	}
 	at, ok := p.fleet.CoveredAt(now, func(id string) (time.Time, bool) { return p.pauses.Until(now, id, p.born[id]) })
 	if !ok || !at.After(now) {
 		return 0
