Soak: what a replica's answer says counts for the process that gave it

By the logs the replica had started again before the request came, which is allowed, and left and started once more; the check knew its last start only. It now counts starts, so that a later process that leaves is checked too.

--- a/cmd/internal/soak/check.go
+++ b/cmd/internal/soak/check.go
@@ -35,14 +35,21 @@
 	mu       sync.Mutex
 	requests map[string]Request
 	findings []string
-	// left holds, by instance and replica, when an answer first said that the replica
-	// leaves.
-	left map[[2]string]time.Time
+	// left holds when an answer first said that a process of a replica leaves.
+	left map[leftKey]time.Time
+}
+
+// leftKey names the process of a replica by the number of starts before it, and the
+// instance that passed its answer on.
+type leftKey struct {
+	instance int
+	replica  string
+	start    int
 }
 
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger {
-	return &Ledger{requests: map[string]Request{}, left: map[[2]string]time.Time{}}
+	return &Ledger{requests: map[string]Request{}, left: map[leftKey]time.Time{}}
 }
 
 // Found records a broken promise.
@@ -59,20 +66,17 @@
 	l.requests[r.ID] = r
 }
 
-// Left records that an answer passed on by an instance said that a replica leaves.
-func (l *Ledger) Left(instance int, replica string, at time.Time) {
+// Left records that an answer passed on by an instance said that the process of a replica
+// with so many starts before it leaves.
+func (l *Ledger) Left(instance int, replica string, start int, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := leftKey(instance, replica)
+	key := leftKey{instance, replica, start}
 	if _, known := l.left[key]; !known {
 		l.left[key] = at
 	}
 }
 
-func leftKey(instance int, replica string) [2]string {
-	return [2]string{fmt.Sprint(instance), replica}
-}
-
 // Ran is one request that a replica ran.
 type Ran struct {
 	Replica, ID string
@@ -82,10 +86,10 @@
 const drainTime = 2 * time.Second
 
 // Conclude compares what replicas ran with what callers were told, and returns all
-// findings. restarted returns when a replica that left came back, zero if it did not;
+// findings. starts returns how often a replica had started again before a time;
 // disturbed tells whether an instance was started or paused between two times. calm runs
 // have planned stops only, so that nothing that ran may be without an answer.
-func (l *Ledger) Conclude(runs []Ran, calm bool, restarted func(replica string) time.Time, disturbed func(instance int, from, to time.Time) bool) []string {
+func (l *Ledger) Conclude(runs []Ran, calm bool, starts func(replica string, before time.Time) int, disturbed func(instance int, from, to time.Time) bool) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := append([]string(nil), l.findings...)
@@ -97,9 +101,8 @@
 			out = append(out, fmt.Sprintf("%s ran %s, which nobody sent", run.Replica, run.ID))
 			continue
 		}
-		at, left := l.left[leftKey(r.Instance, run.Replica)]
-		back := restarted(run.Replica)
-		if left && r.Sent.After(at.Add(drainTime)) && (back.IsZero() || r.Sent.Before(back)) && !disturbed(r.Instance, at, r.Sent) {
+		at, left := l.left[leftKey{r.Instance, run.Replica, starts(run.Replica, r.Sent)}]
+		if left && r.Sent.After(at.Add(drainTime)) && !disturbed(r.Instance, at, r.Sent) {
 			out = append(out, fmt.Sprintf("%s ran %s, sent %v after instance %d was told that it leaves", run.Replica, run.ID, r.Sent.Sub(at), r.Instance))
 		}
 	}
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -92,7 +92,7 @@
 			ledger.Found("instance %d has %d descriptors, %d at the start", i, after, before[i])
 		}
 	}
-	s.Findings = ledger.Conclude(w.runs(), s.Calm, w.restartedAt, func(i int, from, to time.Time) bool {
+	s.Findings = ledger.Conclude(w.runs(), s.Calm, w.startsBefore, func(i int, from, to time.Time) bool {
 		return w.processes[i].disturbedBetween(from, to)
 	})
 	s.Requests, s.Served = ledger.count()
@@ -207,7 +207,8 @@
 	answer := platform.Codec{}.Answer(resp.StatusCode, resp.Header)
 	r.Replica = strings.TrimPrefix(platformtest.Signature(resp.Header), "signed by ")
 	if answer.Leaving {
-		l.Left(r.Instance, r.Replica, time.Now())
+		now := time.Now()
+		l.Left(r.Instance, r.Replica, w.startsBefore(r.Replica, now), now)
 	}
 	if resp.StatusCode == http.StatusOK && r.Whole {
 		checkAnswer(l, r, answer.ID, string(body))
--- a/cmd/internal/soak/world.go
+++ b/cmd/internal/soak/world.go
@@ -48,9 +48,9 @@
 	mu   sync.Mutex
 	born int64
 	beat int64
-	// silent replicas write no entries; backAt is when one that left started again.
+	// silent replicas write no entries; starts are the times at which it started again.
 	silent bool
-	backAt time.Time
+	starts []time.Time
 }
 
 func newWorld(binary, dir string) (*world, error) {
@@ -149,7 +149,7 @@
 	time.Sleep(down)
 	r.Set(platformtest.Behavior{})
 	r.mu.Lock()
-	r.silent, r.born, r.beat, r.backAt = false, r.born+1, 0, time.Now()
+	r.silent, r.born, r.beat, r.starts = false, r.born+1, 0, append(r.starts, time.Now())
 	r.mu.Unlock()
 	if err := r.Restart(); err != nil {
 		return trace.Wrap(err)
@@ -184,16 +184,22 @@
 	return out
 }
 
-// restartedAt returns when a replica last started again, zero if it did not.
-func (w *world) restartedAt(id string) time.Time {
+// startsBefore returns how often a replica had started again before a time.
+func (w *world) startsBefore(id string, at time.Time) int {
 	for _, r := range w.replicas {
 		if r.ID == id {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			return r.backAt
+			n := 0
+			for _, start := range r.starts {
+				if start.Before(at) {
+					n++
+				}
+			}
+			return n
 		}
 	}
-	return time.Time{}
+	return 0
 }
 
 // between returns a random time from least to most.
