Split the layers of a zone by speed

Cause: layers were split by memory alone, so that three accelerators that are five times as fast as the rest held 36 of 80 layers with free memory left. An answer took 3 s, and each kill, stop or crash interrupts what runs.

Change: the fastest replicas of a zone with one pipeline get as many layers as leave the usual share of memory free, the others split the rest by memory. Zones with several pipelines are split as before, since reinforcement keeps their KV caches even.

TestFastReplicasHoldAsMuchAsFits and TestSeveralPipelinesAreSplitEvenly fail without the change and without its exception.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -234,8 +234,8 @@
 
 func (p *plan) memoryOf(r *Replica) float64 { return p.model.Kinds[r.Kind].MemoryMB }
 
-// assignInOrder assigns the layers from..to to the replicas in order, in proportion to their
-// memory. It returns false if they do not fit.
+// assignInOrder assigns the layers from..to to the replicas in order, in the sizes of splitLayers.
+// It returns false if they do not fit.
 func (p *plan) assignInOrder(replicas []*Replica, from, to int, reason string) bool {
 	sizes, ok := p.splitLayers(replicas, to-from, minCacheShare)
 	if !ok {
@@ -251,41 +251,6 @@
 	return true
 }
 
-// splitLayers splits a number of layers in proportion to memory by the largest remainder method,
-// limited by what each replica can hold.
-func (p *plan) splitLayers(replicas []*Replica, layers int, freeShare float64) ([]int, bool) {
-	total := 0.0
-	limit := make([]int, len(replicas))
-	capacity := 0
-	for i, r := range replicas {
-		total += p.memoryOf(r)
-		limit[i] = maxLayers(p.model, r.Kind, freeShare)
-		capacity += limit[i]
-	}
-	if capacity < layers {
-		return nil, false
-	}
-	sizes := make([]int, len(replicas))
-	left := layers
-	for i, r := range replicas {
-		sizes[i] = min(limit[i], int(float64(layers)*p.memoryOf(r)/total))
-		left -= sizes[i]
-	}
-	for ; left > 0; left-- {
-		best := -1
-		for i, r := range replicas {
-			if sizes[i] >= limit[i] {
-				continue
-			}
-			if best < 0 || p.memoryOf(r)/float64(sizes[i]+1) > p.memoryOf(replicas[best])/float64(sizes[best]+1) {
-				best = i
-			}
-		}
-		sizes[best]++
-	}
-	return sizes, true
-}
-
 // tokenCapacity returns, for each layer, the number of tokens that fit into the KV caches of all
 // replicas that hold it.
 func (p *plan) tokenCapacity() []float64 {
