Close idle connections of clients when a planned stop begins

Cause: clients kept idle connections to a stopping instance and sent their next requests on them.

Change: from the start of a planned stop, connections that have served requests and on which nothing is in progress are closed. Clients see that before they send. Fresh connections and those with half a request stay open.

--- /dev/null
+++ b/node/httpserver/idle.go
@@ -0,0 +1,53 @@
+package httpserver
+
+import "github.com/lesismal/nbio"
+
+// connState is what the server knows of an open connection.
+type connState struct {
+	// served is true once a request has arrived on the connection.
+	served bool
+	// receiving is true after data has arrived that belongs to no handled request yet.
+	receiving bool
+}
+
+// opened records a new connection.
+func (s *Server) opened(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections[c] = &connState{}
+}
+
+// closed forgets a connection.
+func (s *Server) closed(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+}
+
+// received records that data has arrived on a connection.
+func (s *Server) received(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.connections[c]; st != nil {
+		st.receiving = true
+	}
+}
+
+// closeIdleConnections closes the connections that have served requests and on which none is in
+// progress, being received or answered. Clients notice that before they use the connection again. A
+// request that arrives at the same time is not read, so its client may send it again.
+func (s *Server) closeIdleConnections() {
+	s.mu.Lock()
+	var idle []*nbio.Conn
+	for c, st := range s.connections {
+		_, handled := s.requests[c]
+		_, unflushed := s.unflushed[c]
+		if st.served && !st.receiving && !handled && !unflushed && c.ExecuteLen() == 0 {
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close() // it can only fail if the client was faster
+	}
+}
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -67,6 +67,8 @@
 	closing  bool
 	// draining is set while responses ask clients to close their connections.
 	draining atomic.Bool
+	// connections holds the open connections.
+	connections map[*nbio.Conn]*connState
 	// requests holds the cancel functions of requests in progress.
 	requests map[*nbio.Conn]context.CancelFunc
 	// unflushed holds the connections whose handler has returned while nbhttp may
@@ -90,7 +92,7 @@
 	if o.ClosedCheckPeriod <= 0 {
 		o.ClosedCheckPeriod = defaultCheckPeriod
 	}
-	s := &Server{opts: o, requests: map[*nbio.Conn]context.CancelFunc{}, unflushed: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
+	s := &Server{opts: o, connections: map[*nbio.Conn]*connState{}, requests: map[*nbio.Conn]context.CancelFunc{}, unflushed: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:                 "tcp",
 		Addrs:                   []string{o.Address},
@@ -103,7 +105,11 @@
 		Handler:                 http.HandlerFunc(s.serve),
 		SupportServerOnly:       true,
 	})
-	s.engine.OnOpen(func(net.Conn) { s.openedCount.Add(1) })
+	s.engine.OnOpen(func(c net.Conn) {
+		s.openedCount.Add(1)
+		s.opened(unwrap(c))
+	})
+	s.engine.OnClose(func(c net.Conn, _ error) { s.closed(unwrap(c)) })
 	s.engine.OnData(s.onData)
 	if err := s.engine.Start(); err != nil {
 		return nil, trace.Wrap(err, "listening on %s", o.Address)
@@ -148,8 +154,8 @@
 	return err
 }
 
-// Drain makes all later responses ask the client to close the connection. Requests
-// are still served until Shutdown.
+// Drain closes idle connections, now and when requests end, and makes all later responses ask
+// the client to close the connection. Requests are still served until Shutdown.
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Abort closes the connection of a response that cannot be completed, so that the
@@ -258,6 +264,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests[c] = cancel
+	if st := s.connections[c]; st != nil {
+		st.served, st.receiving = true, false
+	}
 }
 
 // untrack removes a request whose handler has returned and records its connection as
@@ -311,6 +320,9 @@
 		case <-ticker.C:
 			s.cancelClosed()
 			s.removeFlushed()
+			if s.draining.Load() {
+				s.closeIdleConnections()
+			}
 		}
 	}
 }
@@ -330,6 +342,7 @@
 // before its connection is closed.
 func (s *Server) onData(c *nbio.Conn, data []byte) {
 	s.openedCount.Load()
+	s.received(c)
 	if _, ok := s.rejected.Load(c); ok {
 		return
 	}
