Find dead replicas by direct probes and move all their streams at once

Cause: each stream waited 0.28 s for its own gap, then for a report of the first replica that is 0.2 s old; the death of a first replica took two reports of 0.25 s that went unanswered. Streams that moved chose their paths before any had reserved load, and counted the prefill of stages that keep their memory.

Change: core/silence says when a stream is silent, which replicas of its path no other stream has shown to be alive, and what two rounds of probes prove; without the response of a witness nothing does. One finding wakes all streams through the replica, here and at other instances. Choices reserve load at once and count only new stages. A request is not moved twice within 0.4 s, so that the evidence on requests that crash replicas comes first (TestStreamThatCrashesStagesIsNotMovedEndlessly failed without that: 5 crashes).

TestStreamsThatLeaveAStageSpread, TestFailedStageWakesAllItsStreams and TestSilenceIsSuspectedWithinTheCallersGap fail on the former code. Tests of the pool call recordEvent, which ends the prefill, in place of endPrefill.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -38,6 +38,9 @@
 	// FirstTo.
 	First   string
 	FirstTo int
+	// Prefilled is the present path of a running request: its replicas have the request's
+	// tokens in their KV cache and need not prefill them.
+	Prefilled Path
 	// IgnoreCapacity allows replicas without free KV cache capacity.
 	IgnoreCapacity bool
 }
@@ -187,8 +190,11 @@
 func (s *search) costOfLayer(m *member, used, capacity float64) float64 {
 	model := s.fleet.model
 	kind := model.Kinds[m.Kind]
-	prefillTokens := (s.demand.Prompt*float64(max(1, m.To-m.From)) + m.prefill + m.remotePrefill) / float64(max(1, m.To-m.From))
-	prefillMS := prefillTokens / model.PrefillTokensPerMS * kind.PrefillFactor
+	prefillMS := 0.0
+	if !s.constraint.Prefilled.Uses(m.ID) {
+		prefillTokens := (s.demand.Prompt*float64(max(1, m.To-m.From)) + m.prefill + m.remotePrefill) / float64(max(1, m.To-m.From))
+		prefillMS = prefillTokens / model.PrefillTokensPerMS * kind.PrefillFactor
+	}
 	sequences := m.sequences + m.remoteSequences + 1
 	context := sequences * (model.MeanPromptTokens + model.MeanOutputTokens/2) / 1000
 	stepMS := (model.StepMS + model.PerSequenceMS*sequences + model.PerContextMS*context) * kind.StepFactor
@@ -309,6 +315,9 @@
 func (s *search) timeToFirstToken(p Path) time.Duration {
 	ms := 0.0
 	for i, stage := range p {
+		if s.constraint.Prefilled.includes(stage) {
+			continue
+		}
 		ms += s.fleet.prefillMS(stage, s.demand)
 		if i > 0 && stage.Zone != p[i-1].Zone {
 			ms += s.fleet.linkTransferMS(s.now, stage.Zone, p[i-1].Zone, s.demand)
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -17,45 +17,6 @@
 	From, To int
 }
 
-// Stage is one stage of a path: a replica and the layers that it runs.
-type Stage struct {
-	ID       string
-	Address  string
-	Zone     string
-	From, To int
-	// StartTime is the start time of the replica's process; it distinguishes the process from
-	// an earlier one of the same replica.
-	StartTime int64
-}
-
-// Path lists the stages that together run all layers, in order.
-type Path []Stage
-
-// Uses reports whether the path includes the replica.
-func (p Path) Uses(id string) bool {
-	for _, stage := range p {
-		if stage.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
-// Demand holds the number of tokens that one request processes on every replica of its path.
-type Demand struct {
-	// Prompt is the number of prompt tokens.
-	Prompt float64
-	// Output is the expected number of output tokens.
-	Output float64
-}
-
-// reservedOutputShare is the share of the expected output for which KV cache is reserved: a
-// request uses none of it at the start and all of it at the end.
-const reservedOutputShare = 0.6
-
-// reservedTokens returns the context length for which KV cache is reserved.
-func (d Demand) reservedTokens() float64 { return d.Prompt + d.Output*reservedOutputShare }
-
 // load holds the requests and the measured state of one replica.
 type load struct {
 	// cacheCapacity is the capacity of the KV cache in tokens times layers. At
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,6 +53,8 @@
 	// longestGap is the longest time between two events; repaths counts the path changes.
 	longestGap time.Duration
 	repaths    int
+	// leftAt is when the request last left a failed replica.
+	leftAt time.Time
 	// runAt is when the current run began, runFirstEvent when its first event arrived.
 	runAt         time.Time
 	runFirstEvent time.Time
@@ -234,18 +234,24 @@
 	watch := s.newWatch()
 	defer watch.stop()
 	for {
+		lost := false
 		select {
 		case res := <-done:
 			return res.resp, res.err
 		case <-watch.timer.C:
-			if watch.checkStall(ctx) {
-				cancel()
-				res := <-done
-				if res.err == nil {
-					res.resp.Close()
-				}
-				return nil, &exchange.Error{Sent: true, Err: errStageUnresponsive}
+			lost = watch.check(ctx)
+		case f := <-watch.findings:
+			lost = watch.apply(ctx, f)
+		case <-s.grant.wake:
+			watch.hurry()
+		}
+		if lost {
+			cancel()
+			res := <-done
+			if res.err == nil {
+				res.resp.Close()
 			}
+			return nil, &exchange.Error{Sent: true, Err: errStageUnresponsive}
 		}
 	}
 }
@@ -295,110 +301,3 @@
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
 	return forward.Responded, nil
 }
-
-// relay forwards whole events to the client as they arrive.
-func (s *stream) relay(ctx context.Context, cancel context.CancelFunc, resp *exchange.Response) (forward.Outcome, error) {
-	events := make(chan event)
-	stop := make(chan struct{})
-	finished := make(chan struct{})
-	go func() {
-		defer close(finished)
-		readEvents(resp.Body, events, stop)
-	}()
-	whole := false
-	defer func() {
-		if !whole {
-			cancel() // ends a read in progress
-		}
-		close(stop)
-		<-finished
-	}()
-	watch := s.newWatch()
-	defer watch.stop()
-	for {
-		select {
-		case ev := <-events:
-			before := s.lastEventID
-			done, outcome, err := s.handleEvent(ctx, resp, ev)
-			if done {
-				whole = outcome == forward.Responded
-				return outcome, err
-			}
-			// Comments that a stalled replica keeps sending are not progress.
-			if s.lastEventID > before || s.lastEventID < 0 {
-				watch.progress()
-			}
-		case <-watch.timer.C:
-			if watch.checkStall(ctx) {
-				return forward.Lost, errStageUnresponsive
-			}
-		case <-ctx.Done():
-			return forward.Lost, ctx.Err()
-		}
-	}
-}
-
-// handleEvent handles one event; done is true if the run is over.
-func (s *stream) handleEvent(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
-	if errors.Is(ev.err, io.EOF) {
-		s.writeHead(resp)
-		s.g.crashes.recordSuccess(s.fingerprint)
-		s.g.logEnd(s.call, resp.Status, "delivered", zap.Int("events", s.relayed), zap.Int("parts", len(s.grant.path())),
-			zap.Duration("longest_pause", s.longestGap), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
-		return true, forward.Responded, nil
-	}
-	if ev.err != nil {
-		return true, forward.Lost, ev.err
-	}
-	if ev.id >= 0 && ev.id <= s.lastEventID {
-		return false, 0, nil // already sent by an earlier run
-	}
-	s.grant.endPrefill()
-	s.writeHead(resp)
-	if s.relayed == 0 {
-		s.g.opts.Metrics.FirstEvent(s.rank, time.Since(s.arrival))
-	}
-	if _, err := s.writer.Write(ev.data); err != nil {
-		return true, forward.Lost, errors.Join(errClientWrite, err)
-	}
-	s.g.crashes.markResponsive(s.grant.path()[0].ID)
-	s.writer.(http.Flusher).Flush()
-	if ev.id >= 0 {
-		s.lastEventID = ev.id
-	}
-	now := time.Now()
-	if s.relayed > 0 {
-		s.longestGap = max(s.longestGap, now.Sub(s.lastProgress))
-	}
-	s.relayed++
-	s.lastProgress, s.lastSent = now, now
-	if s.runFirstEvent.IsZero() {
-		s.runFirstEvent = now
-	}
-	return false, 0, nil
-}
-
-// zonesOf lists the zones of a path in order; a zone is repeated each time the path enters
-// it.
-func zonesOf(p pipeline.Path) string {
-	var out []string
-	for i, stage := range p {
-		if i == 0 || stage.Zone != p[i-1].Zone {
-			out = append(out, stage.Zone)
-		}
-	}
-	return strings.Join(out, " ")
-}
-
-// writeHead sends the response head to the client unless an earlier run did.
-func (s *stream) writeHead(resp *exchange.Response) {
-	if s.headSent {
-		return
-	}
-	s.headSent = true
-	h := s.writer.Header()
-	for k, v := range s.g.opts.Codec.ToClient(resp.Header) {
-		h[k] = v
-	}
-	s.writer.WriteHeader(resp.Status)
-}
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -37,12 +37,17 @@
 	fleet      *pipeline.Fleet
 	startTimes map[string]int64
 	// listed contains the replicas that may get new work, including those without layers.
-	listed     map[string]bool
-	waiting    waitlist.List
-	waiters    map[*waitlist.Item]*waiter
-	reports    map[string]*sharedReport
-	rejections *pipeline.Rejections
-	pauses     *pause.List
+	listed  map[string]bool
+	waiting waitlist.List
+	waiters map[*waitlist.Item]*waiter
+	reports map[string]*sharedReport
+	probes  map[string]*sharedProbe
+	// grants holds the grants that are not released, failedUntil until when a replica
+	// counts as unresponsive.
+	grants      map[*grant]struct{}
+	failedUntil map[string]time.Time
+	rejections  *pipeline.Rejections
+	pauses      *pause.List
 }
 
 // waiter is a request that waits for a path.
@@ -59,11 +64,19 @@
 	choice     pipeline.Choice
 	prefilling bool
 	released   bool
+	// prefillPath lists the stages that prefill, if prefilling is set.
+	prefillPath pipeline.Path
 	// newStages lists the stages to which the request was last sent, at sentAt. A stage
 	// that shuts down finishes its earlier requests, so only an event after sentAt shows
 	// that these stages accept new ones.
 	newStages []string
 	sentAt    time.Time
+	// lastEvent is when the last event arrived over the path; zero if none has. meanGap is a
+	// moving average of the time between events.
+	lastEvent time.Time
+	meanGap   time.Duration
+	// wake receives a value when a stage of the path was found to be unresponsive.
+	wake chan struct{}
 }
 
 // sharedReport is a request for a replica's report that several streams share; done is
@@ -86,9 +99,12 @@
 		startTimes: map[string]int64{},
 		waiters:    map[*waitlist.Item]*waiter{},
 		reports:    map[string]*sharedReport{},
+		probes:     map[string]*sharedProbe{},
 
-		rejections: pipeline.NewRejections(),
-		pauses:     pause.New(),
+		grants:      map[*grant]struct{}{},
+		failedUntil: map[string]time.Time{},
+		rejections:  pipeline.NewRejections(),
+		pauses:      pause.New(),
 	}
 }
 
@@ -129,6 +145,7 @@
 		if was, ok := p.startTimes[e.ID]; ok && was != e.StartTime {
 			p.fleet.Unblock(e.ID)
 			p.rejections.Delete(e.ID)
+			delete(p.failedUntil, e.ID)
 		}
 		p.startTimes[e.ID] = e.StartTime
 	}
@@ -149,7 +166,8 @@
 func (p *modelPool) reserve(choice pipeline.Choice, d pipeline.Demand) *grant {
 	p.fleet.Reserve(time.Now(), choice.Path, d)
 	p.fleet.AdjustPrefill(choice.Path, d, 1)
-	g := &grant{pool: p, demand: d, choice: choice, prefilling: true, sentAt: time.Now()}
+	g := &grant{pool: p, demand: d, choice: choice, prefilling: true, prefillPath: choice.Path, sentAt: time.Now(), wake: make(chan struct{}, 1)}
+	p.grants[g] = struct{}{}
 	for _, stage := range choice.Path {
 		g.newStages = append(g.newStages, stage.ID)
 	}
@@ -163,14 +181,30 @@
 	p.grantWaiting(time.Now())
 }
 
-// endPrefill records the end of prefill at the first event; later calls have no effect.
-func (g *grant) endPrefill() {
+// gapWeight is the weight of a new gap in the moving average.
+const gapWeight = 0.2
+
+// recordEvent records an event. The first one ends the prefill.
+func (g *grant) recordEvent(now time.Time) {
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
+	if !g.lastEvent.IsZero() {
+		gap := now.Sub(g.lastEvent)
+		if g.meanGap == 0 {
+			g.meanGap = gap
+		}
+		g.meanGap += time.Duration(float64(gap-g.meanGap) * gapWeight)
+	}
+	g.lastEvent = now
+	g.endPrefill()
+}
+
+// endPrefill records the end of prefill once. The lock of the pool is held.
+func (g *grant) endPrefill() {
 	if !g.prefilling {
 		return
 	}
-	g.pool.fleet.AdjustPrefill(g.choice.Path, g.demand, -1)
+	g.pool.fleet.AdjustPrefill(g.prefillPath, g.demand, -1)
 	g.prefilling = false
 	for _, id := range g.newStages {
 		g.pool.rejections.RecordAccepted(id, g.sentAt)
@@ -191,8 +225,9 @@
 		return
 	}
 	g.released = true
+	delete(g.pool.grants, g)
 	if g.prefilling {
-		g.pool.fleet.AdjustPrefill(g.choice.Path, g.demand, -1)
+		g.pool.fleet.AdjustPrefill(g.prefillPath, g.demand, -1)
 	}
 	g.pool.fleet.Release(g.choice.Path, g.demand)
 }
@@ -200,43 +235,56 @@
 // path returns the current path.
 func (g *grant) path() pipeline.Path { return g.choice.Path }
 
-// alternative chooses another path with the same first stage; it returns false if there is
-// none.
+// alternative chooses another path with the same first stage and reserves load on it; it returns
+// false if there is none. The caller must follow with switchPath or cancelAlternative. Streams that
+// leave a failed stage choose at the same time, so each must count those before it.
 func (g *grant) alternative(avoid map[string]bool) (pipeline.Choice, bool) {
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := g.choice.Path[0]
-	constraint := pipeline.Constraint{Avoid: avoid, First: first.ID, FirstTo: first.To}
-	if c, ok := p.fleet.Choose(time.Now(), g.demand, constraint); ok {
-		return c, true
+	constraint := pipeline.Constraint{Avoid: avoid, First: first.ID, FirstTo: first.To, Prefilled: g.choice.Path}
+	now := time.Now()
+	c, ok := p.fleet.Choose(now, g.demand, constraint)
+	if !ok {
+		// The stage that takes over may have free capacity nevertheless, as reserved load
+		// is an estimate.
+		constraint.IgnoreCapacity = true
+		c, ok = p.fleet.Choose(now, g.demand, constraint)
 	}
-	// The stage that takes over may have free capacity nevertheless, as reserved load is
-	// an estimate.
-	constraint.IgnoreCapacity = true
-	return p.fleet.Choose(time.Now(), g.demand, constraint)
+	if ok {
+		p.fleet.Reserve(now, c.Path, g.demand)
+		p.fleet.AdjustPrefill(c.Path.Without(g.choice.Path), g.demand, 1)
+	}
+	return c, ok
+}
+
+// cancelAlternative removes the load that alternative reserved.
+func (g *grant) cancelAlternative(c pipeline.Choice) {
+	p := g.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.AdjustPrefill(c.Path.Without(g.choice.Path), g.demand, -1)
+	p.fleet.Release(c.Path, g.demand)
 }
 
-// switchPath replaces the path by the chosen one.
+// switchPath replaces the path by one that alternative has returned.
 func (g *grant) switchPath(c pipeline.Choice) {
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet.Reserve(time.Now(), c.Path, g.demand)
+	added := c.Path.Without(g.choice.Path)
 	if g.prefilling {
-		p.fleet.AdjustPrefill(g.choice.Path, g.demand, -1)
+		p.fleet.AdjustPrefill(g.prefillPath, g.demand, -1)
 	}
 	// The new stages prefill all tokens; the next event ends that.
-	p.fleet.AdjustPrefill(c.Path, g.demand, 1)
-	g.prefilling = true
+	g.prefilling, g.prefillPath = true, added
 	g.newStages, g.sentAt = g.newStages[:0], time.Now()
-	for _, stage := range c.Path {
-		if !g.choice.Path.Uses(stage.ID) {
-			g.newStages = append(g.newStages, stage.ID)
-		}
+	for _, stage := range added {
+		g.newStages = append(g.newStages, stage.ID)
 	}
 	p.fleet.Release(g.choice.Path, g.demand)
-	g.choice = c
+	g.choice, g.lastEvent = c, time.Time{}
 }
 
 // block keeps new paths away from a replica for a while. It reports whether it was blocked
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -46,10 +46,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool()
 		old := p.acquireAvoiding("c")
-		old.endPrefill()
+		old.recordEvent(time.Now())
 		rejected := 0
 		for start := time.Now(); time.Since(start) < 6*time.Second; time.Sleep(10 * time.Millisecond) {
-			old.endPrefill()
+			old.recordEvent(time.Now())
 			if !p.fleet.Blocked("b", time.Now()) {
 				g := p.acquireAvoiding("c")
 				rejected = p.recordRejection("b", true)
@@ -69,11 +69,11 @@
 		before := p.acquireAvoiding("c")
 		time.Sleep(time.Millisecond)
 		require.Equal(t, 1, p.recordRejection("b", true))
-		before.endPrefill()
+		before.recordEvent(time.Now())
 		require.Equal(t, 2, p.recordRejection("b", true))
 		time.Sleep(2 * time.Second)
 		after := p.acquireAvoiding("c")
-		after.endPrefill()
+		after.recordEvent(time.Now())
 		require.Equal(t, 1, p.recordRejection("b", true))
 		before.release()
 		after.release()
@@ -181,3 +181,71 @@
 		require.NotNil(t, <-second)
 	})
 }
+
+// Streams that leave a failed stage choose their new paths within a millisecond. Without reserving
+// load at the choice, all chose the same stage, which then prefilled all their prompts one after
+// another while the other one was idle.
+func TestStreamsThatLeaveAStageSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		p.setReplicas([]roster.Entry{
+			{ID: "a", Service: "s", Address: "a", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 0, To: 2}},
+			{ID: "b", Service: "s", Address: "b", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 2, To: 4}},
+		})
+		var grants []*grant
+		for range 8 {
+			grants = append(grants, p.acquireAvoiding())
+		}
+		p.setReplicas([]roster.Entry{
+			{ID: "a", Service: "s", Address: "a", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 0, To: 2}},
+			{ID: "c", Service: "s", Address: "c", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 2, To: 4}},
+			{ID: "d", Service: "s", Address: "d", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 2, To: 4}},
+		})
+		count := map[string]int{}
+		var choices []pipeline.Choice
+		for _, g := range grants {
+			g.recordEvent(time.Now())
+			c, ok := g.alternative(map[string]bool{"b": true})
+			require.True(t, ok)
+			count[c.Path[1].ID]++
+			choices = append(choices, c)
+		}
+		require.Equal(t, map[string]int{"c": 4, "d": 4}, count)
+		for i, g := range grants {
+			if i%2 == 0 {
+				g.cancelAlternative(choices[i])
+			} else {
+				g.switchPath(choices[i])
+				g.recordEvent(time.Now())
+			}
+			g.release()
+		}
+		for _, id := range []string{"a", "c", "d"} {
+			require.Zero(t, p.fleet.State(id).Own, "%s: all load is released", id)
+		}
+	})
+}
+
+// A stage that does not respond was found by each stream for itself, from a report that is 0.2 s
+// old. One stream that finds it must wake the others, except those whose events have just passed it.
+func TestFailedStageWakesAllItsStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		through, avoiding, recent := p.acquireAvoiding("c"), p.acquireAvoiding("b"), p.acquireAvoiding("c")
+		for range 5 {
+			for _, g := range []*grant{through, avoiding, recent} {
+				g.recordEvent(time.Now())
+			}
+			time.Sleep(35 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		recent.recordEvent(time.Now())
+		p.markFailed("b", unresponsiveBlock)
+		require.Len(t, through.wake, 1)
+		require.Empty(t, avoiding.wake)
+		require.Equal(t, []string{"b"}, p.failedOn(through))
+		require.Empty(t, p.failedOn(recent))
+		time.Sleep(unresponsiveBlock)
+		require.Empty(t, p.failedOn(through))
+	})
+}
--- /dev/null
+++ b/node/gateway/relay.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"masticbank.example/core/forward"
+	"masticbank.example/core/pipeline"
+	"masticbank.example/node/exchange"
+)
+
+// relay forwards whole events to the client as they arrive.
+func (s *stream) relay(ctx context.Context, cancel context.CancelFunc, resp *exchange.Response) (forward.Outcome, error) {
+	events := make(chan event)
+	stop := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		readEvents(resp.Body, events, stop)
+	}()
+	whole := false
+	defer func() {
+		if !whole {
+			cancel() // ends a read in progress
+		}
+		close(stop)
+		<-finished
+	}()
+	watch := s.newWatch()
+	defer watch.stop()
+	for {
+		lost := false
+		select {
+		case ev := <-events:
+			before := s.lastEventID
+			done, outcome, err := s.handleEvent(ctx, resp, ev)
+			if done {
+				whole = outcome == forward.Responded
+				return outcome, err
+			}
+			// Comments that a stalled replica keeps sending are not progress.
+			if s.lastEventID > before || s.lastEventID < 0 {
+				watch.progress()
+			}
+		case <-watch.timer.C:
+			lost = watch.check(ctx)
+		case f := <-watch.findings:
+			lost = watch.apply(ctx, f)
+		case <-s.grant.wake:
+			watch.hurry()
+		case <-ctx.Done():
+			return forward.Lost, ctx.Err()
+		}
+		if lost {
+			return forward.Lost, errStageUnresponsive
+		}
+	}
+}
+
+// handleEvent handles one event; done is true if the run is over.
+func (s *stream) handleEvent(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
+	if errors.Is(ev.err, io.EOF) {
+		s.writeHead(resp)
+		s.g.crashes.recordSuccess(s.fingerprint)
+		s.g.logEnd(s.call, resp.Status, "delivered", zap.Int("events", s.relayed), zap.Int("parts", len(s.grant.path())),
+			zap.Duration("longest_pause", s.longestGap), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
+		return true, forward.Responded, nil
+	}
+	if ev.err != nil {
+		return true, forward.Lost, ev.err
+	}
+	if ev.id >= 0 && ev.id <= s.lastEventID {
+		return false, 0, nil // already sent by an earlier run
+	}
+	s.grant.recordEvent(time.Now())
+	s.writeHead(resp)
+	if s.relayed == 0 {
+		s.g.opts.Metrics.FirstEvent(s.rank, time.Since(s.arrival))
+	}
+	if _, err := s.writer.Write(ev.data); err != nil {
+		return true, forward.Lost, errors.Join(errClientWrite, err)
+	}
+	s.g.crashes.markResponsive(s.grant.path()[0].ID)
+	s.writer.(http.Flusher).Flush()
+	if ev.id >= 0 {
+		s.lastEventID = ev.id
+	}
+	now := time.Now()
+	if s.relayed > 0 {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastSent))
+	}
+	s.relayed++
+	s.lastProgress, s.lastSent = now, now
+	if s.runFirstEvent.IsZero() {
+		s.runFirstEvent = now
+	}
+	return false, 0, nil
+}
+
+// zonesOf lists the zones of a path in order; a zone is repeated each time the path enters
+// it.
+func zonesOf(p pipeline.Path) string {
+	var out []string
+	for i, stage := range p {
+		if i == 0 || stage.Zone != p[i-1].Zone {
+			out = append(out, stage.Zone)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// writeHead sends the response head to the client unless an earlier run did.
+func (s *stream) writeHead(resp *exchange.Response) {
+	if s.headSent {
+		return
+	}
+	s.headSent = true
+	h := s.writer.Header()
+	for k, v := range s.g.opts.Codec.ToClient(resp.Header) {
+		h[k] = v
+	}
+	s.writer.WriteHeader(resp.Status)
+}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -204,6 +204,7 @@
 		p.mu.Unlock()
 		if known {
 			p.block(replica, reportedBlock, "unresponsive for another instance")
+			p.markFailed(replica, reportedBlock)
 		}
 	}
 }
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -2,97 +2,143 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"masticbank.example/core/pipeline"
+	"masticbank.example/core/silence"
 )
 
 const (
 	// firstTokenSlack is the time beyond the expected first token after which the first
 	// replica's report is checked for a stall.
 	firstTokenSlack = 500 * time.Millisecond
-	// minGap is the shortest gap between two events after which the report is
-	// checked. Clients disconnect after a gap of 2 s.
-	minGap = 280 * time.Millisecond
-	// gapFactor times the usual gap of the stream is another lower bound for that gap.
-	gapFactor = 4
 	// recheckInterval is the time between two checks. A report is 0.2 s old.
 	recheckInterval = 130 * time.Millisecond
 	// maxUnansweredReports is the number of unanswered report requests in a row after which the
 	// first replica counts as dead. A single one may be lost in the network.
 	maxUnansweredReports = 2
-	// maxGapBound limits the bound from gapFactor for slow streams.
-	maxGapBound = 900 * time.Millisecond
+	// evidenceDelay is the minimum time between two losses of a request that are repaired. Until
+	// then it is known whether the first replica has ended, and whether the request may crash the
+	// next one.
+	evidenceDelay = 2 * secondAttemptDelay
 	// maxRepaths limits the path changes that are tried for one failure.
 	maxRepaths = 3
 )
 
 // stallWatch detects that a stream makes no progress, and which stage stalls it. It is used
-// by one goroutine.
+// by one goroutine; checks run in another one so that events are relayed meanwhile.
 type stallWatch struct {
 	s     *stream
 	timer *time.Timer
-	// meanGap is an exponential moving average of the time between events.
-	meanGap      time.Duration
-	lastProgress time.Time
+	// findings receives the result of the check that is under way, if checking is set.
+	findings chan finding
+	checking bool
 	// unanswered counts report requests without a response in a row.
 	unanswered int
 }
 
+// finding is the result of a check.
+type finding struct {
+	startedAt time.Time
+	// failed lists the replicas that do not respond.
+	failed []string
+	// report is the report of the first replica, or err why there is none. Neither is set
+	// if failed is not empty.
+	report Report
+	err    error
+}
+
 func (s *stream) newWatch() *stallWatch {
-	return &stallWatch{s: s, lastProgress: s.lastProgress, timer: time.NewTimer(s.grant.choice.FirstToken*2 + firstTokenSlack)}
+	return &stallWatch{
+		s: s, findings: make(chan finding, 1),
+		timer: time.NewTimer(s.grant.choice.FirstToken*2 + firstTokenSlack),
+	}
 }
 
 func (w *stallWatch) stop() { w.timer.Stop() }
 
-// gapWeight is the weight of a new gap in the moving average.
-const gapWeight = 0.2
+// progress restarts the timer after an event.
+func (w *stallWatch) progress() { w.timer.Reset(silence.After(w.s.grant.meanGap)) }
 
-// progress records an event and restarts the timer.
-func (w *stallWatch) progress() {
-	now := time.Now()
-	gap := now.Sub(w.lastProgress)
-	w.lastProgress = now
-	if w.meanGap == 0 {
-		w.meanGap = gap
-	}
-	w.meanGap += time.Duration(float64(gap-w.meanGap) * gapWeight)
-	w.timer.Reset(max(minGap, min(gapFactor*w.meanGap, maxGapBound)))
+// hurry checks soon because a stage of the path was found to be unresponsive. Events that have
+// passed it may still arrive.
+func (w *stallWatch) hurry() {
+	quiet := time.Since(w.s.lastProgress)
+	w.timer.Reset(max(0, silence.Transit(w.s.grant.meanGap)-quiet))
 }
 
-// checkStall reads the report of the first replica when the stream makes no progress, and
-// moves the request to another path if a stage is unresponsive. It returns true if the run
-// is lost.
-func (w *stallWatch) checkStall(ctx context.Context) (lost bool) {
+// check begins to find out why the stream makes no progress, or acts on a stage that is already
+// known to be unresponsive. It returns true if the run is lost.
+func (w *stallWatch) check(ctx context.Context) (lost bool) {
 	s := w.s
 	w.timer.Reset(recheckInterval)
+	if failed := s.pool.failedOn(s.grant); len(failed) > 0 {
+		return w.leave(ctx, failed)
+	}
+	if !w.checking {
+		w.checking = true
+		go func() { w.findings <- s.pool.investigate(ctx, s.grant) }()
+	}
+	return false
+}
+
+// apply acts on the result of a check. It returns true if the run is lost.
+func (w *stallWatch) apply(ctx context.Context, f finding) (lost bool) {
+	s := w.s
+	w.checking = false
+	if ctx.Err() != nil || s.lastProgress.After(f.startedAt) {
+		return false
+	}
+	for _, id := range f.failed {
+		s.markUnresponsive(id, "no response to probes")
+	}
+	if len(f.failed) > 0 {
+		return w.leave(ctx, f.failed)
+	}
 	first := s.grant.path()[0]
-	report, err := s.pool.report(ctx, Replica{ID: first.ID, Address: first.Address})
-	if err != nil {
-		w.unanswered++
-		if ctx.Err() != nil || w.unanswered < maxUnansweredReports {
+	if f.err != nil {
+		if w.unanswered++; w.unanswered < maxUnansweredReports {
 			return false
 		}
 		s.markUnresponsive(first.ID, "no response to report requests")
 		return true
 	}
 	w.unanswered = 0
-	if report.Leaving {
+	if f.report.Leaving {
 		s.g.reportLeaving(Replica{ID: first.ID, StartTime: first.StartTime})
 	}
-	address, stalled := report.Stalled[s.ID]
+	address, stalled := f.report.Stalled[s.ID]
 	if !stalled {
 		return false
 	}
 	failed := s.pool.idAt(address)
 	if failed != "" {
-		if !s.excluded[failed] {
-			s.recordLostStage(failed)
-		}
 		s.markUnresponsive(failed, "requests stall on it")
 	}
+	return w.leave(ctx, []string{failed})
+}
+
+// leave moves the stream off the failed replicas. It returns true if the run is lost.
+func (w *stallWatch) leave(ctx context.Context, failed []string) (lost bool) {
+	s := w.s
+	if wait := evidenceDelay - time.Since(s.leftAt); wait > 0 {
+		w.timer.Reset(wait)
+		return false
+	}
+	s.leftAt = time.Now()
+	first := s.grant.path()[0]
+	for _, id := range failed {
+		if id != "" && !s.excluded[id] {
+			s.recordLostStage(id)
+			s.excluded[id] = true
+		}
+	}
+	if slices.Contains(failed, first.ID) {
+		return true
+	}
 	if w.repath(ctx, first) {
 		w.timer.Reset(s.grant.choice.FirstToken + firstTokenSlack)
 		return false
@@ -103,8 +149,8 @@
 // markUnresponsive blocks an unresponsive replica on this instance and reports it to the
 // others.
 func (s *stream) markUnresponsive(id, reason string) {
-	s.excluded[id] = true
 	wasBlocked := s.pool.block(id, unresponsiveBlock, reason)
+	s.pool.markFailed(id, unresponsiveBlock)
 	if !wasBlocked && s.g.opts.OnUnresponsive != nil {
 		s.g.opts.OnUnresponsive(id)
 	}
@@ -131,6 +177,9 @@
 		s.g.log.Info("path changed", zap.String("request", s.ID), zap.String("first", first.ID),
 			zap.Stringer("result", res.Status), zap.String("part", res.Stage), zap.Int("parts", len(choice.Path)),
 			zap.Duration("silent", time.Since(s.lastProgress)), zap.Error(err))
+		if err != nil || res.Status != CommandAccepted {
+			s.grant.cancelAlternative(choice)
+		}
 		switch {
 		case err != nil:
 			return false
