Keep copies of the configuration in topics of this system

An instance without a configuration whose read fails takes the newest copy that it can read. The record replaces the copy when it is back; versions never go back within a process.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -169,6 +169,7 @@
 		Group:              platform.Group{Store: i.store, Member: i.member},
 		ReplicaControl:     i.replicas,
 		Evidence:           platform.EvidenceStore{Store: i.store},
+		Copies:             platform.ConfigCopies{Store: i.store},
 		FirstStart:         s.FirstStart,
 		Gateway:            i.gateway,
 		Logger:             i.log,
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -93,6 +93,8 @@
 	Gateway        *gateway.Gateway
 	// Evidence, if set, stores evidence about requests that crash replicas.
 	Evidence EvidenceStore
+	// Copies, if set, keeps copies of the configuration.
+	Copies ConfigCopies
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool
 	Logger     *zap.Logger
@@ -124,6 +126,10 @@
 
 	mu      sync.Mutex
 	version int64
+	// content is the configuration in force as the operator wrote it; copied is the version
+	// of the newest copy that was read.
+	content []byte
+	copied  int64
 	roster  *roster.Roster
 	feed    roster.Feed
 	// readDelay is added to relayedReadTimeout so that instances read at different times.
@@ -207,6 +213,9 @@
 	g.Go(func() error { return c.followReplicas(ctx) })
 	g.Go(func() error { return c.keepMembership(ctx) })
 	g.Go(func() error { return c.runLayout(ctx) })
+	if c.opts.Copies != nil {
+		g.Go(func() error { return c.writeCopies(ctx) })
+	}
 	if c.opts.Evidence != nil {
 		g.Go(func() error { return c.readEvidence(ctx) })
 		g.Go(func() error { return c.writeEvidence(ctx) })
@@ -291,13 +300,14 @@
 // apply puts a configuration in force if it is newer than the current one. source says in
 // the log where it came from.
 func (c *Control) apply(p *Published, source string) {
-	if c.activate(p.Config, source) && c.opts.OnConfig != nil {
+	if c.activate(p, source) && c.opts.OnConfig != nil {
 		c.opts.OnConfig(p.Config.Version, p.Content)
 	}
 }
 
-// activate configures the gateway with cfg if it is newer, and reports whether it was.
-func (c *Control) activate(cfg *routing.Config, source string) bool {
+// activate configures the gateway with a configuration if it is newer, and reports whether it was.
+func (c *Control) activate(p *Published, source string) bool {
+	cfg := p.Config
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cfg.Version <= c.version {
@@ -309,7 +319,7 @@
 	}
 	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version), zap.String("source", source),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))
-	c.version = cfg.Version
+	c.version, c.content = cfg.Version, p.Content
 	c.opts.Gateway.Configure(routing.NewTable(cfg))
 	c.opts.Gateway.SetReplicas(c.roster.Available)
 	c.configLoaded.Store(true)
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -27,6 +27,7 @@
 			c.log.Info("history of the configuration was truncated, reading the newest version")
 			cursor = -1
 		case err != nil:
+			c.readCopy(ctx)
 			c.storeFailed(ctx, "configuration", err)
 		default:
 			c.storeResponded("configuration")
