Sum the causes of late and lost requests from logs

The end of a request now says when its first event came, how long its longest pause was over all its runs, and what had delayed each. masticctl causes sorts the requests of a period by that, for operators who are asked why requests were late.

--- a/cmd/masticctl/main.go
+++ b/cmd/masticctl/main.go
@@ -17,6 +17,7 @@
 	Publish  publishCmd  `cmd:"" help:"Publish a folder as the next revision."`
 	Status   statusCmd   `cmd:"" help:"Show the state of an instance and of its peers."`
 	Explain  explainCmd  `cmd:"" help:"Explain a request that was sent, or the route that a request would take."`
+	Causes   causesCmd   `cmd:"" help:"Show from logs why requests were late, refused or lost."`
 	Drain    drainCmd    `cmd:"" help:"Stop sending new work to an upstream."`
 	LogLevel logLevelCmd `cmd:"" help:"Change the log level of an instance."`
 	Standin  standinCmd  `cmd:"" help:"Serve stand-ins of the upstreams and the platform on loopback ports."`
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -50,9 +50,17 @@
 	lastProgress time.Time
 	// lastSent is when the last event was sent to the client.
 	lastSent time.Time
-	// longestGap is the longest time between two events; repaths counts the path changes.
-	longestGap time.Duration
-	repaths    int
+	// longestGap is the longest time between two events and longestGapCause what caused it, ""
+	// if only the stages were slow; repaths counts the path changes.
+	longestGap      time.Duration
+	longestGapCause string
+	repaths         int
+	// firstEvent is the time from the arrival to the first event, and firstEventCause what
+	// delayed it, if anything.
+	firstEvent      time.Duration
+	firstEventCause string
+	// delay is what has delayed the next event, "" if nothing has.
+	delay string
 	// leftAt is when the request last left a failed replica.
 	leftAt time.Time
 	// runAt is when the current run began, runFirstEvent when its first event arrived.
@@ -74,7 +82,11 @@
 			s.endWithoutPath(ctx, &h)
 			return
 		}
+		waitStart := time.Now()
 		s.grant = s.pool.acquire(ctx, s.item(), s.demand, pipeline.Constraint{Avoid: s.excluded})
+		if time.Since(waitStart) > loggedWait {
+			s.delay = delayNoPath
+		}
 		if s.grant == nil {
 			s.endWithoutPath(ctx, &h)
 			return
@@ -99,6 +111,7 @@
 			zap.Int("parts", len(s.grant.path())), zap.Duration("left", c.remaining(time.Now())),
 			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason), zap.Error(err))
 		if next == forward.Retry {
+			s.delay = delayOf(outcome)
 			continue
 		}
 		s.endIncomplete(ctx, next)
@@ -106,6 +119,24 @@
 	}
 }
 
+// What delays events, as logged.
+const (
+	delayNoPath   = "waited for a path"
+	delayRejected = "a stage rejected the request"
+	delayLost     = "sent again after a lost run"
+	delayMoved    = "moved off a failed stage"
+	// loggedWait is the wait for a path that counts as a delay.
+	loggedWait = 50 * time.Millisecond
+)
+
+// delayOf returns the delay that a retry after the outcome means.
+func delayOf(o forward.Outcome) string {
+	if o == forward.Lost || o == forward.Failed {
+		return delayLost
+	}
+	return delayRejected
+}
+
 // demandOf estimates the tokens of a request: what the client states, else the model's
 // usual numbers.
 func demandOf(c *call) pipeline.Demand {
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -69,7 +69,8 @@
 		s.writeHead(resp)
 		s.g.crashes.recordSuccess(s.fingerprint)
 		s.g.logEnd(s.call, resp.Status, "delivered", zap.Int("events", s.relayed), zap.Int("parts", len(s.grant.path())),
-			zap.Duration("longest_pause", s.longestGap), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
+			zap.Duration("first_event", s.firstEvent), zap.String("first_event_cause", s.firstEventCause),
+			zap.Duration("longest_pause", s.longestGap), zap.String("pause_cause", s.longestGapCause), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
 		return true, forward.Responded, nil
 	}
 	if ev.err != nil {
@@ -81,7 +82,8 @@
 	s.grant.recordEvent(time.Now())
 	s.writeHead(resp)
 	if s.relayed == 0 {
-		s.g.opts.Metrics.FirstEvent(s.rank, time.Since(s.arrival))
+		s.firstEvent, s.firstEventCause = time.Since(s.arrival), s.delay
+		s.g.opts.Metrics.FirstEvent(s.rank, s.firstEvent)
 	}
 	if _, err := s.writer.Write(ev.data); err != nil {
 		return true, forward.Lost, errors.Join(errClientWrite, err)
@@ -92,9 +94,10 @@
 		s.lastEventID = ev.id
 	}
 	now := time.Now()
-	if s.relayed > 0 {
-		s.longestGap = max(s.longestGap, now.Sub(s.lastSent))
+	if gap := now.Sub(s.lastSent); s.relayed > 0 && gap > s.longestGap {
+		s.longestGap, s.longestGapCause = gap, s.delay
 	}
+	s.delay = ""
 	s.relayed++
 	s.lastProgress, s.lastSent = now, now
 	if s.runFirstEvent.IsZero() {
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -128,7 +128,7 @@
 		w.timer.Reset(wait)
 		return false
 	}
-	s.leftAt = time.Now()
+	s.leftAt, s.delay = time.Now(), delayMoved
 	first := s.grant.path()[0]
 	for _, id := range failed {
 		if id != "" && !s.excluded[id] {
