Tell of an unresponsive replica although it is blocked already

Cause: a replica that crashes often rejects or resets a request first and is blocked for that.

Change: whether the finding is new no longer depends on blocks, and it has a log line of its own.

TestBlockedReplicaCanStillBeFoundUnresponsive fails without the change.

--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -287,18 +287,15 @@
 	g.choice, g.lastEvent = c, time.Time{}
 }
 
-// block keeps new paths away from a replica for a while. It reports whether it was blocked
-// already.
-func (p *modelPool) block(id string, d time.Duration, reason string) bool {
+// block keeps new paths away from a replica for a while.
+func (p *modelPool) block(id string, d time.Duration, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	blocked := p.fleet.Blocked(id, now)
-	if !blocked {
+	if !p.fleet.Blocked(id, now) {
 		p.log.Info("replica blocked", zap.String("replica", id), zap.String("why", reason), zap.Duration("for", d))
 	}
 	p.fleet.Block(id, now.Add(d))
-	return blocked
 }
 
 // state returns the load and layers of a replica for log lines.
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -249,3 +249,21 @@
 		require.Empty(t, p.failedOn(through))
 	})
 }
+
+// A replica that crashes rejects or resets its requests first. That it is blocked for these reasons
+// must not hide that it was then found to be unresponsive, or neither the layout nor other instances
+// learn of it until its entry expires, seconds later.
+func TestBlockedReplicaCanStillBeFoundUnresponsive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		var reported []string
+		s := &stream{
+			g:    &Gateway{opts: Options{OnUnresponsive: func(id string) { reported = append(reported, id) }}},
+			call: &call{}, pool: p, excluded: map[string]bool{},
+		}
+		p.recordRejection("b", true)
+		s.markUnresponsive("b", "no response to probes")
+		s.markUnresponsive("b", "no response to probes")
+		require.Equal(t, []string{"b"}, reported, "reported once")
+	})
+}
--- a/node/gateway/probe.go
+++ b/node/gateway/probe.go
@@ -134,11 +134,14 @@
 	return s.ok
 }
 
-// markFailed records that a replica is unresponsive, and wakes the streams that pass through it.
-func (p *modelPool) markFailed(id string, d time.Duration) {
+// markFailed records that a replica is unresponsive, and wakes the streams that pass through it. It
+// reports whether this is new.
+func (p *modelPool) markFailed(id string, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failedUntil[id] = time.Now().Add(d)
+	now := time.Now()
+	isNew := !now.Before(p.failedUntil[id])
+	p.failedUntil[id] = now.Add(d)
 	for g := range p.grants {
 		if !g.choice.Path.Uses(id) {
 			continue
@@ -148,6 +151,7 @@
 		default:
 		}
 	}
+	return isNew
 }
 
 // failedOn returns the replicas on a stream's path that are known to be unresponsive, unless an event
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -149,9 +149,12 @@
 // markUnresponsive blocks an unresponsive replica on this instance and reports it to the
 // others.
 func (s *stream) markUnresponsive(id, reason string) {
-	wasBlocked := s.pool.block(id, unresponsiveBlock, reason)
-	s.pool.markFailed(id, unresponsiveBlock)
-	if !wasBlocked && s.g.opts.OnUnresponsive != nil {
+	s.pool.block(id, unresponsiveBlock, reason)
+	if !s.pool.markFailed(id, unresponsiveBlock) {
+		return
+	}
+	s.pool.log.Info("replica is unresponsive", zap.String("replica", id), zap.String("why", reason), zap.String("request", s.ID))
+	if s.g.opts.OnUnresponsive != nil {
 		s.g.opts.OnUnresponsive(id)
 	}
 }
