--- a/cmd/internal/causes/causes.go
+++ b/cmd/internal/causes/causes.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -129,14 +130,17 @@
 // Print writes the summary as a table.
 func (s *Summary) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(t, "requests\t%d\n", s.Requests)
+	rows := []string{fmt.Sprintf("requests\t%d", s.Requests)}
 	if s.Unreadable > 0 {
-		fmt.Fprintf(t, "unreadable lines\t%d\n", s.Unreadable)
+		rows = append(rows, fmt.Sprintf("unreadable lines\t%d", s.Unreadable))
 	}
-	fmt.Fprintln(t, "cause\trequests\tshare\tfirst\tlast\texample")
+	rows = append(rows, "cause\trequests\tshare\tfirst\tlast\texample")
 	for _, c := range s.Causes {
-		fmt.Fprintf(t, "%s\t%d\t%.4f\t%s\t%s\t%s\n", c.Name, c.Count, float64(c.Count)/float64(s.Requests),
-			c.First.Format(time.RFC3339Nano), c.Last.Format(time.RFC3339Nano), c.Example)
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.4f\t%s\t%s\t%s", c.Name, c.Count, float64(c.Count)/float64(s.Requests),
+			c.First.Format(time.RFC3339Nano), c.Last.Format(time.RFC3339Nano), c.Example))
+	}
+	if _, err := io.WriteString(t, strings.Join(rows, "\n")+"\n"); err != nil {
+		return trace.Wrap(err)
 	}
 	return trace.Wrap(t.Flush())
 }
--- a/cmd/masticctl/causes.go
+++ b/cmd/masticctl/causes.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return trace.ConvertSystemError(err)
 		}
-		defer f.Close()
+		defer func() { _ = f.Close() }() // it is only read
 		readers = append(readers, f)
 	}
 	if len(readers) == 0 {
