--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -108,7 +108,9 @@
 		}
 		g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", c.replica),
 			zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int64("last_event", s.lastEventID),
-			zap.Int("parts", len(s.grant.path())), zap.Duration("left", c.remaining(time.Now())),
+			zap.Int("parts", len(s.grant.path())), zap.String("zones", zonesOf(s.grant.path())),
+			zap.Duration("expected_first_event", s.grant.choice.FirstToken), zap.Duration("run_took", time.Since(s.runAt)),
+			zap.Duration("silent", time.Since(s.lastProgress)), zap.Duration("left", c.remaining(time.Now())),
 			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason), zap.Error(err))
 		if next == forward.Retry {
 			s.delay = delayOf(outcome)
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -179,6 +179,7 @@
 		}
 		s.g.log.Info("path changed", zap.String("request", s.ID), zap.String("first", first.ID),
 			zap.Stringer("result", res.Status), zap.String("part", res.Stage), zap.Int("parts", len(choice.Path)),
+			zap.String("zones", zonesOf(choice.Path)), zap.Duration("expected_first_event", choice.FirstToken),
 			zap.Duration("silent", time.Since(s.lastProgress)), zap.Error(err))
 		if err != nil || res.Status != CommandAccepted {
 			s.grant.cancelAlternative(choice)
