Prefer, not force, paths around replicas that are skipped at random

Cause: with 90 instances a replica is skipped with a probability that grows over nearly its whole KV cache, and a skipped replica was excluded from the choice. On a path of twelve stages often all holders of some layer within a zone were skipped at once, and the path left the zone for these layers whatever the link cost. Prompts queued on the links for seconds, callers left after 2 s without an event, the stuck streams kept their reservations, and the fuller replicas were skipped more often.

Change: a skipped replica costs twice as much instead of being excluded. Others are still chosen where they cost little more, and the second search without skipping is gone.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -53,12 +53,6 @@
 	for range maxSearches {
 		s := &search{fleet: f, now: now, demand: d, constraint: c}
 		choice, ok := s.run()
-		if !ok && s.skipped {
-			// All paths with capacity include a replica that was skipped at random: search
-			// again without skipping.
-			s = &search{fleet: f, now: now, demand: d, constraint: c, neverSkip: true}
-			choice, ok = s.run()
-		}
 		if !ok {
 			return Choice{}, false
 		}
@@ -106,9 +100,6 @@
 	// layerCost and usable are indexed by member.
 	layerCost []float64
 	usable    []bool
-	// skipped is set when a replica with capacity was skipped at random; neverSkip disables
-	// this.
-	skipped, neverSkip bool
 	// crossZoneCosts caches the cost of a transfer between two zones by their indexes; a
 	// value below 0 is not computed yet.
 	crossZoneCosts []float64
@@ -172,14 +163,14 @@
 		freeCapacity := capacity*maxReservedShare - used
 		s.usable[i] = !s.now.Before(m.blockedUntil) && !s.constraint.Avoid[m.ID] &&
 			(s.constraint.IgnoreCapacity || freeCapacity >= 0) && (f.model.Slots == 0 || m.entering < f.model.Slots)
-		if s.usable[i] && !s.neverSkip && !s.constraint.IgnoreCapacity && capacity > 0 && f.skip(used/capacity) {
-			s.usable[i], s.skipped = false, true
-		}
 		if m.ID == s.constraint.First {
 			s.usable[i] = !s.constraint.Avoid[m.ID]
 		}
 		if s.usable[i] {
 			s.layerCost[i] = s.costOfLayer(m, used, capacity) * f.randomCostFactor()
+			if !s.constraint.IgnoreCapacity && capacity > 0 && f.skip(used/capacity) {
+				s.layerCost[i] *= skippedCostFactor
+			}
 		}
 	}
 }
--- a/core/pipeline/cluster_test.go
+++ b/core/pipeline/cluster_test.go
@@ -64,12 +64,16 @@
 }
 
 // exchangeLoad updates an instance with the current load of all others.
-func (c *cluster) exchangeLoad(i int) {
+func (c *cluster) exchangeLoad(now time.Time, i int) {
 	sum := map[string]pipeline.Load{}
+	links := map[pipeline.Link]float64{}
 	for k, f := range c.instances {
 		if k == i {
 			continue
 		}
+		for l, rate := range f.OwnLinkRates(now) {
+			links[l] += rate
+		}
 		for id, l := range f.OwnLoads() {
 			s := sum[id]
 			s.Reserved += l.Reserved
@@ -78,7 +82,7 @@
 			sum[id] = s
 		}
 	}
-	c.instances[i].SetRemoteLoad(func(id string) pipeline.Load { return sum[id] }, func(pipeline.Link) float64 { return 0 })
+	c.instances[i].SetRemoteLoad(func(id string) pipeline.Load { return sum[id] }, func(l pipeline.Link) float64 { return links[l] })
 }
 
 func (c *cluster) reserve(p pipeline.Path, d pipeline.Demand, sign float64) (exceeded bool) {
@@ -110,7 +114,7 @@
 		for i := range lastExchange {
 			if now.Sub(lastExchange[i]) >= period {
 				lastExchange[i] = now
-				c.exchangeLoad(i)
+				c.exchangeLoad(now, i)
 			}
 		}
 		kept := c.running[:0]
@@ -165,6 +169,11 @@
 		f.SetSharing(pipeline.Sharing{Random: c.random.Float64, Uninformed: true})
 	}
 	c.run(1, int(c.capacity()*0.5), time.Hour)
+	require.LessOrEqual(t, c.zoneChanges(), 0.05, "zone changes of a path")
+}
+
+// zoneChanges returns the mean number of zone changes of the paths of running requests.
+func (c *cluster) zoneChanges() float64 {
 	changes := 0
 	for _, r := range c.running {
 		for i := 1; i < len(r.path); i++ {
@@ -173,7 +182,49 @@
 			}
 		}
 	}
-	require.LessOrEqual(t, float64(changes)/float64(len(c.running)), 0.05, "zone changes of a path")
+	return float64(changes) / float64(len(c.running))
+}
+
+// linkUtilization returns the highest utilization of a link between zones in the last second.
+func (c *cluster) linkUtilization(now time.Time) float64 {
+	rates := map[pipeline.Link]float64{}
+	highest := 0.0
+	for _, f := range c.instances {
+		for l, rate := range f.OwnLinkRates(now) {
+			rates[l] += rate
+			highest = max(highest, rates[l]*c.model.ActivationBytes*8/(c.model.LinkMbps*1e6))
+		}
+	}
+	return highest
+}
+
+// Instances pass over replicas that fill at random. On a path of many stages some stage was passed
+// over in all pipelines of a zone, and the request left the zone for its layers. The prompts queued
+// for seconds on the links between zones, their streams kept the replicas full, and more of the
+// next ones were passed over.
+func TestSkippedReplicasDoNotOverloadTheLinks(t *testing.T) {
+	const zones, pipelines, stages, layers, seconds = 4, 2, 16, 5, 8
+	const instances, perSecond, load = 90, 200, 0.5
+	c := newCluster(t, instances, 1)
+	// A link takes 40 of the 200 prompts a second, and the requests, which last five seconds, use
+	// half of the KV cache.
+	c.model.LinkMbps = 40 * 750 * c.model.ActivationBytes * 8 / 1e6
+	kind := c.model.Kinds["small"]
+	kind.MemoryMB = layers*c.model.LayerMB + 890*c.model.KVTokenBytes/80*layers*perSecond*5/(zones*pipelines)/load/1e6
+	c.model.Kinds["small"] = kind
+	c.list = nil
+	for z := range zones {
+		for p := range pipelines {
+			for stage := range stages {
+				c.list = append(c.list, replica(fmt.Sprintf("z%d-%d-%d", z, p, stage), fmt.Sprintf("z%d", z), "small", stage*layers, (stage+1)*layers))
+			}
+		}
+	}
+	for _, f := range c.instances {
+		f.SetReplicas(start, c.list)
+	}
+	c.run(seconds, perSecond, 900*time.Millisecond)
+	require.LessOrEqual(t, c.linkUtilization(start.Add(seconds*time.Second)), 0.5)
 }
 
 // capacity returns the number of average requests that fit at the same time.
--- a/core/pipeline/sharing.go
+++ b/core/pipeline/sharing.go
@@ -20,6 +20,9 @@
 	// maxSkipWidth is the upper bound of that width, so that a nearly empty replica is never
 	// skipped.
 	maxSkipWidth = 0.9
+	// skippedCostFactor multiplies the cost of a skipped replica. It is finite so that a path
+	// uses a skipped replica rather than links between zones that are already in use.
+	skippedCostFactor = 2
 )
 
 // maxRandomCost is the largest random addition to the cost of a replica, relative to the cost,
@@ -49,9 +52,10 @@
 // SetSharing sets the information about other instances.
 func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
 
-// skip reports whether a choice skips a replica that has capacity and whose KV cache is
-// used to the given share. The fastest replicas are the cheapest ones until they are full, and
-// the requests that other instances have placed there become known a few tenths of a second late.
+// skip reports whether a choice avoids, where others cost little more, a replica that has capacity
+// and whose KV cache is used to the given share. The fastest replicas are the cheapest ones until
+// they are full, and the requests that other instances have placed there become known a few tenths
+// of a second late.
 // Without skipping, all instances would together reserve far more than the capacity of such a
 // replica, and requests would wait there for memory. As with random early detection, the replica
 // fills ever more slowly.
