--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -120,7 +120,8 @@
 	}
 	c.lostRuns++
 	k.log.Info("run lost", zap.String("request", c.ID), zap.Stringer("fingerprint", c.fingerprint), zap.Uint64("attempt", run.Run.Attempt),
-		zap.Uint32("run", run.Run.Number), zap.Strings("parts", processNames(processes)), zap.Bool("progressed", progressed), zap.Duration("after", time.Since(sentAt)))
+		zap.Uint32("run", run.Run.Number), zap.Strings("parts", processNames(processes)), zap.Bool("progressed", progressed), zap.Duration("after", time.Since(sentAt)),
+		zap.Strings("shared_parts", c.SharedParts))
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.logCrashes(k.ledger.RecordLostRun(time.Now(), run), "had already ended")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -334,6 +334,9 @@
 		zap.String("replica", c.replica),
 		zap.Stringer("fingerprint", c.fingerprint),
 	}
+	if len(c.SharedParts) > 0 {
+		fields = append(fields, zap.Strings("shared_parts", c.SharedParts))
+	}
 	if c.route != nil {
 		fields = append(fields, zap.String("route", c.route.Name))
 	}
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -29,6 +29,8 @@
 	MaxOutputTokens float64
 	// OutputHint is the client's estimate of the number of output tokens; 0 if not given.
 	OutputHint float64
+	// SharedParts are the IDs of the prompt's parts that other requests may have too, in order.
+	SharedParts []string
 }
 
 // ForwardOptions is what the router adds to the client's headers when it forwards a request.
