Move only as many streams over the links as their callers wait for

Cause: the links between zones were overloaded again, as before by paths that left their zone: all streams through the lost replica move at the same moment, at all instances, and each choice counted its own prompt on the link only.

Change: a move counts the prompts of all streams through the failed replica, which the load messages tell.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -43,6 +43,11 @@
 	Prefilled Path
 	// IgnoreCapacity allows replicas without free KV cache capacity.
 	IgnoreCapacity bool
+	// Within, if above 0, is the time within which the first token is of use.
+	Within time.Duration
+	// Moving is the number of requests of all instances that leave a failed replica at the same
+	// moment as this one. Their prompts share the links that it uses.
+	Moving float64
 }
 
 // Choose returns the cheapest path with enough KV cache capacity for the demand, or false if
@@ -58,13 +63,23 @@
 		}
 		detour := detourStart(choice.Path)
 		if detour == "" {
-			return choice, true
+			return choice, f.inTime(choice.FirstToken, c.Within)
 		}
 		c.Avoid = withMember(c.Avoid, detour)
 	}
 	return Choice{}, false
 }
 
+// inTime reports whether a path with the given expected time to the first token may be used. If it
+// comes too late, the path is used with the probability with which so many of the requests in the
+// same place use it that it comes in time for them.
+func (f *Fleet) inTime(firstToken, within time.Duration) bool {
+	if within <= 0 || firstToken <= within {
+		return true
+	}
+	return f.sharing.Random != nil && f.sharing.Random() < within.Seconds()/firstToken.Seconds()
+}
+
 // maxSearches is the maximum number of searches for one choice.
 const maxSearches = 4
 
@@ -311,7 +326,7 @@
 		}
 		ms += s.fleet.prefillMS(stage, s.demand)
 		if i > 0 && stage.Zone != p[i-1].Zone {
-			ms += s.fleet.linkTransferMS(s.now, stage.Zone, p[i-1].Zone, s.demand)
+			ms += s.fleet.linkTransferMS(s.now, stage.Zone, p[i-1].Zone, s.demand, s.constraint.Moving)
 		}
 	}
 	return time.Duration(ms * float64(time.Millisecond))
--- a/core/pipeline/link.go
+++ b/core/pipeline/link.go
@@ -93,13 +93,14 @@
 }
 
 // linkTransferMS returns the time in milliseconds until the prompt of a request has been sent
-// over a link, queued behind the transfers that wait for it.
-func (f *Fleet) linkTransferMS(now time.Time, a, b string, d Demand) float64 {
+// over a link, queued behind the transfers that wait for it and those of the given number of requests
+// that are moved at the same moment.
+func (f *Fleet) linkTransferMS(now time.Time, a, b string, d Demand, moving float64) float64 {
 	if f.model.LinkMbps <= 0 {
 		return 0
 	}
 	l := f.link(a, b)
 	perToken := f.model.ActivationBytes * bitsPerByte / (f.model.LinkMbps * bytesPerMB) // seconds
 	waiting := max(0, (l.rate(now)+l.remoteRate)*perToken-1) * linkTimeConstant.Seconds()
-	return (waiting + d.Prompt*perToken) * float64(time.Second/time.Millisecond)
+	return (waiting + max(1, moving)*d.Prompt*perToken) * float64(time.Second/time.Millisecond)
 }
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -235,15 +235,19 @@
 // path returns the current path.
 func (g *grant) path() pipeline.Path { return g.choice.Path }
 
-// alternative chooses another path with the same first stage and reserves load on it; it returns
-// false if there is none. The caller must follow with switchPath or cancelAlternative. Streams that
-// leave a failed stage choose at the same time, so each must count those before it.
-func (g *grant) alternative(avoid map[string]bool) (pipeline.Choice, bool) {
+// alternative chooses another path with the same first stage, on which the next event is expected
+// within the given time, and reserves load on it; it returns false if there is none. The caller must
+// follow with switchPath or cancelAlternative. Streams that leave a failed stage choose at the same
+// time, so each must count those before it, and those of other instances.
+func (g *grant) alternative(avoid map[string]bool, within time.Duration) (pipeline.Choice, bool) {
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first := g.choice.Path[0]
-	constraint := pipeline.Constraint{Avoid: avoid, First: first.ID, FirstTo: first.To, Prefilled: g.choice.Path}
+	constraint := pipeline.Constraint{
+		Avoid: avoid, First: first.ID, FirstTo: first.To, Prefilled: g.choice.Path,
+		Within: max(within, 1), Moving: p.sequencesOn(g.choice.Path, avoid),
+	}
 	now := time.Now()
 	c, ok := p.fleet.Choose(now, g.demand, constraint)
 	if !ok {
@@ -259,6 +263,19 @@
 	return c, ok
 }
 
+// sequencesOn returns the number of requests of all instances that pass through the stages to avoid;
+// of several stages the one with the most counts. The lock is held.
+func (p *modelPool) sequencesOn(path pipeline.Path, avoid map[string]bool) float64 {
+	most := 0.0
+	for _, stage := range path {
+		if avoid[stage.ID] {
+			state := p.fleet.State(stage.ID)
+			most = max(most, state.Own.Sequences+state.Remote.Sequences)
+		}
+	}
+	return most
+}
+
 // cancelAlternative removes the load that alternative reserved.
 func (g *grant) cancelAlternative(c pipeline.Choice) {
 	p := g.pool
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -205,7 +205,7 @@
 		var choices []pipeline.Choice
 		for _, g := range grants {
 			g.recordEvent(time.Now())
-			c, ok := g.alternative(map[string]bool{"b": true})
+			c, ok := g.alternative(map[string]bool{"b": true}, time.Minute)
 			require.True(t, ok)
 			count[c.Path[1].ID]++
 			choices = append(choices, c)
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -168,7 +168,7 @@
 		return false
 	}
 	for range maxRepaths {
-		choice, ok := s.grant.alternative(s.excluded)
+		choice, ok := s.grant.alternative(s.excluded, time.Until(s.waitLimit()))
 		if !ok {
 			s.g.log.Info("no alternative path", zap.String("request", s.ID), zap.String("first", first.ID), zap.Int("avoided", len(s.excluded)))
 			return false
