--- a/core/pipeline/cluster_test.go
+++ b/core/pipeline/cluster_test.go
@@ -252,7 +252,9 @@
 	const instances, streams, within = 90, 160, 1250 * time.Millisecond
 	c := newCluster(t, instances, 1)
 	c.model.LinkMbps = 40 * 750 * c.model.ActivationBytes * 8 / 1e6
-	c.list = slices.DeleteFunc(c.list, func(r pipeline.Replica) bool { return strings.HasPrefix(r.ID, "z0-") && r.ID != "z0-0-0" && r.ID != "z0-0-2" && r.ID != "z0-0-3" })
+	c.list = slices.DeleteFunc(c.list, func(r pipeline.Replica) bool {
+		return strings.HasPrefix(r.ID, "z0-") && r.ID != "z0-0-0" && r.ID != "z0-0-2" && r.ID != "z0-0-3"
+	})
 	for _, f := range c.instances {
 		f.SetReplicas(start, c.list)
 	}
