Block parts of prompts that crash each replica

Cause: evidence on crashes was kept against the whole content of a request only, so that a request that differs in one byte began from nothing.

Change: a lost run is evidence against the content and against each shared part of the prompt, by the same ledger: incidents count, a success clears, all instances are told. Sound requests are hit by the same crashes and sent again to the next replica that crashes, so blocks are computed from the evidence as a whole, in any order of arrival: what has most evidence explains the crashes of the others, and of equals the one with the fewest runs and the most contents. A part that always came together with another one is refused only with that one until they are told apart. At most four crashes of a part are kept for a process, so that many runs on one do not fill its history. A stream that ends without an event is no success any more.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -181,6 +181,36 @@
 	}
 }
 
+// TestPromptPartCrashesAtMostThreeReplicas guards against a part of prompts that crashes every
+// replica: requests with it that are otherwise different must crash at most maxCrashes replicas.
+// Requests with the other part of these prompts are served.
+func TestPromptPartCrashesAtMostThreeReplicas(t *testing.T) {
+	for name, format := range map[string]string{
+		"second part": "5a:40,dead:30,%x:700",
+		"first part":  "dead:30,5a:40,%x:700",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, "llm", 4, 2, 0, 4)
+			for _, r := range f.replicas {
+				r.SetBehavior(platformtest.Behavior{CrashOnPart: "dead"})
+			}
+			var last response
+			for k := range 10 {
+				f.instance = f.instances[k%len(f.instances)]
+				last = f.sendPrompt("POST", "/chat/1", "key1", "request "+strconv.Itoa(k), fmt.Sprintf(format, k))
+				f.waitForReplicas()
+			}
+			require.LessOrEqual(t, f.crashes(), maxCrashes)
+			require.Equal(t, 503, last.status, "a blocked request was not executed")
+			require.NotEmpty(t, last.header.Get("Retry-After"))
+			f.eventually(func() bool {
+				return f.sendPrompt("POST", "/chat/1", "key1", "sound", "5a:40,77:700").status == 200
+			}, "requests with the other part are served")
+		})
+	}
+}
+
 // TestBlockedRequestStaysBlockedAtNewInstances guards against losing the evidence against
 // a blocked request when instances are replaced: a new instance must block it, also after
 // all instances were replaced at the same time.
--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -121,9 +121,17 @@
 }
 
 func (env *environment) send(method, path, key, body string) response {
+	return env.sendPrompt(method, path, key, body, "")
+}
+
+// sendPrompt sends a request with a list of the parts of its prompt.
+func (env *environment) sendPrompt(method, path, key, body, parts string) response {
 	env.requests++
 	req, err := platformtest.NewRequest(env.instance.ClientAddr(), method, path, fmt.Sprintf("id-%d", env.requests), key, body)
 	require.NoError(env.t, err)
+	if parts != "" {
+		req.Header.Set("Prompt-Prefix", parts)
+	}
 	resp, err := env.client.Do(req)
 	if err != nil {
 		return response{err: err}
--- a/core/poison/admit.go
+++ b/core/poison/admit.go
@@ -16,7 +16,20 @@
 // Admit returns nil if the attempt may run the request, and the refusal otherwise. Some
 // time after its last crash, a blocked request gets a trial run, but only on the instance
 // that observed that crash.
-func (l *Ledger) Admit(now time.Time, f Fingerprint, attempt uint64) *Refusal {
+func (l *Ledger) Admit(now time.Time, f Fingerprint, attempt uint64, parts ...Fingerprint) *Refusal {
+	l.updateBlocks()
+	if refusal := l.admit(now, f, attempt); refusal != nil {
+		return refusal
+	}
+	for _, part := range parts {
+		if refusal := l.admit(now, part, attempt); refusal != nil && l.hasCompanions(part, f, parts, !l.tracked[part].blocked) {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) admit(now time.Time, f Fingerprint, attempt uint64) *Refusal {
 	r := l.tracked[f]
 	if r == nil {
 		return nil
@@ -44,20 +57,33 @@
 // refuseUnproven refuses a request that is not blocked but would be if processes on the
 // paths of its recently lost runs turn out to have ended.
 func (l *Ledger) refuseUnproven(now time.Time, f Fingerprint, r *crashHistory) *Refusal {
-	unproven := 0
 	var until time.Time
-	for i, run := range l.lostRuns {
-		if at := l.lostAt[i].Add(proofTimeout); run.Fingerprint == f && now.Before(at) {
-			unproven++
-			until = later(until, at)
+	unproven := l.countUnproven(func(i int) bool {
+		at := l.lostAt[i].Add(proofTimeout)
+		if !l.lostRuns[i].concerns(f) || !now.Before(at) {
+			return false
 		}
-	}
+		until = later(until, at)
+		return true
+	})
 	if unproven == 0 || l.weight(f)+float64(unproven) < blockThreshold {
 		return nil
 	}
 	return &Refusal{Crashes: slices.Clone(r.crashes), RetryAfter: until.Sub(now)}
 }
 
+// countUnproven returns how many incidents the matching lost runs are at most: those that began at
+// the same process count once.
+func (l *Ledger) countUnproven(matches func(i int) bool) int {
+	first := map[Process]bool{}
+	for i := range l.lostRuns {
+		if matches(i) {
+			first[l.lostRuns[i].Processes[0]] = true
+		}
+	}
+	return len(first)
+}
+
 // trialAt returns the time from which this instance may run a trial, and whether it may at
 // all.
 func (r *crashHistory) trialAt(last time.Time) (time.Time, bool) {
@@ -69,7 +95,20 @@
 // MayRetry reports whether an attempt may run again after one of its runs was lost. Lost
 // runs of this attempt count as crashes even without proof that a process ended, provided
 // that there is other evidence against the request.
-func (l *Ledger) MayRetry(f Fingerprint, attempt uint64) bool {
+func (l *Ledger) MayRetry(f Fingerprint, attempt uint64, parts ...Fingerprint) bool {
+	l.updateBlocks()
+	if !l.mayRetry(f, attempt) {
+		return false
+	}
+	for _, part := range parts {
+		if !l.mayRetry(part, attempt) && l.hasCompanions(part, f, parts, !l.tracked[part].blocked) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Ledger) mayRetry(f Fingerprint, attempt uint64) bool {
 	r := l.tracked[f]
 	if r == nil {
 		return true
@@ -77,12 +116,9 @@
 	if r.blocked {
 		return false
 	}
-	unproven := 0
-	for _, run := range l.lostRuns {
-		if run.Fingerprint == f && run.Run.Attempt == attempt {
-			unproven++
-		}
-	}
+	unproven := l.countUnproven(func(i int) bool {
+		return l.lostRuns[i].concerns(f) && l.lostRuns[i].Run.Attempt == attempt
+	})
 	return l.weight(f)+float64(unproven) < blockThreshold
 }
 
@@ -97,12 +133,14 @@
 
 // IsBlocked reports whether a request is blocked, regardless of trials.
 func (l *Ledger) IsBlocked(f Fingerprint) bool {
+	l.updateBlocks()
 	r := l.tracked[f]
 	return r != nil && r.blocked
 }
 
 // BlockedCount returns the number of blocked requests.
 func (l *Ledger) BlockedCount() int {
+	l.updateBlocks()
 	n := 0
 	for _, r := range l.tracked {
 		if r.blocked {
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Process identifies one process of a replica. A process ends at most once.
 type Process struct {
@@ -20,7 +23,9 @@
 // LostRun is a run that ended without a complete response.
 type LostRun struct {
 	Fingerprint Fingerprint
-	Run         Run
+	// Parts identify the parts of the prompt that other requests may share.
+	Parts []Fingerprint
+	Run   Run
 	// Processes are the replica processes that the run passed through.
 	Processes []Process
 	// Progressed is true if part of the response had arrived.
@@ -29,7 +34,12 @@
 	SentAt time.Time
 }
 
-// Crash records that a replica process ended while it ran a request.
+// concerns reports whether the run's request has the content or the part.
+func (r *LostRun) concerns(f Fingerprint) bool {
+	return r.Fingerprint == f || slices.Contains(r.Parts, f)
+}
+
+// Crash records that a replica process ended while it ran a request with this content or part.
 type Crash struct {
 	Fingerprint Fingerprint
 	Run         Run
@@ -40,7 +50,8 @@
 	Local bool
 }
 
-// Clearance records that a request succeeded, which disproves crashes attributed to it.
+// Clearance records that a request with this content or part succeeded, which disproves crashes
+// attributed to it.
 type Clearance struct {
 	Fingerprint Fingerprint
 	At          time.Time
--- a/core/poison/fingerprint.go
+++ b/core/poison/fingerprint.go
@@ -6,7 +6,8 @@
 	"encoding/hex"
 )
 
-// Fingerprint identifies the content of a request to a model, independent of the sender.
+// Fingerprint identifies the content of a request to a model, independent of the sender, or a part of
+// prompts that several requests share.
 type Fingerprint [16]byte
 
 // String returns the fingerprint in lower-case hex.
@@ -35,6 +36,20 @@
 	return f
 }
 
+// partSuffix ends the fingerprint of each part.
+const partSuffix = "part"
+
+// FingerprintOfPart returns the fingerprint of a part of prompts, which is the same in the requests of
+// all clients.
+func FingerprintOfPart(service, id string) Fingerprint {
+	f := FingerprintOf(service, id)
+	copy(f[len(f)-len(partSuffix):], partSuffix)
+	return f
+}
+
+// IsPart reports whether the fingerprint is that of a part.
+func (f Fingerprint) IsPart() bool { return string(f[len(f)-len(partSuffix):]) == partSuffix }
+
 // FingerprintFrom converts bytes to a Fingerprint. It returns false if their number is
 // wrong.
 func FingerprintFrom(b []byte) (Fingerprint, bool) {
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -34,21 +34,24 @@
 	trialDuration = 30 * time.Second
 
 	// These limits bound memory: lost runs without proof of a crash, ended processes,
-	// fingerprints with crashes, crashes of one fingerprint, and successes.
-	maxLostRuns    = 1024
-	maxEnded       = 1024
-	maxTracked     = 4096
-	maxCrashesEach = 16
-	maxSuccesses   = 8192
+	// fingerprints with crashes, crashes of one fingerprint, those of them at one process, and
+	// successes.
+	maxLostRuns          = 1024
+	maxEnded             = 1024
+	maxTracked           = 4096
+	maxCrashesEach       = 16
+	maxCrashesPerProcess = 4
+	maxSuccesses         = 8192
 )
 
 // Ledger detects requests that crash every replica they run on, from the observations of
 // this instance and the evidence of others.
 //
 // A lost run becomes evidence only when a process on its path is known to have ended
-// unexpectedly. Crashes that share a process or a run form one incident. Incidents caused
-// by a blocked request are no evidence against the other requests that were running on the
-// same processes. A success clears its fingerprint on every instance.
+// unexpectedly. It is evidence against the content of the request and against each shared part of
+// its prompt. Crashes that share a process or a run form one incident. Incidents caused by a blocked
+// fingerprint are no evidence against the other requests that were running on the same
+// processes. A success clears its fingerprints on every instance.
 //
 // Memory is bounded. A Ledger is not safe for concurrent use.
 type Ledger struct {
@@ -59,8 +62,10 @@
 	ended map[Process]time.Time
 	// tracked holds the crashes by fingerprint.
 	tracked map[Fingerprint]*crashHistory
-	// explainedBy maps crashed processes to the blocked request that caused the crash.
+	// explainedBy maps crashed processes to a blocked fingerprint that caused the crash. It and the
+	// blocks are recomputed when they are needed while blocksValid is not set.
 	explainedBy map[Process]Fingerprint
+	blocksValid bool
 	successes   *successes
 	// clearances are sent to other instances; successes are not.
 	clearances map[Fingerprint]time.Time
@@ -101,10 +106,14 @@
 	}
 }
 
-// RecordLostRun records a run that ended without a complete response. It returns the
-// crashes that are proven at once, because the end of a process on the path is known.
+// RecordLostRun records a run that ended without a complete response, unless it passed through no
+// process. It returns the crashes that are proven at once, because the end of a process on the path
+// is known.
 func (l *Ledger) RecordLostRun(now time.Time, run LostRun) []Crash {
 	l.expireLostRuns(now)
+	if len(run.Processes) == 0 {
+		return nil
+	}
 	for _, process := range run.Processes {
 		if at, ok := l.recentEnd(now, process); ok && !at.Before(run.SentAt) {
 			return l.recordCrash(now, run, process)
@@ -191,21 +200,38 @@
 	l.lostAt = slices.Delete(l.lostAt, i, i+1)
 }
 
-// recordCrash adds the crash of a run dispatched by this instance.
+// recordCrash adds the crash of a run dispatched by this instance: one for its content and for each
+// part.
 func (l *Ledger) recordCrash(now time.Time, run LostRun, r Process) []Crash {
-	c := Crash{Fingerprint: run.Fingerprint, Run: run.Run, Process: r, Progressed: run.Progressed, At: now, Local: true}
-	if !l.add(now, c) {
-		return nil
+	var out []Crash
+	record := func(f Fingerprint) {
+		c := Crash{Fingerprint: f, Run: run.Run, Process: r, Progressed: run.Progressed, At: now, Local: true}
+		if !l.add(now, c) {
+			return
+		}
+		if len(l.updates.Crashes) < maxTracked {
+			l.updates.Crashes = append(l.updates.Crashes, c)
+		}
+		out = append(out, c)
 	}
-	if len(l.updates.Crashes) < maxTracked {
-		l.updates.Crashes = append(l.updates.Crashes, c)
+	record(run.Fingerprint)
+	for _, f := range run.Parts {
+		record(f)
 	}
-	return []Crash{c}
+	return out
 }
 
-// RecordSuccess records a complete response to a request. It reports whether that cleared a
-// fingerprint with crashes.
-func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint) bool {
+// RecordSuccess records a complete response to a request. It reports whether that cleared
+// its content or one of its parts of crashes.
+func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint, parts ...Fingerprint) bool {
+	cleared := l.recordSuccess(now, f)
+	for _, part := range parts {
+		cleared = l.recordSuccess(now, part) || cleared
+	}
+	return cleared
+}
+
+func (l *Ledger) recordSuccess(now time.Time, f Fingerprint) bool {
 	l.successes.add(now, f)
 	if l.tracked[f] == nil {
 		return false
@@ -239,7 +265,10 @@
 		return
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(x Crash) bool { return !x.At.After(c.At.Add(clearedDuration)) })
-	l.updateBlock(c.Fingerprint)
+	l.blocksValid = false
+	if len(r.crashes) == 0 {
+		l.discard(c.Fingerprint)
+	}
 }
 
 // add records one crash. It returns false if the crash is already known or disproved.
@@ -262,13 +291,39 @@
 		r = &crashHistory{}
 		l.tracked[c.Fingerprint] = r
 	}
-	if len(r.crashes) >= maxCrashesEach || slices.ContainsFunc(r.crashes, func(x Crash) bool { return x.Run == c.Run && x.Process == c.Process }) {
+	if !r.insert(c) {
 		return false
 	}
-	l.digestValid = false
-	r.crashes = append(r.crashes, c)
+	l.digestValid, l.blocksValid = false, false
 	r.trialUntil = time.Time{}
-	l.updateBlock(c.Fingerprint)
+	return true
+}
+
+// insert adds a crash and returns false if it is already known or exceeds a limit. Many requests may
+// have a part in common when one process ends: of their crashes those with the lowest hashes are kept,
+// which are the same on all instances.
+func (r *crashHistory) insert(c Crash) bool {
+	same, highest := 0, -1
+	for i := range r.crashes {
+		x := &r.crashes[i]
+		if x.Process != c.Process {
+			continue
+		}
+		if x.Run == c.Run {
+			return false
+		}
+		if same++; highest < 0 || x.hash() > r.crashes[highest].hash() {
+			highest = i
+		}
+	}
+	switch {
+	case same < maxCrashesPerProcess && len(r.crashes) < maxCrashesEach:
+		r.crashes = append(r.crashes, c)
+	case same == maxCrashesPerProcess && c.hash() < r.crashes[highest].hash():
+		r.crashes[highest] = c
+	default:
+		return false
+	}
 	return true
 }
 
@@ -289,40 +344,8 @@
 }
 
 func (l *Ledger) discard(f Fingerprint) {
-	l.digestValid = false
+	l.digestValid, l.blocksValid = false, false
 	delete(l.tracked, f)
-	for r, by := range l.explainedBy {
-		if by == f {
-			delete(l.explainedBy, r)
-		}
-	}
-}
-
-// updateBlock blocks or unblocks a fingerprint after its crashes changed.
-func (l *Ledger) updateBlock(f Fingerprint) {
-	r := l.tracked[f]
-	if len(r.crashes) == 0 {
-		l.discard(f)
-		return
-	}
-	if !r.blocked && l.weight(f) < blockThreshold {
-		return
-	}
-	if r.blocked && len(incidents(r.crashes)) < int(blockThreshold) {
-		r.blocked = false
-		for process, by := range l.explainedBy {
-			if by == f {
-				delete(l.explainedBy, process)
-			}
-		}
-		return
-	}
-	r.blocked = true
-	for _, c := range r.crashes {
-		if _, ok := l.explainedBy[c.Process]; !ok {
-			l.explainedBy[c.Process] = f
-		}
-	}
 }
 
 // expireLostRuns discards lost runs that are older than matchWindow.
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -88,18 +88,27 @@
 	return poison.FingerprintOf(client, string(c.body), c.http.Method, c.http.Host, c.http.RequestURI)
 }
 
+// partFingerprintsOf identifies the parts of the request's prompt that other requests may share.
+func partFingerprintsOf(c *call) []poison.Fingerprint {
+	var out []poison.Fingerprint
+	for _, id := range c.SharedParts {
+		out = append(out, poison.FingerprintOfPart(c.service.Name, id))
+	}
+	return out
+}
+
 // admit returns the refusal of a blocked request, or nil.
 func (k *crashGuard) admit(c *call) *poison.Refusal {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ledger.Admit(time.Now(), c.fingerprint, attemptOf(c))
+	return k.ledger.Admit(time.Now(), c.fingerprint, attemptOf(c), c.partFingerprints...)
 }
 
 // mayRetry reports whether a request whose run was lost may run again.
 func (k *crashGuard) mayRetry(c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ledger.MayRetry(c.fingerprint, attemptOf(c))
+	return k.ledger.MayRetry(c.fingerprint, attemptOf(c), c.partFingerprints...)
 }
 
 // attemptOf returns the hash that identifies the client's attempt.
@@ -113,6 +122,7 @@
 	}
 	run := poison.LostRun{
 		Fingerprint: c.fingerprint,
+		Parts:       c.partFingerprints,
 		Run:         poison.Run{Attempt: attemptOf(c), Number: c.lostRuns},
 		Processes:   processes,
 		Progressed:  progressed,
@@ -157,7 +167,7 @@
 			zap.Uint64("attempt", c.Run.Attempt), zap.Uint32("run", c.Run.Number),
 			zap.Int("incidents", k.ledger.Incidents(c.Fingerprint)))
 		if k.ledger.IsBlocked(c.Fingerprint) {
-			k.log.Warn("request is blocked", zap.Stringer("fingerprint", c.Fingerprint), crashField(k.ledger.CrashesOf(c.Fingerprint)))
+			k.log.Warn("request is blocked", zap.Stringer("fingerprint", c.Fingerprint), zap.Bool("part", c.Fingerprint.IsPart()), crashField(k.ledger.CrashesOf(c.Fingerprint)))
 		}
 	}
 }
@@ -179,11 +189,12 @@
 }
 
 // recordSuccess records that a request got a complete response.
-func (k *crashGuard) recordSuccess(f poison.Fingerprint) {
+func (k *crashGuard) recordSuccess(c *call) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ledger.RecordSuccess(time.Now(), f) {
-		k.log.Info("crash evidence of a request cleared after a success", zap.Stringer("fingerprint", f))
+	if k.ledger.RecordSuccess(time.Now(), c.fingerprint, c.partFingerprints...) {
+		k.log.Info("crash evidence of a request cleared after a success", zap.String("request", c.ID),
+			zap.Stringer("fingerprint", c.fingerprint), zap.Strings("shared_parts", c.SharedParts))
 	}
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -150,6 +150,8 @@
 	// fingerprint identifies the content of the request; it is the same for later attempts
 	// of the client.
 	fingerprint poison.Fingerprint
+	// partFingerprints identify the parts of the prompt that other requests may share.
+	partFingerprints []poison.Fingerprint
 	// lostRuns counts the runs of this attempt that were lost.
 	lostRuns uint32
 	// memory accounts for the memory of the buffered response.
@@ -181,7 +183,7 @@
 		return
 	}
 	c.body = body
-	c.fingerprint = fingerprintOf(c)
+	c.fingerprint, c.partFingerprints = fingerprintOf(c), partFingerprintsOf(c)
 	if g.refuseBlocked(c) {
 		return
 	}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -118,7 +118,7 @@
 	outcome, response, err := g.exchangePlain(ctx, c, replica, !h.Idempotent, pool)
 	switch {
 	case outcome == forward.Responded && response.status < http.StatusMultipleChoices:
-		g.crashes.recordSuccess(c.fingerprint)
+		g.crashes.recordSuccess(c)
 	case outcome == forward.Lost && mayBeCrash(err) && !errors.Is(c.http.Context().Err(), context.Canceled) && pool.listed(replica):
 		r := g.crashes.process(poison.Process{Replica: replica.ID, StartTime: replica.StartTime}, sent)
 		g.crashes.recordLostRun(c, []poison.Process{r}, sent, false)
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -67,7 +67,9 @@
 func (s *stream) handleEvent(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
 	if errors.Is(ev.err, io.EOF) {
 		s.writeHead(resp)
-		s.g.crashes.recordSuccess(s.fingerprint)
+		if s.relayed > 0 {
+			s.g.crashes.recordSuccess(s.call)
+		}
 		s.g.logEnd(s.call, resp.Status, "delivered", zap.Int("events", s.relayed), zap.Int("parts", len(s.grant.path())),
 			zap.Duration("first_event", s.firstEvent), zap.String("first_event_cause", s.firstEventCause),
 			zap.Duration("longest_pause", s.longestGap), zap.String("pause_cause", s.longestGapCause), zap.Int("repaths", s.repaths), zap.String("zones", zonesOf(s.grant.path())))
