--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -43,7 +43,7 @@
 	Prefilled Path
 	// IgnoreCapacity allows replicas without free KV cache capacity.
 	IgnoreCapacity bool
-	// Within, if above 0, is the time within which the first token is of use.
+	// Within, if above 0, is how long the client still waits for the next token.
 	Within time.Duration
 	// Moving is the number of requests of all instances that leave a failed replica at the same
 	// moment as this one. Their prompts share the links that it uses.
@@ -70,9 +70,9 @@
 	return Choice{}, false
 }
 
-// inTime reports whether a path with the given expected time to the first token may be used. If it
-// comes too late, the path is used with the probability with which so many of the requests in the
-// same place use it that it comes in time for them.
+// inTime reports whether to use a path with the given expected time to the first token. A path that is
+// too slow because many requests move to it is used at random, by the share of them that it can
+// serve in time.
 func (f *Fleet) inTime(firstToken, within time.Duration) bool {
 	if within <= 0 || firstToken <= within {
 		return true
