Progress clears the parts of a prompt, and equal evidence blocks all parts

A popular sound part was hit by each crash as often as the deadly one, before a request with it was complete; at two instances it had more contents, was blocked in place of the deadly part and explained its crashes, and such requests ran on for 3 s.

Cause: only complete responses cleared parts, and the number of contents decided between parts with the same evidence.

Of parts with the same evidence all that came in several contents are blocked.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -114,6 +114,10 @@
 	if len(run.Processes) == 0 {
 		return nil
 	}
+	if run.Progressed {
+		// A part that crashes replicas lets no answer begin.
+		run.Parts = nil
+	}
 	for _, process := range run.Processes {
 		if at, ok := l.recentEnd(now, process); ok && !at.Before(run.SentAt) {
 			return l.recordCrash(now, run, process)
@@ -225,6 +229,13 @@
 // its content or one of its parts of crashes.
 func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint, parts ...Fingerprint) bool {
 	cleared := l.recordSuccess(now, f)
+	return l.RecordProgress(now, parts...) || cleared
+}
+
+// RecordProgress records that a response to a request with the parts has begun and goes on. It reports
+// whether that cleared one of them of crashes.
+func (l *Ledger) RecordProgress(now time.Time, parts ...Fingerprint) bool {
+	cleared := false
 	for _, part := range parts {
 		cleared = l.recordSuccess(now, part) || cleared
 	}
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -47,8 +47,8 @@
 // likeliest returns those of the given fingerprints that have to be blocked next, or none if there is
 // too little evidence against each: of those against which there was enough first, the ones with
 // the most evidence. If several have the same evidence, it prefers those whose crashed runs are all
-// among the runs of the others, as these also ran without them, and then those that more different
-// contents had in common.
+// among the runs of the others, as these also ran without them, and then parts that several contents
+// had in common.
 func (l *Ledger) likeliest(open []Fingerprint) []Fingerprint {
 	reached := map[Fingerprint]time.Time{}
 	var first time.Time
@@ -84,22 +84,23 @@
 			out = append(out, f)
 		}
 	}
-	contents := make(map[Fingerprint]int, len(out))
+	var common []Fingerprint
 	for _, f := range out {
-		contents[f] = l.contents(f)
+		if l.inSeveralContents(f) {
+			common = append(common, f)
+		}
 	}
-	widest := 0
-	for _, n := range contents {
-		widest = max(widest, n)
+	if len(common) > 0 {
+		return common
 	}
-	return slices.DeleteFunc(out, func(f Fingerprint) bool { return contents[f] < widest })
+	return out
 }
 
-// contents returns the number of different contents among the crashed runs of a fingerprint, as far
-// as they are known.
-func (l *Ledger) contents(f Fingerprint) int {
+// inSeveralContents reports whether a fingerprint is that of a part and its crashed runs had different
+// contents.
+func (l *Ledger) inSeveralContents(f Fingerprint) bool {
 	if !f.IsPart() {
-		return 1
+		return false
 	}
 	runs := map[Run]bool{}
 	for _, c := range l.tracked[f].crashes {
@@ -111,7 +112,7 @@
 			n++
 		}
 	}
-	return n
+	return n > 1
 }
 
 // thresholdReached returns when the evidence against a fingerprint became enough to block it.
--- a/core/poison/suspects_test.go
+++ b/core/poison/suspects_test.go
@@ -135,3 +135,19 @@
 	}
 	require.True(t, newPrompt("a", "shared", "dead").refused(l, start))
 }
+
+// Requests with a popular part were hit by each crash before one of them was complete, and as often as
+// those with the deadly part. The popular part was taken for the cause, and the deadly one went on.
+func TestPopularPartIsNotTakenForTheDeadlyOne(t *testing.T) {
+	l := NewLedger(retention)
+	popular := func(i, k int) prompt { return newPrompt(fmt.Sprint("sound", i, k), "popular") }
+	for i := range 4 {
+		crashUnder(l, start.Add(time.Duration(i)*300*time.Millisecond), process(fmt.Sprint(i), 1),
+			popular(i, 0), popular(i, 1), newPrompt(fmt.Sprint("deadly", i%2), "shared", "dead"))
+	}
+	now := start.Add(2 * time.Second)
+	require.True(t, newPrompt("deadly3", "shared", "dead").refused(l, now))
+	l.RecordProgress(now, popular(0, 0).parts...)
+	require.False(t, popular(9, 9).refused(l, now))
+	require.True(t, newPrompt("deadly3", "shared", "dead").refused(l, now))
+}
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -198,6 +198,18 @@
 	}
 }
 
+// recordProgress records that the response to a request goes on after its beginning.
+func (k *crashGuard) recordProgress(c *call) {
+	if len(c.partFingerprints) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger.RecordProgress(time.Now(), c.partFingerprints...) {
+		k.log.Info("crash evidence of parts of a prompt cleared after progress", zap.String("request", c.ID), zap.Strings("shared_parts", c.SharedParts))
+	}
+}
+
 // process returns the process that received a run: the listed one, or a later one if that
 // had ended before.
 func (k *crashGuard) process(listed poison.Process, sentAt time.Time) poison.Process {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -66,6 +66,8 @@
 	// runAt is when the current run began, runFirstEvent when its first event arrived.
 	runAt         time.Time
 	runFirstEvent time.Time
+	// progressRecorded is true once an attempt's progress has cleared the parts of its prompt.
+	progressRecorded bool
 }
 
 // serveModel runs a request on a path through all layers, and retries on another path as
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -105,6 +105,10 @@
 	if s.runFirstEvent.IsZero() {
 		s.runFirstEvent = now
 	}
+	if !s.progressRecorded && s.progressed() {
+		s.progressRecorded = true
+		s.g.crashes.recordProgress(s.call)
+	}
 	return false, 0, nil
 }
 
