Skipped replicas cost more the fuller they are

Cause: a constant factor is too little where a replica is about to be full, which is what skipping guards against.

Change: the factor is 1 / (1 - share of the usable KV cache that is in use), 50 at most: 1.5 to 2 where many instances skip replicas with room, much where few room is left.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -184,7 +184,7 @@
 		if s.usable[i] {
 			s.layerCost[i] = s.costOfLayer(m, used, capacity) * f.randomCostFactor()
 			if !s.constraint.IgnoreCapacity && capacity > 0 && f.skip(used/capacity) {
-				s.layerCost[i] *= skippedCostFactor
+				s.layerCost[i] *= skippedCostFactor(used / capacity)
 			}
 		}
 	}
--- a/core/pipeline/sharing.go
+++ b/core/pipeline/sharing.go
@@ -20,9 +20,8 @@
 	// maxSkipWidth is the upper bound of that width, so that a nearly empty replica is never
 	// skipped.
 	maxSkipWidth = 0.9
-	// skippedCostFactor multiplies the cost of a skipped replica. It is finite so that a path
-	// uses a skipped replica rather than links between zones that are already in use.
-	skippedCostFactor = 2
+	// maxSkippedCostFactor is the upper bound of the factor for the cost of a skipped replica.
+	maxSkippedCostFactor = 50
 )
 
 // maxRandomCost is the largest random addition to the cost of a replica, relative to the cost,
@@ -52,6 +51,14 @@
 // SetSharing sets the information about other instances.
 func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
 
+// skippedCostFactor returns the factor for the cost of a skipped replica whose KV cache is used to the
+// given share. It is small while the replica has room, so that a path uses it rather than links
+// between zones, and large when it may be full before the request arrives.
+func skippedCostFactor(utilization float64) float64 {
+	free := 1 - utilization/maxReservedShare
+	return 1 / max(free, 1.0/maxSkippedCostFactor)
+}
+
 // skip reports whether a choice avoids, where others cost little more, a replica that has capacity
 // and whose KV cache is used to the given share. The fastest replicas are the cheapest ones until
 // they are full, and the requests that other instances have placed there become known a few tenths
