--- a/core/pipeline/cluster_test.go
+++ b/core/pipeline/cluster_test.go
@@ -205,7 +205,7 @@
 // for seconds on the links between zones, their streams kept the replicas full, and more of the
 // next ones were passed over.
 func TestSkippedReplicasDoNotOverloadTheLinks(t *testing.T) {
-	const zones, pipelines, stages, layers, seconds = 4, 2, 16, 5, 8
+	const zones, pipelines, stages, layers, seconds = 4, 2, 16, 5, 6
 	const instances, perSecond, load = 90, 200, 0.5
 	c := newCluster(t, instances, 1)
 	// A link takes 40 of the 200 prompts a second, and the requests, which last five seconds, use
