Draw once for a move that the links may not carry in time

Cause: alternative searched again without regard to capacity when the first choice was turned down, also when that was for its time, and drew a second time: three quarters moved in place of half. Hypothesis: callers of the moved streams leave again, as before, where links take a part of them only.

Change: core decides on moves (pipeline.Fleet.ChooseMove), with one draw after both searches; node/gateway only reports.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -43,11 +43,9 @@
 	Prefilled Path
 	// IgnoreCapacity allows replicas without free KV cache capacity.
 	IgnoreCapacity bool
-	// Within, if above 0, is how long the client still waits for the next token.
-	Within time.Duration
-	// Moving is the number of requests of all instances that leave a failed replica at the same
+	// moving is the number of requests of all instances that leave a failed replica at the same
 	// moment as this one. Their prompts share the links that it uses.
-	Moving float64
+	moving float64
 }
 
 // Choose returns the cheapest path with enough KV cache capacity for the demand, or false if
@@ -63,23 +61,13 @@
 		}
 		detour := detourStart(choice.Path)
 		if detour == "" {
-			return choice, f.inTime(choice.FirstToken, c.Within)
+			return choice, true
 		}
 		c.Avoid = withMember(c.Avoid, detour)
 	}
 	return Choice{}, false
 }
 
-// inTime reports whether to use a path with the given expected time to the first token. A path that is
-// too slow because many requests move to it is used at random, by the share of them that it can
-// serve in time.
-func (f *Fleet) inTime(firstToken, within time.Duration) bool {
-	if within <= 0 || firstToken <= within {
-		return true
-	}
-	return f.sharing.Random != nil && f.sharing.Random() < within.Seconds()/firstToken.Seconds()
-}
-
 // maxSearches is the maximum number of searches for one choice.
 const maxSearches = 4
 
@@ -326,7 +314,7 @@
 		}
 		ms += s.fleet.prefillMS(stage, s.demand)
 		if i > 0 && stage.Zone != p[i-1].Zone {
-			ms += s.fleet.linkTransferMS(s.now, stage.Zone, p[i-1].Zone, s.demand, s.constraint.Moving)
+			ms += s.fleet.linkTransferMS(s.now, stage.Zone, p[i-1].Zone, s.demand, s.constraint.moving)
 		}
 	}
 	return time.Duration(ms * float64(time.Millisecond))
--- a/core/pipeline/cluster_test.go
+++ b/core/pipeline/cluster_test.go
@@ -249,35 +249,57 @@
 // The only replica of a zone with some layers dies under 160 streams, which all move to paths that
 // cross two links. The prompts of all of them took seconds on the links, and every caller left.
 func TestMovedStreamsDoNotOverloadTheLinks(t *testing.T) {
-	const instances, streams, within = 90, 160, 1250 * time.Millisecond
-	c := newCluster(t, instances, 1)
-	c.model.LinkMbps = 40 * 750 * c.model.ActivationBytes * 8 / 1e6
-	c.list = slices.DeleteFunc(c.list, func(r pipeline.Replica) bool {
-		return strings.HasPrefix(r.ID, "z0-") && r.ID != "z0-0-0" && r.ID != "z0-0-2" && r.ID != "z0-0-3"
-	})
-	for _, f := range c.instances {
-		f.SetReplicas(start, c.list)
-	}
-	d := pipeline.Demand{Prompt: 750, Output: 140}
-	tokens := map[pipeline.Link]float64{}
-	moved := 0
-	for i := range streams {
-		f := c.instances[i%instances]
-		choice, ok := f.Choose(start, d, pipeline.Constraint{First: "z0-0-0", FirstTo: 20, IgnoreCapacity: true, Within: within, Moving: streams})
-		if !ok {
-			continue
-		}
-		moved++
-		f.Reserve(start, choice.Path, d)
-		for k := 1; k < len(choice.Path); k++ {
-			if a, b := choice.Path[k-1].Zone, choice.Path[k].Zone; a != b {
-				tokens[pipeline.LinkBetween(a, b)] += d.Prompt
+	for name, full := range map[string]bool{"room": false, "no room": true} {
+		t.Run(name, func(t *testing.T) {
+			const instances, streams, within = 90, 160, 1250 * time.Millisecond
+			c := newCluster(t, instances, 1)
+			c.model.LinkMbps = 40 * 750 * c.model.ActivationBytes * 8 / 1e6
+			c.list = slices.DeleteFunc(c.list, func(r pipeline.Replica) bool {
+				return strings.HasPrefix(r.ID, "z0-") && !strings.HasPrefix(r.ID, "z0-0-")
+			})
+			d := pipeline.Demand{Prompt: 750, Output: 140}
+			var present pipeline.Path
+			for stage := range 4 {
+				present = append(present, pipeline.Stage{ID: fmt.Sprint("z0-0-", stage), Zone: "z0", From: stage * 20, To: stage*20 + 20})
 			}
-		}
-	}
-	require.Positive(t, moved)
-	for link, n := range tokens {
-		seconds := n * c.model.ActivationBytes * 8 / (c.model.LinkMbps * 1e6)
-		require.LessOrEqual(t, seconds, 2.0, "the prompts of %d moved streams on link %v: callers leave after two seconds", moved, link)
+			for _, f := range c.instances {
+				f.SetReplicas(start, c.list)
+			}
+			for i := range streams {
+				c.instances[i%instances].Reserve(start, present, d)
+			}
+			load := func(id string) pipeline.Load {
+				l := pipeline.Load{}
+				if strings.HasPrefix(id, "z0-") {
+					l.Sequences = streams
+				}
+				if full {
+					l.Reserved = c.model.CacheCapacity("small", 20)
+				}
+				return l
+			}
+			tokens := map[pipeline.Link]float64{}
+			moved := 0
+			for i := range streams {
+				f := c.instances[i%instances]
+				f.SetRemoteLoad(load, func(pipeline.Link) float64 { return 0 })
+				choice, ok := f.ChooseMove(start, d, present, map[string]bool{"z0-0-1": true}, within)
+				if !ok {
+					continue
+				}
+				moved++
+				for k := 1; k < len(choice.Path); k++ {
+					if a, b := choice.Path[k-1].Zone, choice.Path[k].Zone; a != b {
+						tokens[pipeline.LinkBetween(a, b)] += d.Prompt
+					}
+				}
+			}
+			require.Positive(t, moved)
+			for link, n := range tokens {
+				seconds := n * c.model.ActivationBytes * 8 / (c.model.LinkMbps * 1e6)
+				t.Logf("%d moved, %.2f s on %v", moved, seconds, link)
+				require.LessOrEqual(t, seconds, within.Seconds(), "the callers of %d moved streams leave", moved)
+			}
+		})
 	}
 }
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -243,19 +243,8 @@
 	p := g.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	first := g.choice.Path[0]
-	constraint := pipeline.Constraint{
-		Avoid: avoid, First: first.ID, FirstTo: first.To, Prefilled: g.choice.Path,
-		Within: max(within, 1), Moving: p.sequencesOn(g.choice.Path, avoid),
-	}
 	now := time.Now()
-	c, ok := p.fleet.Choose(now, g.demand, constraint)
-	if !ok {
-		// The stage that takes over may have free capacity nevertheless, as reserved load
-		// is an estimate.
-		constraint.IgnoreCapacity = true
-		c, ok = p.fleet.Choose(now, g.demand, constraint)
-	}
+	c, ok := p.fleet.ChooseMove(now, g.demand, g.choice.Path, avoid, within)
 	if ok {
 		p.fleet.Reserve(now, c.Path, g.demand)
 		p.fleet.AdjustPrefill(c.Path.Without(g.choice.Path), g.demand, 1)
@@ -263,19 +252,6 @@
 	return c, ok
 }
 
-// sequencesOn returns the number of requests of all instances that pass through the stages to avoid;
-// of several stages the one with the most counts. The lock is held.
-func (p *modelPool) sequencesOn(path pipeline.Path, avoid map[string]bool) float64 {
-	most := 0.0
-	for _, stage := range path {
-		if avoid[stage.ID] {
-			state := p.fleet.State(stage.ID)
-			most = max(most, state.Own.Sequences+state.Remote.Sequences)
-		}
-	}
-	return most
-}
-
 // cancelAlternative removes the load that alternative reserved.
 func (g *grant) cancelAlternative(c pipeline.Choice) {
 	p := g.pool
