--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -130,7 +130,7 @@
 	req, err := platformtest.NewRequest(env.instance.ClientAddr(), method, path, fmt.Sprintf("id-%d", env.requests), key, body)
 	require.NoError(env.t, err)
 	if parts != "" {
-		req.Header.Set("Prompt-Prefix", parts)
+		platformtest.SetPromptParts(req, parts)
 	}
 	resp, err := env.client.Do(req)
 	if err != nil {
