--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"runtime"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -253,6 +254,7 @@
 		MaxRequests:       maxRequests,
 		IdleTimeout:       idleTimeout,
 		ClosedCheckPeriod: disconnectCheckInterval,
+		OnDelay:           i.reportDelay,
 		Handler:           i.gateway,
 		ServerErrorBody:   malformedBody,
 	})
@@ -271,6 +273,13 @@
 	return trace.Wrap(err)
 }
 
+// reportDelay logs that the process got the processor late, so that all it knows is older than usual.
+func (i *Instance) reportDelay(d time.Duration) {
+	i.metrics.ProcessDelayed(d)
+	i.log.Warn("process was delayed", zap.Duration("delay", d), zap.Int("requests", i.metrics.InFlight()),
+		zap.Int("goroutines", runtime.NumGoroutine()))
+}
+
 // startAuxiliary starts a server with low limits for a listener that is not for clients.
 func (i *Instance) startAuxiliary(address string, h http.Handler) (*httpserver.Server, error) {
 	return httpserver.Start(httpserver.Options{
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -195,6 +195,7 @@
 		return err
 	}
 	c.reportMalformed(malformed)
+	c.opts.Gateway.RecordListRead()
 	c.mu.Lock()
 	c.feed.Reset(cursor)
 	changes := c.roster.Replace(time.Now(), list)
@@ -217,6 +218,7 @@
 		return err
 	}
 	c.reportMalformed(malformed)
+	c.opts.Gateway.RecordListRead()
 	c.mu.Lock()
 	fresh, follows := c.feed.ApplyRead(updates)
 	fresh.List = c.update(fresh.List)
@@ -262,6 +264,7 @@
 
 // ApplyUpdates applies updates that the leader has read.
 func (c *Control) ApplyUpdates(u roster.Updates) {
+	c.opts.Gateway.RecordListRead()
 	c.mu.Lock()
 	changed := c.update(c.feed.ApplyForwarded(time.Now(), u))
 	c.readDelay = c.randomReadDelay()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"masticbank.example/core/routing"
 	"masticbank.example/node/bounded"
 	"masticbank.example/node/exchange"
+	"masticbank.example/node/httpserver"
 )
 
 const (
@@ -92,6 +93,9 @@
 	// drainAfter is the Unix time in nanoseconds after which new model requests are refused;
 	// 0 unless the instance shuts down.
 	drainAfter atomic.Int64
+	// listReadAt is the Unix time in nanoseconds at which the list of replicas was last read
+	// here or by another instance that told this one; 0 before.
+	listReadAt atomic.Int64
 	// started is when the gateway was created. observed is the time from then until the
 	// reports of all replicas were last read here or received from another instance.
 	started  time.Time
@@ -140,6 +144,10 @@
 	workspace string
 	rank      int
 	arrival   time.Time
+	// handlerWait is the time from the first byte read of the request to the start of its
+	// handler, lastSend when it was last sent to a replica.
+	handlerWait time.Duration
+	lastSend    time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
 	// deadlineSource names which of the two applies: "caller" (the client's) or "route".
@@ -167,6 +175,9 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Request: g.opts.Codec.Request(r.Header), http: r, writer: w, arrival: time.Now(), memory: g.memory.NewReservation()}
 	defer c.memory.Release()
+	if at, ok := httpserver.ReceivedAt(r.Context()); ok {
+		c.handlerWait = c.arrival.Sub(at)
+	}
 	g.opts.Metrics.RequestStarted()
 	defer g.opts.Metrics.RequestEnded()
 	g.awaitReady(c)
@@ -335,6 +346,10 @@
 		zap.Int("sends", c.sends),
 		zap.String("replica", c.replica),
 		zap.Stringer("fingerprint", c.fingerprint),
+		zap.Duration("handler_wait", c.handlerWait),
+	}
+	if !c.lastSend.IsZero() {
+		fields = append(fields, zap.Duration("last_send", c.lastSend.Sub(c.arrival)))
 	}
 	if len(c.SharedParts) > 0 {
 		fields = append(fields, zap.Strings("shared_parts", c.SharedParts))
@@ -347,7 +362,8 @@
 
 // newRequest builds the request to a replica.
 func (g *Gateway) newRequest(c *call, opts ForwardOptions, fresh bool) *exchange.Request {
-	opts.Deadline = c.remaining(time.Now())
+	c.lastSend = time.Now()
+	opts.Deadline = c.remaining(c.lastSend)
 	opts.Workspace = c.workspace
 	host := c.http.Header.Get("Host")
 	if host == "" {
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -35,7 +35,9 @@
 	// crashes counts replicas that ended while they ran a request of this instance, once
 	// per request. blocked is the number of requests that are refused because of such
 	// crashes.
-	crashes         uint64
+	crashes uint64
+	// delays holds the times by which the process got the processor late.
+	delays          map[string]*hdrhistogram.Histogram
 	blocked         int
 	totalTimes      map[string]*hdrhistogram.Histogram
 	firstEventTimes map[string]*hdrhistogram.Histogram
@@ -46,6 +48,7 @@
 	return &Metrics{
 		outcomes:        map[string]uint64{},
 		denied:          map[string]uint64{},
+		delays:          map[string]*hdrhistogram.Histogram{},
 		totalTimes:      map[string]*hdrhistogram.Histogram{},
 		firstEventTimes: map[string]*hdrhistogram.Histogram{},
 	}
@@ -100,6 +103,13 @@
 	m.blocked = n
 }
 
+// ProcessDelayed records the time by which the process got the processor late.
+func (m *Metrics) ProcessDelayed(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	record(m.delays, "process", d)
+}
+
 // FirstEvent records the time to the first event of a stream.
 func (m *Metrics) FirstEvent(rank int, took time.Duration) {
 	m.mu.Lock()
@@ -145,6 +155,7 @@
 		"blocked":     m.blocked,
 		"request":     summaries(m.totalTimes),
 		"first_event": summaries(m.firstEventTimes),
+		"delays":      summaries(m.delays),
 	})
 	if err != nil {
 		return strconv.Quote(err.Error())
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -241,7 +241,7 @@
 		return forward.Lost, errResponseMismatch
 	case info.NotRun:
 		drainBody(resp)
-		s.handleRejection(info, first)
+		s.handleRejection(resp.Status, info, first)
 		return forward.Rejected, nil
 	case lacksSignature(resp.Status, info):
 		resp.Discard()
@@ -309,7 +309,7 @@
 
 // handleRejection keeps new paths away from the stage that rejected the request, and
 // reports a rejection despite free capacity to the other instances.
-func (s *stream) handleRejection(info Response, first pipeline.Stage) {
+func (s *stream) handleRejection(status int, info Response, first pipeline.Stage) {
 	id := s.pool.idAt(info.FailingStage)
 	if id == "" {
 		id = first.ID
@@ -318,7 +318,7 @@
 	state := s.pool.state(id)
 	s.g.log.Info("stage rejected a request", zap.String("request", s.ID), zap.String("part", id),
 		zap.Bool("first", id == first.ID), zap.Int("from", state.From), zap.Int("to", state.To),
-		zap.Duration("after", time.Since(s.lastProgress)),
+		zap.Duration("after", time.Since(s.lastProgress)), zap.Int("status", status), zap.Duration("list_age", s.g.listAge()),
 		zap.Float64("room", state.CacheCapacity), zap.Float64("own", state.Own.Reserved), zap.Float64("foreign", state.Remote.Reserved))
 	immediate := time.Since(s.lastProgress) < immediateRejection && !state.RejectsForMemory()
 	if count := s.pool.recordRejection(id, immediate); count > 0 && s.g.opts.OnRejected != nil {
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -158,6 +158,8 @@
 		g.logPause(c.ID, replica.ID, info.Pause, pool.pause(replica, info.Pause))
 	}
 	if info.NotRun {
+		g.log.Info("replica rejected a request", zap.String("request", c.ID), zap.String("replica", replica.ID),
+			zap.Int("status", resp.Status), zap.Duration("list_age", g.listAge()))
 		drainBody(resp)
 		return forward.Rejected, nil, nil
 	}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -26,6 +26,19 @@
 	g.routes.Store(t)
 }
 
+// RecordListRead records that the list of replicas was read, or that another instance has sent what
+// it read, whether or not anything changed.
+func (g *Gateway) RecordListRead() { g.listReadAt.Store(time.Now().UnixNano()) }
+
+// listAge returns the time since the list of replicas was last read, for log lines.
+func (g *Gateway) listAge() time.Duration {
+	at := g.listReadAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, at))
+}
+
 // SetReplicas replaces the list of usable replicas of each service.
 func (g *Gateway) SetReplicas(usable func(service string) []roster.Entry) {
 	t := g.routes.Load()
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -29,6 +29,8 @@
 	// closeGracePeriod is the time for which the server waits for a client to close its
 	// connection before it does so itself.
 	closeGracePeriod = 2 * time.Second
+	// reportedDelay is the lateness of a periodic check that is reported.
+	reportedDelay = 250 * time.Millisecond
 	// rejectGracePeriod is the time for which a connection stays open after the
 	// response to a message that cannot be parsed, so that the client can read it.
 	rejectGracePeriod = time.Second
@@ -51,6 +53,10 @@
 	ClosedCheckPeriod time.Duration
 	// Handler handles the requests.
 	Handler http.Handler
+	// OnDelay, if set, is called with the delay when a periodic check ran late by more than
+	// reportedDelay: the process did not get the processor, or its work took it. It must not
+	// block.
+	OnDelay func(time.Duration)
 	// ServerErrorBody returns the body of a response that the server writes by itself:
 	// to a message that cannot be parsed, or to a request during shutdown. It must be
 	// safe for concurrent use.
@@ -176,7 +182,8 @@
 	defer s.active.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	ctx, cancel := context.WithCancel(context.Background())
+	info := &requestInfo{receivedAt: time.Now()}
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), requestInfoKey{}, info))
 	defer cancel()
 	conn := connOf(w)
 	if conn != nil {
@@ -186,7 +193,7 @@
 		deferClose(w, r, conn)
 		// The idle timeout applies between requests, not during one.
 		_ = conn.SetReadDeadline(time.Time{})
-		s.track(conn, cancel)
+		s.track(conn, cancel, info)
 		defer s.untrack(conn)
 	}
 	s.opts.Handler.ServeHTTP(newWriter(w, conn), r.WithContext(ctx))
@@ -259,12 +266,15 @@
 	}
 }
 
-// track registers the cancel function of a request in progress.
-func (s *Server) track(c *nbio.Conn, cancel context.CancelFunc) {
+// track registers the cancel function of a request in progress and completes its info.
+func (s *Server) track(c *nbio.Conn, cancel context.CancelFunc, info *requestInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests[c] = cancel
 	if st := s.connections[c]; st != nil {
+		if st.receiving {
+			info.receivedAt = st.receivedAt
+		}
 		st.served, st.receiving = true, false
 	}
 }
@@ -313,11 +323,13 @@
 	defer close(s.watchDone)
 	ticker := time.NewTicker(s.opts.ClosedCheckPeriod)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			last = s.reportDelay(last)
 			s.cancelClosed()
 			s.removeFlushed()
 			if s.draining.Load() {
@@ -327,6 +339,15 @@
 	}
 }
 
+// reportDelay reports a check that runs late after the last one, and returns its time.
+func (s *Server) reportDelay(last time.Time) time.Time {
+	now := time.Now()
+	if delay := now.Sub(last) - s.opts.ClosedCheckPeriod; delay > reportedDelay && s.opts.OnDelay != nil {
+		s.opts.OnDelay(delay)
+	}
+	return now
+}
+
 func (s *Server) cancelClosed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
