Requests of callers that have left are sent on: failing tests

Replicas get requests whose callers are gone.

- exchange.Client.Do sends a request on an idle connection although its context has ended: the deadline that is to prevent it is set by a goroutine that runs later.
- The connection of a cancelled request is closed, so that bytes in its send buffer still reach the replica.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -381,6 +381,9 @@
 // InstanceCount returns the number of entry instances, or 0 while it is unknown.
 func (i *Instance) InstanceCount() int { return i.gateway.Instances() }
 
+// InFlight returns the number of clients' requests in progress.
+func (i *Instance) InFlight() int { return i.metrics.InFlight() }
+
 // EvidenceCount returns the number of replica crashes known to this instance that happened
 // while a request was running.
 func (i *Instance) EvidenceCount() int { return len(i.gateway.Evidence().Crashes) }
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -215,3 +216,48 @@
 	require.Equal(t, http.StatusOK, resp.Status)
 	require.Equal(t, "hello", readBody(t, resp))
 }
+
+// TestEndedRequestIsNotSent guards against a request that is sent on an idle connection after its
+// context has ended.
+func TestEndedRequestIsNotSent(t *testing.T) {
+	s := startServer(t, respondAlways(helloResponse))
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 20 {
+		resp, err := c.Do(context.Background(), s.address(), getRequest("/live"))
+		require.NoError(t, err)
+		require.Equal(t, "hello", readBody(t, resp))
+		require.Contains(t, <-s.heads, "/live")
+		_, err = c.Do(ctx, s.address(), getRequest("/ended"))
+		var ee *exchange.Error
+		require.ErrorAs(t, err, &ee)
+		require.False(t, ee.Sent)
+		require.True(t, ee.Timeout)
+	}
+	// A request that was sent all the same may still be on its way.
+	resp, err := c.Do(context.Background(), s.address(), getRequest("/live"))
+	require.NoError(t, err)
+	resp.Close()
+	require.Contains(t, <-s.heads, "/live")
+	require.Empty(t, s.heads)
+}
+
+// TestCancelledRequestIsNotDelivered guards against bytes that stay in the send buffer and reach the
+// replica after the request was cancelled: only a reset discards them.
+func TestCancelledRequestIsNotDelivered(t *testing.T) {
+	ended := make(chan error, 1)
+	s := startServer(t, func(s *scriptedServer, _ net.Conn, r *bufio.Reader) {
+		s.readHead(r)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-s.heads
+		cancel()
+	}()
+	_, err := newClient(t).Do(ctx, s.address(), getRequest("/"))
+	require.Error(t, err)
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
