Ask whether the caller is there right before each send

Callers: none saw anything. Replicas got, and ran, requests whose callers had left before (GONE).

Cause: that a caller has left ends the request's context, and the context was looked at when a request is read or waits, not when it is sent. A closed connection is looked for each 80 ms (nbio tells handlers nothing), and in a process that gets the processor late the request, the close and the look come in this order within a moment. exchange.Do did not look at the context at all before it wrote on an idle connection.

Change: one check at the last step before the first byte, after the wait for a connection, in node/exchange (plain calls, streams, retries), node/service and node/engine/httpjson (the product's own path), and before a stream is moved. It asks the socket, by a peek under the connection's lock, not what was noticed of it. What fails it is forward.Withheld: nothing was sent, which counts neither as a run nor against the replica (a cancelled dial ejected it before) nor against the retry budget. nbhttp must not complete a response on a connection whose close is still unread, so a handler that found its caller gone waits for the poller.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -20,11 +20,15 @@
 	// Lost means that the request was sent and no complete response was received. The
 	// request may have run.
 	Lost
+	// Withheld means that the request was not sent although the replica could be reached:
+	// right before, it was found that it must not be. It says nothing about the replica and
+	// uses up no retry.
+	Withheld
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "rejected", "unsent", "lost"}[o]
+	return [...]string{"answered", "failed", "rejected", "unsent", "lost", "withheld"}[o]
 }
 
 // Decision is what to do after an outcome.
@@ -51,6 +55,10 @@
 // those that rejected it, because each retry counts against the retry budget.
 const MaxSends = 4
 
+// MaxWithheld is the maximum number of times that one request is withheld before it ends. Each
+// time something has changed since its replica was chosen.
+const MaxWithheld = 4
+
 // History records the outcomes of one request so far.
 type History struct {
 	// Idempotent marks a request that may run more than once.
@@ -60,11 +68,16 @@
 	// Sends is the number of replicas tried, Runs the number of those that may have run
 	// the request.
 	Sends, Runs int
+	// Withheld is the number of times that the request was withheld.
+	Withheld int
 }
 
 // Step records an outcome and returns the decision. spendRetry spends a retry and
 // returns true if the budget allows one; it is called only when a retry is wanted.
 func (h *History) Step(o Outcome, spendRetry func() bool) Decision {
+	if o == Withheld {
+		return h.stepWithheld()
+	}
 	h.Sends++
 	if o == Responded || o == Failed || o == Lost {
 		h.Runs++
@@ -85,6 +98,19 @@
 	}
 }
 
+// stepWithheld chooses again, unless that happened too often.
+func (h *History) stepWithheld() Decision {
+	h.Withheld++
+	switch {
+	case h.Withheld < MaxWithheld:
+		return Retry
+	case h.Runs > 0:
+		return GiveUp
+	default:
+		return Refuse
+	}
+}
+
 func (h *History) mayRetry() bool {
 	if h.Sends >= MaxSends {
 		return false
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -12,7 +12,7 @@
 func alwaysAllowed() bool { return true }
 func neverAllowed() bool  { return false }
 
-var outcomes = []forward.Outcome{forward.Responded, forward.Failed, forward.Rejected, forward.Unsent, forward.Lost}
+var outcomes = []forward.Outcome{forward.Responded, forward.Failed, forward.Rejected, forward.Unsent, forward.Lost, forward.Withheld}
 
 // TestHistories checks over random outcomes that a request that may not be repeated
 // runs at most once, that others run on at most MaxRuns replicas, and that the decision
@@ -49,6 +49,20 @@
 	})
 }
 
+// TestWithheldRequestUsesNothingUp guards against a request that is charged for sends that did not
+// happen, and against one that is withheld forever.
+func TestWithheldRequestUsesNothingUp(t *testing.T) {
+	h := forward.History{MaxRuns: 1}
+	for range forward.MaxWithheld - 1 {
+		require.Equal(t, forward.Retry, h.Step(forward.Withheld, neverAllowed))
+	}
+	require.Zero(t, h.Sends)
+	require.False(t, h.MayHaveRun())
+	require.Equal(t, forward.Refuse, h.Step(forward.Withheld, neverAllowed))
+	h = forward.History{MaxRuns: 1, Runs: 1, Withheld: forward.MaxWithheld - 1}
+	require.Equal(t, forward.GiveUp, h.Step(forward.Withheld, neverAllowed))
+}
+
 func TestDecisions(t *testing.T) {
 	cases := []struct {
 		name       string
--- /dev/null
+++ b/node/caller/caller.go
@@ -0,0 +1,30 @@
+// Package caller tells whether the client of a request is still connected.
+//
+// A request's context ends only some time after its client has left, as closed connections are
+// looked for periodically, and later still in a process that gets the processor late. Whoever
+// sends a request on to a replica asks here right before.
+package caller
+
+import "context"
+
+type key struct{}
+
+// WithConnection returns a context of a request with a client. endIfLeft looks whether the client is
+// still connected, and if not ends the context that the returned one is derived from. It must be safe
+// for concurrent use and must not block.
+func WithConnection(ctx context.Context, endIfLeft func()) context.Context {
+	return context.WithValue(ctx, key{}, endIfLeft)
+}
+
+// Check returns nil if the request with the given context may still be sent, else the context's
+// error. It is up to date at the moment of the call. Work that goes on without its client, in a
+// context from context.WithoutCancel, is not stopped.
+func Check(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if endIfLeft, ok := ctx.Value(key{}).(func()); ok {
+		endIfLeft()
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/node/caller/caller_test.go
@@ -0,0 +1,29 @@
+package caller_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/caller"
+)
+
+func TestCheckIsUpToDate(t *testing.T) {
+	require.NoError(t, caller.Check(context.Background()))
+	left := false
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx := caller.WithConnection(base, func() {
+		if left {
+			cancel()
+		}
+	})
+	require.NoError(t, caller.Check(ctx))
+	left = true
+	require.NoError(t, ctx.Err())
+	detached := context.WithoutCancel(ctx)
+	require.NoError(t, caller.Check(detached))
+	require.ErrorIs(t, caller.Check(ctx), context.Canceled)
+	require.NoError(t, caller.Check(detached), "work that goes on without its client")
+}
--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/caller"
 	"masticbank.example/node/engine"
 	"masticbank.example/node/wire"
 )
@@ -42,8 +43,11 @@
 	return &Client{transports: map[string]*http.Transport{}}
 }
 
-// Step implements engine.Client.
+// Step implements engine.Client. A step whose client has left is not sent (see package caller).
 func (c *Client) Step(ctx context.Context, t engine.Target, r *wire.StepRequest) (*wire.StepResponse, error) {
+	if err := caller.Check(ctx); err != nil {
+		return nil, newCallError(ctx, err, false)
+	}
 	out := &wire.StepResponse{}
 	return out, c.call(ctx, c.transport(t), http.MethodPost, t, wire.PathStep, r, out)
 }
--- /dev/null
+++ b/node/engine/httpjson/client_test.go
@@ -0,0 +1,45 @@
+package httpjson_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/caller"
+	"masticbank.example/node/engine"
+	"masticbank.example/node/engine/httpjson"
+	"masticbank.example/node/wire"
+)
+
+// TestStepOfClientThatLeftIsNotSent guards against steps that are sent on after their client has
+// left. The engine must still be told to cancel what it runs for that client.
+func TestStepOfClientThatLeftIsNotSent(t *testing.T) {
+	var steps, cancels atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case wire.PathStep:
+			steps.Add(1)
+		case wire.PathCancel:
+			cancels.Add(1)
+		}
+	}))
+	defer s.Close()
+	c := httpjson.New()
+	target := engine.Target{ID: "e", Address: strings.TrimPrefix(s.URL, "http://")}
+	defer c.Release(target)
+	base, cancel := context.WithCancel(context.Background())
+	ctx := caller.WithConnection(base, cancel)
+	require.NoError(t, c.Cancel(ctx, target, &wire.CancelRequest{}))
+	_, err := c.Step(ctx, target, &wire.StepRequest{})
+	var failure *engine.CallError
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, engine.ProofNotSent, failure.Proof)
+	require.Equal(t, engine.CodeCancelled, failure.Code)
+	require.Zero(t, steps.Load())
+	require.EqualValues(t, 1, cancels.Load())
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"github.com/gravitational/trace"
 
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/caller"
 )
 
 // Request is one request. Its body is sent with a Content-Length.
@@ -34,6 +35,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check, if set, is called right before the first byte is written, after all waits. If it
+	// returns an error, the request is not sent.
+	Check func() error
 	// Fresh requires a new or very recently used connection. It is set for requests that
 	// must not be retried.
 	Fresh bool
@@ -43,6 +47,9 @@
 type Error struct {
 	// Sent is true if the replica may have received the request.
 	Sent bool
+	// Withheld is true if nothing was sent for a reason that is not the replica's: the
+	// context had been canceled, the client had left, or the request's Check failed.
+	Withheld bool
 	// Timeout is true if a timeout expired or the context ended.
 	Timeout bool
 	Err     error
@@ -121,11 +128,16 @@
 
 // Do sends a request to address (IP:port) and returns when the head of the response was
 // received. The error is an *Error. The end of ctx aborts the whole exchange, including
-// reading the body.
+// reading the body. A request is not sent if its client has left (see package caller) or if
+// its Check fails.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	cn, err := c.acquire(ctx, address, r.Fresh)
 	if err != nil {
-		return nil, &Error{Timeout: timedOut(ctx, err), Err: err}
+		return nil, &Error{Withheld: errors.Is(ctx.Err(), context.Canceled), Timeout: timedOut(ctx, err), Err: err}
+	}
+	if err := check(ctx, r); err != nil {
+		c.returnUnused(cn)
+		return nil, &Error{Withheld: true, Timeout: ctx.Err() != nil, Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := c.roundTrip(cn, r)
@@ -138,6 +150,17 @@
 	return resp, nil
 }
 
+// check returns why a request must not be sent, or nil.
+func check(ctx context.Context, r *Request) error {
+	if err := caller.Check(ctx); err != nil {
+		return err
+	}
+	if r.Check != nil {
+		return r.Check()
+	}
+	return nil
+}
+
 // roundTrip sends a request on a connection and reads the head of the response.
 func (c *Client) roundTrip(cn *conn, r *Request) (*Response, error) {
 	if _, err := cn.Write(encode(r)); err != nil {
@@ -291,10 +314,15 @@
 	return cn
 }
 
-// release returns a connection to the pool, or closes it if the pool is full.
+// release returns a connection to the pool after a complete exchange.
 func (c *Client) release(cn *conn) {
 	cn.reused = true
 	cn.lastUsed = time.Now()
+	c.addIdle(cn)
+}
+
+// addIdle adds a connection to the pool, or closes it if the pool is full.
+func (c *Client) addIdle(cn *conn) {
 	c.mu.Lock()
 	list := c.idle[cn.address]
 	if len(list) < c.opts.IdlePerAddress {
@@ -334,6 +362,15 @@
 
 func (c *Client) discard(cn *conn) { cn.Close() }
 
+// returnUnused ends the use of a connection on which nothing was sent. Its idle time goes on.
+func (c *Client) returnUnused(cn *conn) {
+	if cn.reused {
+		c.addIdle(cn)
+		return
+	}
+	c.discard(cn)
+}
+
 // Prune closes the connections that exceeded their maximum idle time.
 func (c *Client) Prune() {
 	c.mu.Lock()
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -233,6 +233,7 @@
 		var ee *exchange.Error
 		require.ErrorAs(t, err, &ee)
 		require.False(t, ee.Sent)
+		require.True(t, ee.Withheld)
 		require.True(t, ee.Timeout)
 	}
 	// A request that was sent all the same may still be on its way.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/caller"
 	"masticbank.example/node/exchange"
 	"masticbank.example/node/httpserver"
 )
@@ -181,6 +182,10 @@
 	g.opts.Metrics.RequestStarted()
 	defer g.opts.Metrics.RequestEnded()
 	g.awaitReady(c)
+	if caller.Check(r.Context()) != nil {
+		g.logEnd(c, statusClientClosed, "caller_left")
+		return
+	}
 	if !g.admit(c) {
 		return
 	}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -104,6 +104,10 @@
 			s.recordLostRun(ctx, err)
 		}
 		s.grant.release()
+		if outcome == forward.Withheld && ctx.Err() != nil {
+			s.endUnsent(ctx, &h, err)
+			return
+		}
 		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitLimit()) })
 		if outcome == forward.Responded || (outcome == forward.Failed && next != forward.Retry) {
 			return
@@ -197,6 +201,15 @@
 	s.g.sendRefusal(s.call, http.StatusServiceUnavailable, reason, retryAfter)
 }
 
+// endUnsent ends a request that was withheld because its client left or its time is over.
+func (s *stream) endUnsent(ctx context.Context, h *forward.History, err error) {
+	if s.headSent {
+		s.endIncomplete(ctx, forward.GiveUp)
+		return
+	}
+	s.g.endUnsent(ctx, s.call, h, err)
+}
+
 // endIncomplete finishes a request whose response is incomplete.
 func (s *stream) endIncomplete(ctx context.Context, next forward.Decision) {
 	switch {
@@ -228,8 +241,11 @@
 	s.beginRun(s.lastProgress)
 	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false))
 	if err != nil {
-		s.connectionFailed(first, err)
-		return outcomeOf(err), err
+		outcome := outcomeOf(err)
+		if outcome != forward.Withheld {
+			s.connectionFailed(first, err)
+		}
+		return outcome, err
 	}
 	defer resp.Close()
 	s.g.crashes.markResponsive(first.ID)
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -52,6 +52,10 @@
 		c.sends++
 		c.replica = replica.ID
 		outcome, response, err := g.sendPlain(ctx, c, pool, replica, &h)
+		if outcome == forward.Withheld && ctx.Err() != nil {
+			g.endUnsent(ctx, c, &h, err)
+			return
+		}
 		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
@@ -73,6 +77,17 @@
 	}
 }
 
+// endUnsent ends a request that was withheld because its client left or its time is over.
+func (g *Gateway) endUnsent(ctx context.Context, c *call, h *forward.History, err error) {
+	g.log.Info("request not sent", zap.String("request", c.ID), zap.String("replica", c.replica), zap.Int("sends", h.Sends),
+		zap.Duration("left", c.remaining(time.Now())), zap.Error(err))
+	if h.MayHaveRun() || errors.Is(ctx.Err(), context.Canceled) {
+		g.giveUp(ctx, c)
+		return
+	}
+	g.sendRefusal(c, http.StatusServiceUnavailable, "deadline_"+c.deadlineSource, plainRetryAfter)
+}
+
 // endWithoutReplica sends the error response when no replica is left to try.
 func (g *Gateway) endWithoutReplica(ctx context.Context, c *call, pool *plainPool, h *forward.History, tried int) {
 	switch {
@@ -188,14 +203,20 @@
 // maxDrainBytes limits how much of a rejection's body is read.
 const maxDrainBytes = 64 << 10
 
-// outcomeOf classifies an error of sending a request: Unsent if it certainly did not reach
-// the replica, else Lost.
+// outcomeOf classifies an error of sending a request: Withheld or Unsent if it certainly did
+// not reach the replica, else Lost.
 func outcomeOf(err error) forward.Outcome {
 	var ee *exchange.Error
-	if errors.As(err, &ee) && !ee.Sent {
+	switch {
+	case !errors.As(err, &ee):
+		return forward.Lost
+	case ee.Withheld:
+		return forward.Withheld
+	case !ee.Sent:
 		return forward.Unsent
+	default:
+		return forward.Lost
 	}
-	return forward.Lost
 }
 
 // deliver sends a complete response of a replica to the client.
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -192,6 +192,6 @@
 		if r.failures >= ejectionThreshold || o == forward.Unsent {
 			r.ejectedUntil = now.Add(min(maxEjection, baseEjection<<min(r.failures, 4)))
 		}
-	case forward.Rejected:
+	case forward.Rejected, forward.Withheld:
 	}
 }
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -7,6 +7,7 @@
 
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/retry"
+	"masticbank.example/node/caller"
 )
 
 // Reasons why a retry is denied.
@@ -30,7 +31,7 @@
 // one retry of the budget.
 func (g *Gateway) retryDenial(ctx context.Context, c *call) string {
 	switch {
-	case ctx.Err() != nil:
+	case caller.Check(ctx) != nil:
 		return deniedDeadline
 	case !g.crashes.mayRetry(c):
 		return deniedCrashes
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -9,6 +9,7 @@
 
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/silence"
+	"masticbank.example/node/caller"
 )
 
 const (
@@ -168,6 +169,9 @@
 		return false
 	}
 	for range maxRepaths {
+		if caller.Check(ctx) != nil {
+			return false
+		}
 		choice, ok := s.grant.alternative(s.excluded, time.Until(s.waitLimit()))
 		if !ok {
 			s.g.log.Info("no alternative path", zap.String("request", s.ID), zap.String("first", first.ID), zap.Int("avoided", len(s.excluded)))
--- a/node/httpserver/request.go
+++ b/node/httpserver/request.go
@@ -2,7 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/lesismal/nbio"
+
+	"masticbank.example/node/caller"
 )
 
 // requestInfoKey is the key of a request's *requestInfo in its context.
@@ -12,6 +19,21 @@
 type requestInfo struct {
 	// receivedAt is when the first bytes of the request were read from its connection.
 	receivedAt time.Time
+	conn       *nbio.Conn // nil if unknown
+	// cancel ends the request's context.
+	cancel context.CancelFunc
+	// left is true once the client is known to have closed the connection.
+	left atomic.Bool
+}
+
+// newContext returns the request's context and sets the function that ends it.
+func (i *requestInfo) newContext() context.Context {
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), requestInfoKey{}, i))
+	i.cancel = cancel
+	if i.conn == nil {
+		return ctx
+	}
+	return caller.WithConnection(ctx, i.endIfLeft)
 }
 
 // ReceivedAt returns when the first bytes of the request with the given context were read. It is
@@ -23,3 +45,53 @@
 	}
 	return info.receivedAt, true
 }
+
+// endIfLeft ends the request's context if the client has closed its connection, as the system knows
+// it at the moment of the call.
+func (i *requestInfo) endIfLeft() {
+	if closedByClient(i.conn) {
+		i.left.Store(true)
+		i.cancel()
+	}
+}
+
+// awaitClosed waits until the connection of a client that has left is closed here too, so that
+// nbhttp does not complete a response on it. The poller has yet to read the client's close. It must
+// close the connection itself: an event for a descriptor that was closed meanwhile may hit the
+// connection that reuses it.
+func (i *requestInfo) awaitClosed() {
+	if !i.left.Load() {
+		return
+	}
+	for end := time.Now().Add(closeGracePeriod); time.Now().Before(end); time.Sleep(closedPollInterval) {
+		if closed, _ := i.conn.IsClosed(); closed {
+			return
+		}
+	}
+	_ = i.conn.Close()
+}
+
+// closedPollInterval is the time between two looks whether the poller has closed a connection.
+const closedPollInterval = time.Millisecond
+
+// closedByClient asks the system whether the client has closed the connection or reset it. Unread
+// bytes belong to a further request, so the client is there.
+func closedByClient(c *nbio.Conn) bool {
+	// The lock keeps the descriptor from being closed and reused meanwhile.
+	c.Lock()
+	defer c.Unlock()
+	if closed, _ := c.IsClosed(); closed {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err == nil && left
+}
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -182,10 +182,10 @@
 	defer s.active.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	info := &requestInfo{receivedAt: time.Now()}
-	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), requestInfoKey{}, info))
-	defer cancel()
-	conn := connOf(w)
+	info := &requestInfo{receivedAt: time.Now(), conn: connOf(w)}
+	ctx := info.newContext()
+	defer info.cancel()
+	conn := info.conn
 	if conn != nil {
 		if s.draining.Load() {
 			r.Close = true
@@ -193,10 +193,11 @@
 		deferClose(w, r, conn)
 		// The idle timeout applies between requests, not during one.
 		_ = conn.SetReadDeadline(time.Time{})
-		s.track(conn, cancel, info)
+		s.track(conn, info)
 		defer s.untrack(conn)
 	}
 	s.opts.Handler.ServeHTTP(newWriter(w, conn), r.WithContext(ctx))
+	info.awaitClosed()
 }
 
 // deferClose handles requests with "Connection: close" of HTTP/1.1 clients. It lets the
@@ -267,10 +268,10 @@
 }
 
 // track registers the cancel function of a request in progress and completes its info.
-func (s *Server) track(c *nbio.Conn, cancel context.CancelFunc, info *requestInfo) {
+func (s *Server) track(c *nbio.Conn, info *requestInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests[c] = cancel
+	s.requests[c] = info.cancel
 	if st := s.connections[c]; st != nil {
 		if st.receiving {
 			info.receivedAt = st.receivedAt
--- a/node/service/service.go
+++ b/node/service/service.go
@@ -13,6 +13,7 @@
 
 	"masticbank.example/core/execution"
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/caller"
 )
 
 const (
@@ -81,8 +82,12 @@
 	}
 }
 
-// Do sends the call to the service at address (host:port). Errors are of type *Error.
+// Do sends the call to the service at address (host:port). Errors are of type *Error. A call
+// whose client has left is not sent (see package caller).
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Response, error) {
+	if err := caller.Check(ctx); err != nil {
+		return nil, &Error{Execution: execution.NotRun, Err: err}
+	}
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/node/service/service_test.go
+++ b/node/service/service_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"masticbank.example/core/execution"
+	"masticbank.example/node/caller"
 )
 
 // closingServer starts a server that closes each connection on its second request
@@ -92,3 +93,20 @@
 	require.ErrorAs(t, err, &se)
 	require.Equal(t, execution.NotRun, se.Execution)
 }
+
+// TestCallOfClientThatLeftIsNotSent guards against calls that are sent on after their client has
+// left, which the context tells only later.
+func TestCallOfClientThatLeftIsNotSent(t *testing.T) {
+	address, count := closingServer(t, true)
+	c := New()
+	defer c.Close()
+	for _, idempotent := range []bool{true, false} {
+		base, cancel := context.WithCancel(context.Background())
+		ctx := caller.WithConnection(base, cancel)
+		_, err := c.Do(ctx, address, Call{Method: "POST", Path: "/", Header: http.Header{}, Idempotent: idempotent})
+		var failure *Error
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, execution.NotRun, failure.Execution)
+	}
+	require.Zero(t, count.Load())
+}
