Reset the connection of a cancelled request

Cause: a request is written into the socket's send buffer. If the link to the replica is held up, it still lies there when its context ends, and a plain close delivers it before the end of the connection; the platform's page on networks says that only a reset discards such bytes. The replica then gets it after the caller has left, or after the run was given up as lost and repeated elsewhere.

Change: an exchange that fails after its context has ended resets its connection. Complete responses and errors of the replica close as before.

Evidence: TestCancelledRequestIsNotDelivered failed (the replica read EOF) and passes, three times with the race detector.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -143,7 +143,7 @@
 	resp, err := c.roundTrip(cn, r)
 	if err != nil {
 		stop()
-		c.discard(cn)
+		c.abort(ctx, cn)
 		return nil, &Error{Sent: true, Timeout: timedOut(ctx, err), Err: err}
 	}
 	resp.stopCancellation = stop
@@ -371,6 +371,15 @@
 	c.discard(cn)
 }
 
+// abort closes the connection of a failed exchange. If the context has ended, the connection is
+// reset, which discards bytes of the request that are not delivered yet.
+func (c *Client) abort(ctx context.Context, cn *conn) {
+	if tcp, ok := cn.Conn.(*net.TCPConn); ok && ctx.Err() != nil {
+		_ = tcp.SetLinger(0) // without it the connection is closed as usual
+	}
+	c.discard(cn)
+}
+
 // Prune closes the connections that exceeded their maximum idle time.
 func (c *Client) Prune() {
 	c.mu.Lock()
