Ask right before each send whether its replicas are still the chosen ones

A replica or path is chosen, then the request waits for a connection (up to 250 ms) or the process for the processor; what was learned meanwhile (left, restarted, another address, other layers, asked for a pause) stopped later choices only.

Change: the check before the first byte asks the pools as well.

--- a/core/pipeline/path.go
+++ b/core/pipeline/path.go
@@ -59,3 +59,15 @@
 
 // reservedTokens returns the context length for which KV cache is reserved.
 func (d Demand) reservedTokens() float64 { return d.Prompt + d.Output*reservedOutputShare }
+
+// Holds reports whether a path that was chosen earlier still exists: each of its replicas is listed
+// at the same address, is the same process, and holds the layers of its stage.
+func (f *Fleet) Holds(p Path) bool {
+	for _, stage := range p {
+		r, ok := f.Replica(stage.ID)
+		if !ok || r.Address != stage.Address || r.StartTime != stage.StartTime || stage.From < r.From || stage.To > r.To {
+			return false
+		}
+	}
+	return true
+}
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -244,6 +244,30 @@
 	require.Empty(t, s.heads)
 }
 
+// TestRequestThatFailsItsCheckIsNotSent guards against a request that is sent although its replica
+// changed while it waited for a connection. The connection is used again.
+func TestRequestThatFailsItsCheckIsNotSent(t *testing.T) {
+	s := startServer(t, respondAlways(helloResponse))
+	c := newClient(t)
+	refused := errors.New("refused")
+	r := getRequest("/refused")
+	r.Check = func() error { return refused }
+	for range 3 {
+		resp, err := c.Do(context.Background(), s.address(), getRequest("/sent"))
+		require.NoError(t, err)
+		require.Equal(t, "hello", readBody(t, resp))
+		require.Contains(t, <-s.heads, "/sent")
+		_, err = c.Do(context.Background(), s.address(), r)
+		var ee *exchange.Error
+		require.ErrorAs(t, err, &ee)
+		require.ErrorIs(t, err, refused)
+		require.True(t, ee.Withheld)
+		require.False(t, ee.Sent)
+	}
+	require.Empty(t, s.heads)
+	require.Len(t, s.accepted, 1)
+}
+
 // TestCancelledRequestIsNotDelivered guards against bytes that stay in the send buffer and reach the
 // replica after the request was cancelled: only a reset discards them.
 func TestCancelledRequestIsNotDelivered(t *testing.T) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -365,8 +365,9 @@
 	g.log.Info("request ended", append(fields, extra...)...)
 }
 
-// newRequest builds the request to a replica.
-func (g *Gateway) newRequest(c *call, opts ForwardOptions, fresh bool) *exchange.Request {
+// newRequest builds the request to a replica. mayGet reports, right before it is sent, whether its
+// replicas may still get it.
+func (g *Gateway) newRequest(c *call, opts ForwardOptions, fresh bool, mayGet func() bool) *exchange.Request {
 	c.lastSend = time.Now()
 	opts.Deadline = c.remaining(c.lastSend)
 	opts.Workspace = c.workspace
@@ -380,6 +381,12 @@
 		Host:   host,
 		Header: g.opts.Codec.Forward(c.http.Header, opts),
 		Body:   c.body,
-		Fresh:  fresh,
+		Check: func() error {
+			if !mayGet() {
+				return errReplicaChanged
+			}
+			return nil
+		},
+		Fresh: fresh,
 	}
 }
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -239,7 +239,7 @@
 	}
 	s.lastProgress = time.Now()
 	s.beginRun(s.lastProgress)
-	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false))
+	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false, func() bool { return s.grant.mayGet(time.Now()) }))
 	if err != nil {
 		outcome := outcomeOf(err)
 		if outcome != forward.Withheld {
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -232,6 +232,19 @@
 	g.pool.fleet.Release(g.choice.Path, g.demand)
 }
 
+// mayGet reports whether the replicas of the path may still get the request.
+func (g *grant) mayGet(now time.Time) bool {
+	p := g.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, stage := range g.choice.Path {
+		if _, paused := p.pauses.Until(now, stage.ID, stage.StartTime); paused || !p.listed[stage.ID] {
+			return false
+		}
+	}
+	return p.fleet.Holds(g.choice.Path)
+}
+
 // path returns the current path.
 func (g *grant) path() pipeline.Path { return g.choice.Path }
 
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -267,3 +267,23 @@
 		require.Equal(t, []string{"b"}, reported, "reported once")
 	})
 }
+
+// TestPathThatChangedAfterItWasGrantedIsNotUsed guards against a request that is sent over a path
+// whose replicas have left or asked for a pause since it was granted.
+func TestPathThatChangedAfterItWasGrantedIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		g := p.acquireAvoiding("c")
+		defer g.release()
+		require.True(t, g.mayGet(time.Now()))
+		p.pause("b", time.Second)
+		require.False(t, g.mayGet(time.Now()))
+		time.Sleep(2 * time.Second)
+		require.True(t, g.mayGet(time.Now()))
+		p.setReplicas([]roster.Entry{
+			{ID: "a", Service: "s", Address: "a", Zone: "z", Kind: "k", StartTime: 1, Layers: &roster.Layers{From: 0, To: 2}},
+			{ID: "b", Service: "s", Address: "b", Zone: "z", Kind: "k", StartTime: 2, Layers: &roster.Layers{From: 2, To: 4}},
+		})
+		require.False(t, g.mayGet(time.Now()), "b is another process")
+	})
+}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -145,6 +145,9 @@
 
 var (
 	errResponseMismatch = errors.New("the response belongs to another request")
+	// errReplicaChanged means that since it was chosen a replica has left, was replaced, moved
+	// layers or asked for a pause.
+	errReplicaChanged   = errors.New("a replica changed after it was chosen")
 	errUnsignedResponse = errors.New("the response is not signed by a replica")
 )
 
@@ -156,7 +159,8 @@
 
 // exchangePlain sends the request, reads the response and classifies the outcome.
 func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh bool, pool *plainPool) (forward.Outcome, *plainResponse, error) {
-	resp, err := g.opts.Client.Do(ctx, replica.Address, g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, fresh))
+	mayGet := func() bool { return pool.mayGet(time.Now(), replica) }
+	resp, err := g.opts.Client.Do(ctx, replica.Address, g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, fresh, mayGet))
 	if err != nil {
 		return outcomeOf(err), nil, err
 	}
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -146,6 +146,19 @@
 	return p.replicas[r.ID] != nil
 }
 
+// mayGet reports whether a replica that was chosen earlier may still get a request: the same process
+// is listed at the same address and has not asked for a pause.
+func (p *plainPool) mayGet(now time.Time, chosen Replica) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.replicas[chosen.ID]
+	if r == nil || r.Replica != chosen {
+		return false
+	}
+	_, paused := p.pauses.Until(now, chosen.ID, chosen.StartTime)
+	return !paused
+}
+
 // recordSend records that a request is sent to the replica.
 func (p *plainPool) recordSend(id string) {
 	p.mu.Lock()
