Count the time of a request from when it was read

Cause: arrival was the start of the handler. A request that was read and waited, behind an earlier one of its connection or for the processor, had this wait added to its deadline, to the deadline handed to replicas, and to the time for which it may wait for a path. Same class as requests for callers that have left: the state at one moment is taken for that of another.

Change: the server remembers when data was last read from a connection, and the gateway takes that as the arrival. The last data, not the first, as stray line ends after a body may lie there since long.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -145,7 +145,7 @@
 	workspace string
 	rank      int
 	arrival   time.Time
-	// handlerWait is the time from the first byte read of the request to the start of its
+	// handlerWait is the time from arrival, when the request was read, to the start of its
 	// handler, lastSend when it was last sent to a replica.
 	handlerWait time.Duration
 	lastSend    time.Time
@@ -176,8 +176,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Request: g.opts.Codec.Request(r.Header), http: r, writer: w, arrival: time.Now(), memory: g.memory.NewReservation()}
 	defer c.memory.Release()
-	if at, ok := httpserver.ReceivedAt(r.Context()); ok {
-		c.handlerWait = c.arrival.Sub(at)
+	if at, ok := httpserver.ReadAt(r.Context()); ok {
+		c.arrival, c.handlerWait = at, c.arrival.Sub(at)
 	}
 	g.opts.Metrics.RequestStarted()
 	defer g.opts.Metrics.RequestEnded()
--- a/node/httpserver/idle.go
+++ b/node/httpserver/idle.go
@@ -12,8 +12,8 @@
 	served bool
 	// receiving is true after data has arrived that belongs to no handled request yet.
 	receiving bool
-	// receivedAt is when the first of this data arrived.
-	receivedAt time.Time
+	// readAt is when data was last read.
+	readAt time.Time
 }
 
 // opened records a new connection.
@@ -34,8 +34,8 @@
 func (s *Server) received(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st := s.connections[c]; st != nil && !st.receiving {
-		st.receiving, st.receivedAt = true, time.Now()
+	if st := s.connections[c]; st != nil {
+		st.receiving, st.readAt = true, time.Now()
 	}
 }
 
--- a/node/httpserver/request.go
+++ b/node/httpserver/request.go
@@ -17,9 +17,9 @@
 
 // requestInfo is what the server knows of a request in progress.
 type requestInfo struct {
-	// receivedAt is when the first bytes of the request were read from its connection.
-	receivedAt time.Time
-	conn       *nbio.Conn // nil if unknown
+	// readAt is when the end of the request was read from its connection.
+	readAt time.Time
+	conn   *nbio.Conn // nil if unknown
 	// cancel ends the request's context.
 	cancel context.CancelFunc
 	// left is true once the client is known to have closed the connection.
@@ -36,14 +36,15 @@
 	return caller.WithConnection(ctx, i.endIfLeft)
 }
 
-// ReceivedAt returns when the first bytes of the request with the given context were read. It is
-// false if the context is not that of a request of a Server.
-func ReceivedAt(ctx context.Context) (time.Time, bool) {
+// ReadAt returns when the end of the request with the given context was read; its handler may have
+// started later. If the client sends requests without waiting for responses, it may be the time of a
+// later one. It is false if the context is not that of a request of a Server.
+func ReadAt(ctx context.Context) (time.Time, bool) {
 	info, ok := ctx.Value(requestInfoKey{}).(*requestInfo)
 	if !ok {
 		return time.Time{}, false
 	}
-	return info.receivedAt, true
+	return info.readAt, true
 }
 
 // endIfLeft ends the request's context if the client has closed its connection, as the system knows
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -182,7 +182,7 @@
 	defer s.active.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	info := &requestInfo{receivedAt: time.Now(), conn: connOf(w)}
+	info := &requestInfo{readAt: time.Now(), conn: connOf(w)}
 	ctx := info.newContext()
 	defer info.cancel()
 	conn := info.conn
@@ -273,9 +273,7 @@
 	defer s.mu.Unlock()
 	s.requests[c] = info.cancel
 	if st := s.connections[c]; st != nil {
-		if st.receiving {
-			info.receivedAt = st.receivedAt
-		}
+		info.readAt = st.readAt
 		st.served, st.receiving = true, false
 	}
 }
