Ports of peers in tests are out of the range that the system gives out

TestLeavingStageGetsNoMoreRequests failed once beside other test runs: 'listen for peers on 127.0.0.1:39691'. The port was asked of the system and closed again, and a connection of another process took it before the instance listened. Ports below the system's range (32768 and up here) are taken by listeners only. No check changed.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"testing"
@@ -58,11 +59,19 @@
 	return f
 }
 
+// freePort returns a port that nothing listens on. The system does not give out ports of this
+// range by itself, so that no connection of another test takes it meanwhile.
 func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	const lowest, highest = 10_000, 30_000
+	for {
+		port := lowest + rand.IntN(highest-lowest)
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return port
+	}
 }
 
 // publishProcess publishes the entry of a replica's process that started at startTime.
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -133,15 +135,20 @@
 	return m
 }
 
-// freePort returns a port that is free on 127.0.0.1. It is assumed to be free on the other
+// freePort returns a port that is free on 127.0.0.1, of a range that the system does not give out by
+// itself. It is assumed to be free on the other
 // loopback addresses too.
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return port
+	const lowest, highest = 10_000, 30_000
+	for {
+		port := strconv.Itoa(lowest + rand.IntN(highest-lowest))
+		l, err := net.Listen("tcp", "127.0.0.1:"+port)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return port
+	}
 }
 
 func TestInstancesExchangeState(t *testing.T) {
