Check what ages last, and count time to the send

Found by a review of the check at the send. Cause: the check itself was followed by steps that take time, and took words for facts.

- The caller was asked before the pools, whose lock may have to be waited for, and before the request was encoded (5.7 ms for 4 MiB).
- The time handed to replicas was that before the wait for a connection: 4,999 ms where 4,300 were left.
- A request without time left failed the dial, which counted against the replica and ejected it.

Change: exchange.Request.BeforeSend runs after the wait for a connection; it asks the pools and builds the header. Then the request is encoded and the caller asked, the deadline by the clock. A request that has ended before the dial is withheld. last_send and sends of 'request ended' are those of the send. Connections on which nothing was sent stay in the pool. Handlers that wait for the poller to close look less and less often.

--- a/node/caller/caller.go
+++ b/node/caller/caller.go
@@ -1,11 +1,14 @@
-// Package caller tells whether the client of a request is still connected.
+// Package caller tells whether the client of a request still waits for it.
 //
-// A request's context ends only some time after its client has left, as closed connections are
-// looked for periodically, and later still in a process that gets the processor late. Whoever
-// sends a request on to a replica asks here right before.
+// A request's context ends only some time after its client has left or its deadline has passed, as
+// closed connections are looked for periodically and timers run late, and later still in a process
+// that gets the processor late. Whoever sends a request on to a replica asks here right before.
 package caller
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 type key struct{}
 
@@ -16,13 +19,16 @@
 	return context.WithValue(ctx, key{}, endIfLeft)
 }
 
-// Check returns nil if the request with the given context may still be sent, else the context's
-// error. It is up to date at the moment of the call. Work that goes on without its client, in a
-// context from context.WithoutCancel, is not stopped.
+// Check returns nil if the request with the given context may still be sent, else
+// context.Canceled or context.DeadlineExceeded. It is up to date at the moment of the call. Work that
+// goes on without its client, in a context from context.WithoutCancel, is not stopped.
 func Check(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	if end, ok := ctx.Deadline(); ok && !time.Now().Before(end) {
+		return context.DeadlineExceeded
+	}
 	if endIfLeft, ok := ctx.Value(key{}).(func()); ok {
 		endIfLeft()
 	}
--- a/node/caller/caller_test.go
+++ b/node/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -27,3 +28,14 @@
 	require.ErrorIs(t, caller.Check(ctx), context.Canceled)
 	require.NoError(t, caller.Check(detached), "work that goes on without its client")
 }
+
+// lateTimer is a context whose deadline has passed and whose timer has not run yet.
+type lateTimer struct{ context.Context }
+
+func (lateTimer) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// TestDeadlineIsNotWaitedFor guards against a request that is sent after its deadline because the
+// timer of its context runs late.
+func TestDeadlineIsNotWaitedFor(t *testing.T) {
+	require.ErrorIs(t, caller.Check(lateTimer{context.Background()}), context.DeadlineExceeded)
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -35,9 +35,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Check, if set, is called right before the first byte is written, after all waits. If it
-	// returns an error, the request is not sent.
-	Check func() error
+	// BeforeSend, if set, is called after all waits, right before the request is encoded and
+	// sent. It may replace Header. If it returns an error, the request is not sent.
+	BeforeSend func() error
 	// Fresh requires a new or very recently used connection. It is set for requests that
 	// must not be retried.
 	Fresh bool
@@ -48,7 +48,7 @@
 	// Sent is true if the replica may have received the request.
 	Sent bool
 	// Withheld is true if nothing was sent for a reason that is not the replica's: the
-	// context had been canceled, the client had left, or the request's Check failed.
+	// context had ended, the client had left, or the request's BeforeSend failed.
 	Withheld bool
 	// Timeout is true if a timeout expired or the context ended.
 	Timeout bool
@@ -128,19 +128,23 @@
 
 // Do sends a request to address (IP:port) and returns when the head of the response was
 // received. The error is an *Error. The end of ctx aborts the whole exchange, including
-// reading the body. A request is not sent if its client has left (see package caller) or if
-// its Check fails.
+// reading the body. A request is not sent if its client no longer waits (see package caller) or
+// if its BeforeSend fails.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	if err := caller.Check(ctx); err != nil {
+		return nil, &Error{Withheld: true, Timeout: true, Err: err}
+	}
 	cn, err := c.acquire(ctx, address, r.Fresh)
 	if err != nil {
 		return nil, &Error{Withheld: errors.Is(ctx.Err(), context.Canceled), Timeout: timedOut(ctx, err), Err: err}
 	}
-	if err := check(ctx, r); err != nil {
-		c.returnUnused(cn)
-		return nil, &Error{Withheld: true, Timeout: ctx.Err() != nil, Err: err}
+	data, err := prepare(ctx, r)
+	if err != nil {
+		c.addIdle(cn)
+		return nil, &Error{Withheld: true, Timeout: timedOut(ctx, err), Err: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
-	resp, err := c.roundTrip(cn, r)
+	resp, err := c.roundTrip(cn, r.Method, data)
 	if err != nil {
 		stop()
 		c.abort(ctx, cn)
@@ -150,24 +154,25 @@
 	return resp, nil
 }
 
-// check returns why a request must not be sent, or nil.
-func check(ctx context.Context, r *Request) error {
-	if err := caller.Check(ctx); err != nil {
-		return err
-	}
-	if r.Check != nil {
-		return r.Check()
+// prepare encodes a request, or returns why it must not be sent. The client is asked last, as the
+// steps before take time.
+func prepare(ctx context.Context, r *Request) ([]byte, error) {
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			return nil, err
+		}
 	}
-	return nil
+	data := encode(r)
+	return data, caller.Check(ctx)
 }
 
-// roundTrip sends a request on a connection and reads the head of the response.
-func (c *Client) roundTrip(cn *conn, r *Request) (*Response, error) {
-	if _, err := cn.Write(encode(r)); err != nil {
+// roundTrip sends an encoded request on a connection and reads the head of the response.
+func (c *Client) roundTrip(cn *conn, method string, request []byte) (*Response, error) {
+	if _, err := cn.Write(request); err != nil {
 		return nil, trace.Wrap(err, "sending request to %s", cn.address)
 	}
 	cn.limiter.setLimit(bounded.MaxHeaderBytes)
-	resp, err := readHead(cn.reader, r.Method)
+	resp, err := readHead(cn.reader, method)
 	if cn.limiter.exceeded {
 		return nil, trace.Wrap(ErrHeadTooLarge, "response from %s", cn.address)
 	}
@@ -321,7 +326,8 @@
 	c.addIdle(cn)
 }
 
-// addIdle adds a connection to the pool, or closes it if the pool is full.
+// addIdle adds a connection to the pool, or closes it if the pool is full. If nothing was sent on
+// it, its idle time goes on.
 func (c *Client) addIdle(cn *conn) {
 	c.mu.Lock()
 	list := c.idle[cn.address]
@@ -345,7 +351,7 @@
 		return nil, trace.Wrap(err, "connection to %s", address)
 	}
 	limiter := &headLimiter{source: nc}
-	return &conn{Conn: nc, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	return &conn{Conn: nc, address: address, lastUsed: time.Now(), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // Refused reports whether a new connection to address is refused, which means that no
@@ -362,15 +368,6 @@
 
 func (c *Client) discard(cn *conn) { cn.Close() }
 
-// returnUnused ends the use of a connection on which nothing was sent. Its idle time goes on.
-func (c *Client) returnUnused(cn *conn) {
-	if cn.reused {
-		c.addIdle(cn)
-		return
-	}
-	c.discard(cn)
-}
-
 // abort closes the connection of a failed exchange. If the context has ended, the connection is
 // reset, which discards bytes of the request that are not delivered yet.
 func (c *Client) abort(ctx context.Context, cn *conn) {
--- a/node/exchange/exchange_test.go
+++ b/node/exchange/exchange_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"masticbank.example/node/caller"
 	"masticbank.example/node/exchange"
 )
 
@@ -251,7 +252,7 @@
 	c := newClient(t)
 	refused := errors.New("refused")
 	r := getRequest("/refused")
-	r.Check = func() error { return refused }
+	r.BeforeSend = func() error { return refused }
 	for range 3 {
 		resp, err := c.Do(context.Background(), s.address(), getRequest("/sent"))
 		require.NoError(t, err)
@@ -268,6 +269,27 @@
 	require.Len(t, s.accepted, 1)
 }
 
+// TestCallerIsAskedLast guards against a request that is sent although its caller left while its
+// replica was checked.
+func TestCallerIsAskedLast(t *testing.T) {
+	s := startServer(t, respondAlways(helloResponse))
+	left := false
+	base, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx := caller.WithConnection(base, func() {
+		if left {
+			cancel()
+		}
+	})
+	r := getRequest("/")
+	r.BeforeSend = func() error { left = true; return nil }
+	_, err := newClient(t).Do(ctx, s.address(), r)
+	var ee *exchange.Error
+	require.ErrorAs(t, err, &ee)
+	require.True(t, ee.Withheld)
+	require.Empty(t, s.heads)
+}
+
 // TestCancelledRequestIsNotDelivered guards against bytes that stay in the send buffer and reach the
 // replica after the request was cancelled: only a reset discards them.
 func TestCancelledRequestIsNotDelivered(t *testing.T) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -365,28 +365,24 @@
 	g.log.Info("request ended", append(fields, extra...)...)
 }
 
-// newRequest builds the request to a replica. mayGet reports, right before it is sent, whether its
-// replicas may still get it.
-func (g *Gateway) newRequest(c *call, opts ForwardOptions, fresh bool, mayGet func() bool) *exchange.Request {
-	c.lastSend = time.Now()
-	opts.Deadline = c.remaining(c.lastSend)
+// newRequest builds the request to a replica. mayRun returns, right before it is sent, why it must
+// not run there any more.
+func (g *Gateway) newRequest(c *call, opts ForwardOptions, fresh bool, mayRun func() error) *exchange.Request {
 	opts.Workspace = c.workspace
 	host := c.http.Header.Get("Host")
 	if host == "" {
 		host = c.http.Host
 	}
-	return &exchange.Request{
-		Method: c.http.Method,
-		Target: c.http.RequestURI,
-		Host:   host,
-		Header: g.opts.Codec.Forward(c.http.Header, opts),
-		Body:   c.body,
-		Check: func() error {
-			if !mayGet() {
-				return errReplicaChanged
-			}
-			return nil
-		},
-		Fresh: fresh,
+	r := &exchange.Request{Method: c.http.Method, Target: c.http.RequestURI, Host: host, Body: c.body, Fresh: fresh}
+	r.BeforeSend = func() error {
+		if err := mayRun(); err != nil {
+			return err
+		}
+		c.sends++
+		c.lastSend = time.Now()
+		opts.Deadline = c.remaining(c.lastSend)
+		r.Header = g.opts.Codec.Forward(c.http.Header, opts)
+		return nil
 	}
+	return r
 }
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -97,14 +97,13 @@
 			s.grant.release()
 			return
 		}
-		c.sends++
 		c.replica = s.grant.path()[0].ID
-		outcome, err := s.run(ctx)
+		outcome, err := s.run(ctx, h.MayHaveRun() || s.headSent)
 		if outcome == forward.Lost {
 			s.recordLostRun(ctx, err)
 		}
 		s.grant.release()
-		if outcome == forward.Withheld && ctx.Err() != nil {
+		if outcome == forward.Withheld && endsRequest(ctx, err) {
 			s.endUnsent(ctx, &h, err)
 			return
 		}
@@ -201,7 +200,7 @@
 	s.g.sendRefusal(s.call, http.StatusServiceUnavailable, reason, retryAfter)
 }
 
-// endUnsent ends a request that was withheld because its client left or its time is over.
+// endUnsent ends a request that must not be sent any more.
 func (s *stream) endUnsent(ctx context.Context, h *forward.History, err error) {
 	if s.headSent {
 		s.endIncomplete(ctx, forward.GiveUp)
@@ -227,8 +226,9 @@
 	}
 }
 
-// run sends the request over the granted path and relays the events of the response.
-func (s *stream) run(ctx context.Context) (forward.Outcome, error) {
+// run sends the request over the granted path and relays the events of the response. retry is set if
+// it may have run before.
+func (s *stream) run(ctx context.Context, _ bool) (forward.Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	path := s.grant.path()
@@ -239,7 +239,13 @@
 	}
 	s.lastProgress = time.Now()
 	s.beginRun(s.lastProgress)
-	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false, func() bool { return s.grant.mayGet(time.Now()) }))
+	mayRun := func() error {
+		if !s.grant.mayGet(time.Now()) {
+			return errReplicaChanged
+		}
+		return nil
+	}
+	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false, mayRun))
 	if err != nil {
 		outcome := outcomeOf(err)
 		if outcome != forward.Withheld {
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -13,6 +13,7 @@
 	"masticbank.example/core/forward"
 	"masticbank.example/core/poison"
 	"masticbank.example/core/routing"
+	"masticbank.example/node/caller"
 	"masticbank.example/node/exchange"
 )
 
@@ -49,10 +50,9 @@
 			return
 		}
 		tried[replica.ID] = true
-		c.sends++
 		c.replica = replica.ID
 		outcome, response, err := g.sendPlain(ctx, c, pool, replica, &h)
-		if outcome == forward.Withheld && ctx.Err() != nil {
+		if outcome == forward.Withheld && endsRequest(ctx, err) {
 			g.endUnsent(ctx, c, &h, err)
 			return
 		}
@@ -77,7 +77,14 @@
 	}
 }
 
-// endUnsent ends a request that was withheld because its client left or its time is over.
+// endsRequest reports whether a request that was withheld with the error must not be sent to another
+// replica either.
+func endsRequest(ctx context.Context, _ error) bool {
+	return caller.Check(ctx) != nil
+}
+
+// endUnsent ends a request that must not be sent any more: its client left, its time is over, or it
+// may crash the next replica.
 func (g *Gateway) endUnsent(ctx context.Context, c *call, h *forward.History, err error) {
 	g.log.Info("request not sent", zap.String("request", c.ID), zap.String("replica", c.replica), zap.Int("sends", h.Sends),
 		zap.Duration("left", c.remaining(time.Now())), zap.Error(err))
@@ -105,15 +112,14 @@
 // giveUp ends a request that may have run, with an error response if the client is still
 // connected.
 func (g *Gateway) giveUp(ctx context.Context, c *call) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch err := caller.Check(ctx); {
+	case errors.Is(err, context.Canceled):
 		g.logEnd(c, statusClientClosed, "caller_left")
-		return
-	}
-	if ctx.Err() != nil {
+	case err != nil:
 		g.sendRefusal(c, http.StatusGatewayTimeout, "deadline_"+c.deadlineSource, 0)
-		return
+	default:
+		g.sendRefusal(c, http.StatusBadGateway, "answer_lost", 0)
 	}
-	g.sendRefusal(c, http.StatusBadGateway, "answer_lost", 0)
 }
 
 // statusClientClosed is the logged status for clients that closed their connection.
@@ -130,7 +136,7 @@
 	}
 	pool.recordSend(replica.ID)
 	sent := time.Now()
-	outcome, response, err := g.exchangePlain(ctx, c, replica, !h.Idempotent, pool)
+	outcome, response, err := g.exchangePlain(ctx, c, replica, !h.Idempotent, h.MayHaveRun(), pool)
 	switch {
 	case outcome == forward.Responded && response.status < http.StatusMultipleChoices:
 		g.crashes.recordSuccess(c)
@@ -157,10 +163,16 @@
 	return status >= http.StatusOK && status < http.StatusMultipleChoices && !info.Signed
 }
 
-// exchangePlain sends the request, reads the response and classifies the outcome.
-func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh bool, pool *plainPool) (forward.Outcome, *plainResponse, error) {
-	mayGet := func() bool { return pool.mayGet(time.Now(), replica) }
-	resp, err := g.opts.Client.Do(ctx, replica.Address, g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, fresh, mayGet))
+// exchangePlain sends the request, reads the response and classifies the outcome. fresh is set for a
+// request that must not be retried, retry for one that may have run before.
+func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh, _ bool, pool *plainPool) (forward.Outcome, *plainResponse, error) {
+	mayRun := func() error {
+		if !pool.mayGet(time.Now(), replica) {
+			return errReplicaChanged
+		}
+		return nil
+	}
+	resp, err := g.opts.Client.Do(ctx, replica.Address, g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, fresh, mayRun))
 	if err != nil {
 		return outcomeOf(err), nil, err
 	}
--- a/node/gateway/waiting.go
+++ b/node/gateway/waiting.go
@@ -47,6 +47,19 @@
 	}
 }
 
+// Waiting returns the number of requests of a model service that wait for a path.
+func (g *Gateway) Waiting(service string) int {
+	g.mu.Lock()
+	p := g.models[service]
+	g.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting.Len()
+}
+
 // maxSkippedWaiters limits how many waiters are skipped in one pass over the list.
 const maxSkippedWaiters = 4
 
--- a/node/httpserver/request.go
+++ b/node/httpserver/request.go
@@ -64,16 +64,22 @@
 	if !i.left.Load() {
 		return
 	}
-	for end := time.Now().Add(closeGracePeriod); time.Now().Before(end); time.Sleep(closedPollInterval) {
+	pause := minClosedPoll
+	for end := time.Now().Add(closeGracePeriod); time.Now().Before(end); time.Sleep(pause) {
 		if closed, _ := i.conn.IsClosed(); closed {
 			return
 		}
+		pause = min(2*pause, maxClosedPoll)
 	}
 	_ = i.conn.Close()
 }
 
-// closedPollInterval is the time between two looks whether the poller has closed a connection.
-const closedPollInterval = time.Millisecond
+// The time between two looks whether the poller has closed a connection doubles from minClosedPoll
+// to maxClosedPoll.
+const (
+	minClosedPoll = time.Millisecond
+	maxClosedPoll = 40 * time.Millisecond
+)
 
 // closedByClient asks the system whether the client has closed the connection or reset it. Unread
 // bytes belong to a further request, so the client is there.
