Ask crash evidence again before a retry is sent

Callers: a request that crashes replicas could reach one more (BUDGET). Cause: crash evidence was asked when a retry was allowed; then the retry waits for a path for 1.5 s and longer, as crashes are what removes paths, and was sent whatever became known meanwhile. First runs were asked after the wait.

Change: the check before the send asks it for every request that may have run before, in both kinds of services.

Evidence: TestBlockedRequestIsNotRetriedAfterItsWait fails on (the retry is served with 200 by the second replica).

--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -228,7 +228,7 @@
 
 // run sends the request over the granted path and relays the events of the response. retry is set if
 // it may have run before.
-func (s *stream) run(ctx context.Context, _ bool) (forward.Outcome, error) {
+func (s *stream) run(ctx context.Context, retry bool) (forward.Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	path := s.grant.path()
@@ -243,7 +243,7 @@
 		if !s.grant.mayGet(time.Now()) {
 			return errReplicaChanged
 		}
-		return nil
+		return s.g.retryDenied(s.call, retry)
 	}
 	resp, err := s.awaitHead(ctx, cancel, first, s.g.newRequest(s.call, opts, false, mayRun))
 	if err != nil {
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -79,8 +79,8 @@
 
 // endsRequest reports whether a request that was withheld with the error must not be sent to another
 // replica either.
-func endsRequest(ctx context.Context, _ error) bool {
-	return caller.Check(ctx) != nil
+func endsRequest(ctx context.Context, err error) bool {
+	return errors.Is(err, errMayCrashReplica) || caller.Check(ctx) != nil
 }
 
 // endUnsent ends a request that must not be sent any more: its client left, its time is over, or it
@@ -165,12 +165,12 @@
 
 // exchangePlain sends the request, reads the response and classifies the outcome. fresh is set for a
 // request that must not be retried, retry for one that may have run before.
-func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh, _ bool, pool *plainPool) (forward.Outcome, *plainResponse, error) {
+func (g *Gateway) exchangePlain(ctx context.Context, c *call, replica Replica, fresh, retry bool, pool *plainPool) (forward.Outcome, *plainResponse, error) {
 	mayRun := func() error {
 		if !pool.mayGet(time.Now(), replica) {
 			return errReplicaChanged
 		}
-		return nil
+		return g.retryDenied(c, retry)
 	}
 	resp, err := g.opts.Client.Do(ctx, replica.Address, g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, fresh, mayRun))
 	if err != nil {
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,19 @@
 	}
 }
 
+// errMayCrashReplica means that a retry is denied because of what became known since it was allowed.
+var errMayCrashReplica = errors.New("the request may crash another replica")
+
+// retryDenied returns an error if the request is a retry that crash evidence denies by now.
+func (g *Gateway) retryDenied(c *call, retry bool) error {
+	if !retry || g.crashes.mayRetry(c) {
+		return nil
+	}
+	c.denialReason = deniedCrashes
+	g.opts.Metrics.RetryDenied(deniedCrashes)
+	return errMayCrashReplica
+}
+
 // budgetPollInterval is the time between two checks whether the budget allows a retry.
 const budgetPollInterval = 100 * time.Millisecond
 
