Ask for leadership and the replica again before each order of layers

Cause: the fencing token is read at the start of a round; then layouts are planned and orders sent, for one service after the other, each of which may take half a second and more. An order that was refused for its token didn't keep the rest of the round from using it, and a replica that had left meanwhile still got its order.

Change: right before each order the token must still be the one in force, and the replica the listed process that isn't leaving.

--- a/node/control/assignments.go
+++ b/node/control/assignments.go
@@ -28,6 +28,14 @@
 
 // sendAssignment sends one assignment and sets when it may be repeated.
 func (c *Control) sendAssignment(ctx context.Context, m *pipeline.Model, e roster.Entry, a layout.Assignment, concurrent int, token int64) {
+	if reason := c.assignmentObstacle(time.Now(), e, token); reason != "" {
+		c.log.Info("layers not assigned", zap.String("replica", a.ID), zap.Int("from", a.From), zap.Int("to", a.To),
+			zap.Int64("fence", token), zap.String("why", reason))
+		c.mu.Lock()
+		delete(c.pending, a.ID)
+		c.mu.Unlock()
+		return
+	}
 	res, err := c.opts.ReplicaControl.AssignLayers(ctx, gateway.Replica{ID: e.ID, Address: e.Address}, a.From, a.To, token)
 	c.log.Info("layers assigned", zap.String("replica", a.ID), zap.String("kind", e.Kind), zap.String("zone", e.Zone),
 		zap.Int("from", a.From), zap.Int("to", a.To), zap.String("why", a.Reason), zap.Int64("fence", token),
@@ -56,6 +64,21 @@
 	}
 }
 
+// assignmentObstacle returns why an assignment that was planned earlier must not be sent, or "".
+// Planning and earlier assignments take time, in which the leader may have been replaced and the
+// replica may have left.
+func (c *Control) assignmentObstacle(now time.Time, e roster.Entry, token int64) string {
+	if current, ok := c.fencingToken(now); !ok || current != token {
+		return "leadership has ended"
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if latest, leaving, ok := c.roster.Get(e.ID); !ok || leaving || latest.StartTime != e.StartTime || latest.Address != e.Address {
+		return "the replica has changed"
+	}
+	return ""
+}
+
 // delayAssignment sends no assignment to a replica that asked for a pause until it ends.
 func (c *Control) delayAssignment(id string, pause time.Duration) {
 	if pause <= 0 {
--- a/node/control/control_test.go
+++ b/node/control/control_test.go
@@ -34,8 +34,9 @@
 	reads           int
 	polls           int
 	result          gateway.CommandResult
-	tokensUsed      []int64 // fencing tokens
-	joinGenerations []int64 // generations sent with joins
+	tokensUsed      []int64  // fencing tokens
+	joinGenerations []int64  // generations sent with joins
+	assigned        []string // IDs of the replicas that got an assignment
 }
 
 var errUnavailable = errors.New("unavailable")
@@ -128,10 +129,11 @@
 	return gateway.Report{}, errUnavailable
 }
 
-func (p *fakePlatform) AssignLayers(_ context.Context, _ gateway.Replica, _, _ int, fence int64) (gateway.CommandResult, error) {
+func (p *fakePlatform) AssignLayers(_ context.Context, r gateway.Replica, _, _ int, fence int64) (gateway.CommandResult, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tokensUsed = append(p.tokensUsed, fence)
+	p.assigned = append(p.assigned, r.ID)
 	return p.result, nil
 }
 
@@ -157,9 +159,13 @@
 	runWith(t, p, Options{}, f)
 }
 
+func newGateway(p *fakePlatform) *gateway.Gateway {
+	return gateway.New(gateway.Options{Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: gateway.NewMetrics(), Control: p})
+}
+
 func runWith(t *testing.T, p *fakePlatform, o Options, f func(c *Control, g *gateway.Gateway)) {
 	synctest.Test(t, func(t *testing.T) {
-		g := gateway.New(gateway.Options{Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: gateway.NewMetrics(), Control: p})
+		g := newGateway(p)
 		o.Configs, o.Replicas, o.Group, o.ReplicaControl, o.Gateway, o.Logger = configs{p}, replicas{p}, p, p, g, zap.NewNop()
 		c := New(o)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/node/control/leadership_test.go
+++ b/node/control/leadership_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"masticbank.example/core/layout"
 	"masticbank.example/core/roster"
 	"masticbank.example/node/gateway"
 )
@@ -36,6 +37,46 @@
 	})
 }
 
+// withTwoServices adds a second service with one replica, for which layers are assigned after the
+// first one's.
+func (p *fakePlatform) withTwoServices() {
+	second := p.config.Services[0]
+	second.Name = "t"
+	p.config.Services = append(p.config.Services, second)
+	e := p.entries[0]
+	e.ID, e.Service, e.Address = "q", "t", "10.0.0.2:80"
+	p.entries = append(p.entries, e)
+}
+
+// TestFencedLeaderStopsWithinARound guards against orders with a token that an earlier order of the
+// same round found to be fenced.
+func TestFencedLeaderStopsWithinARound(t *testing.T) {
+	p := newFakePlatform()
+	p.withTwoServices()
+	p.result = gateway.CommandResult{Status: gateway.CommandFenced}
+	run(t, p, func(*Control, *gateway.Gateway) {
+		time.Sleep(time.Minute)
+		require.Equal(t, []int64{7}, p.tokens())
+	})
+}
+
+// TestNoLayersForAReplicaThatLeftWithinARound guards against an order to a replica that has left since
+// the layout was planned.
+func TestNoLayersForAReplicaThatLeftWithinARound(t *testing.T) {
+	p := newFakePlatform()
+	e := p.entries[0]
+	c := New(Options{Logger: zap.NewNop(), ReplicaControl: p, Gateway: newGateway(p)})
+	c.leadership.Membership = Membership{Leader: true, Generation: 7}
+	c.leadership.until = time.Now().Add(time.Minute)
+	c.roster.Replace(time.Now(), p.entries)
+	assignment := layout.Assignment{ID: e.ID, From: 0, To: 4}
+	c.sendAssignment(t.Context(), p.config.Services[0].Model, e, assignment, 1, 7)
+	require.Equal(t, []string{e.ID}, p.assigned)
+	c.roster.MarkLeaving(roster.Process{ID: e.ID, StartTime: e.StartTime})
+	c.sendAssignment(t.Context(), p.config.Services[0].Model, e, assignment, 1, 7)
+	require.Equal(t, []string{e.ID}, p.assigned)
+}
+
 func TestOnlyTheLeaderAssignsLayers(t *testing.T) {
 	p := newFakePlatform()
 	p.leader = false
