Avoid a plain replica's address that another replica has now

Cause: a plain replica's answer 421 was taken as any rejection, and its quick answers kept the address the preferred one. While the list was old, each request went there first and used up a retry.

--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -191,6 +191,9 @@
 	if info.NotRun {
 		g.log.Info("replica rejected a request", zap.String("request", c.ID), zap.String("replica", replica.ID),
 			zap.Int("status", resp.Status), zap.Duration("list_age", g.listAge()))
+		if info.OtherReplica {
+			pool.recordMoved(time.Now(), replica)
+		}
 		drainBody(resp)
 		return forward.Rejected, nil, nil
 	}
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -146,6 +146,16 @@
 	return p.replicas[r.ID] != nil
 }
 
+// recordMoved records that another replica responds at the address of the chosen one. A list that is
+// old shows this address until it is read again, or until a store outage is over.
+func (p *plainPool) recordMoved(now time.Time, chosen Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.replicas[chosen.ID]; r != nil && r.Replica == chosen {
+		r.ejectedUntil = now.Add(maxEjection)
+	}
+}
+
 // mayGet reports whether a replica that was chosen earlier may still get a request: the same process
 // is listed at the same address and has not asked for a pause.
 func (p *plainPool) mayGet(now time.Time, chosen Replica) bool {
--- a/node/gateway/port.go
+++ b/node/gateway/port.go
@@ -57,6 +57,8 @@
 	Signed bool
 	// NotRun is true if the replica reports that the request did not run.
 	NotRun bool
+	// OtherReplica is true if the address belongs to another replica than the expected one.
+	OtherReplica bool
 	// FailingStage is the address of the replica whose stage of the path failed, or "".
 	FailingStage string
 	// Running and Waiting are numbers of requests; valid if HasLoad is true.
