Ask again after the dial on the product's own path

Change: the dial of both looks for the client once more, which ends the request's context before the connection is used.

Evidence: TestCallOfClientThatLeftDuringTheDialIsNotSent fails without it. TestStepOfClientThatLeftIsNotSent sent its cancellation in the request's own context; callers of Cancel use one of their own, so that the test does too.

--- a/node/caller/caller.go
+++ b/node/caller/caller.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 )
 
@@ -19,6 +20,20 @@
 	return context.WithValue(ctx, key{}, endIfLeft)
 }
 
+// Dialer dials for clients that take a connection from a pool right after. It looks for the client of
+// the request again when the connection is established, so that the request's context has ended
+// before the connection is used. The context of the dial itself may live on.
+type Dialer struct{ net.Dialer }
+
+// DialContext implements the dial function of http.Transport.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.Dialer.DialContext(ctx, network, address)
+	if err == nil {
+		_ = Check(ctx) // ends the request's context
+	}
+	return c, err
+}
+
 // Check returns nil if the request with the given context may still be sent, else
 // context.Canceled or context.DeadlineExceeded. It is up to date at the moment of the call. Work that
 // goes on without its client, in a context from context.WithoutCancel, is not stopped.
--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -124,7 +124,7 @@
 }
 
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := caller.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return d.DialContext(ctx, network, address)
 }
 
--- a/node/engine/httpjson/client_test.go
+++ b/node/engine/httpjson/client_test.go
@@ -34,7 +34,7 @@
 	defer c.Release(target)
 	base, cancel := context.WithCancel(context.Background())
 	ctx := caller.WithConnection(base, cancel)
-	require.NoError(t, c.Cancel(ctx, target, &wire.CancelRequest{}))
+	require.NoError(t, c.Cancel(context.WithoutCancel(ctx), target, &wire.CancelRequest{}))
 	_, err := c.Step(ctx, target, &wire.StepRequest{})
 	var failure *engine.CallError
 	require.ErrorAs(t, err, &failure)
--- a/node/service/service.go
+++ b/node/service/service.go
@@ -64,7 +64,7 @@
 
 // New returns a client without open connections.
 func New() *Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &caller.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return &Client{
 		pooled: &http.Transport{
 			DialContext:            d.DialContext,
--- a/node/service/service_test.go
+++ b/node/service/service_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 
@@ -110,3 +111,25 @@
 	}
 	require.Zero(t, count.Load())
 }
+
+// TestCallOfClientThatLeftDuringTheDialIsNotSent guards against calls that are sent on although their
+// client left while the connection to the service was established.
+func TestCallOfClientThatLeftDuringTheDialIsNotSent(t *testing.T) {
+	address, count := closingServer(t, true)
+	c := New()
+	defer c.Close()
+	for range 20 {
+		var left atomic.Bool
+		base, cancel := context.WithCancel(context.Background())
+		ctx := caller.WithConnection(base, func() {
+			if left.Load() {
+				cancel()
+			}
+		})
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{ConnectDone: func(string, string, error) { left.Store(true) }})
+		_, err := c.Do(ctx, address, Call{Method: "POST", Path: "/", Header: http.Header{}})
+		require.ErrorIs(t, err, context.Canceled)
+		cancel()
+	}
+	require.Zero(t, count.Load())
+}
