A line that fills the read buffer no longer ends its event

Callers saw nothing of it while the stream went on. If the replica broke off behind such a line, half an event had been relayed as a whole one, and the events of the next run were joined to it.

Cause: nextEvent read each piece of a line that is longer than the buffer of 4 KiB as a line of its own. An empty rest was the blank line that ends an event, and a rest that begins with "id:" was the event's ID.

Evidence: TestLineOfTheBufferSizeDoesNotEndItsEvent, without the fix: 'fills the buffer' gets 23 of 32 bytes as the event, 'fills the buffer twice' 39 of 48, 'rest looks like an ID' expected id 3, actual 9.

What continues a line is now only appended to the event, not read as a line.

--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -55,6 +55,7 @@
 // event results in io.ErrUnexpectedEOF.
 func nextEvent(br *bufio.Reader) event {
 	ev := event{id: -1}
+	inLine := false // the next bytes continue a line that is longer than the buffer
 	for {
 		line, err := br.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
@@ -62,6 +63,7 @@
 			if len(ev.data) > maxEventBytes {
 				return event{err: errEventTooLarge}
 			}
+			inLine = true
 			continue
 		}
 		if err != nil {
@@ -73,6 +75,10 @@
 		if len(ev.data) > maxEventBytes {
 			return event{err: errEventTooLarge}
 		}
+		if inLine {
+			inLine = false
+			continue
+		}
 		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
 			return ev
 		} else if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
--- a/node/gateway/events_test.go
+++ b/node/gateway/events_test.go
@@ -32,3 +32,21 @@
 	ev := nextEvent(bufio.NewReader(strings.NewReader("data: " + strings.Repeat("x", 2*maxEventBytes) + "\n\n")))
 	require.ErrorIs(t, ev.err, errEventTooLarge)
 }
+
+// TestLineOfTheBufferSizeDoesNotEndItsEvent guards against an event that is cut after a line which
+// fills the read buffer, and against the rest of a long line that is taken for an ID.
+func TestLineOfTheBufferSizeDoesNotEndItsEvent(t *testing.T) {
+	const bufferBytes = 16
+	for name, line := range map[string]string{
+		"fills the buffer":       "data: " + strings.Repeat("x", bufferBytes-len("data: ")) + "\n",
+		"rest looks like an ID":  "data: " + strings.Repeat("x", bufferBytes-len("data: ")) + "id: 9\n",
+		"fills the buffer twice": "data: " + strings.Repeat("x", 2*bufferBytes-len("data: ")) + "\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := "id: 3\n" + line + "data: b\n\n"
+			br := bufio.NewReaderSize(strings.NewReader(text), bufferBytes)
+			require.Equal(t, event{id: 3, data: []byte(text)}, nextEvent(br))
+			require.ErrorIs(t, nextEvent(br).err, io.EOF)
+		})
+	}
+}
