What continues a broken stream must be an event stream

Callers found an error's text in the middle of their stream, and the stream ended as if it were complete: three events, then {"error":"out of memory"}, then the last chunk.

Cause: after a run that broke off, the next response with status 200 was relayed whatever its kind. The text up to a blank line passed for an event without an ID, and the end of the body for the end of the stream.

Evidence: TestFailureAfterBrokenStreamIsNotPartOfIt plays 27 second runs after a stream that broke within its fourth event, and reads the bytes on the caller's connection. The other 22 held and hold: other statuses, refusals, heads that cannot be read, no signature, the ID of another request, runs that break off as well.

A run whose response states another kind than an event stream is now lost if a stream has begun. Before that its response is delivered whole, as responses with other statuses are: TestResponsesOfOtherKindsAreDeliveredWhole fails without the fix for a JSON body with status 200 ('expected: 200, actual: 502').

--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"strconv"
+
+	"masticbank.example/node/exchange"
 )
 
 // event is one complete event of a stream.
@@ -30,6 +33,17 @@
 	errStreamTooLarge = errors.New("stream exceeds 16 MiB")
 )
 
+// isEventStream reports whether the body of a response is a series of events. One that does not
+// state its type is taken for events.
+func isEventStream(resp *exchange.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // readEvents sends the events of r to out until the stream ends or stop is closed. Reads
 // of r must fail soon after stop is closed.
 func readEvents(r io.Reader, out chan<- event, stop <-chan struct{}) {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -246,8 +246,8 @@
 	case lacksSignature(resp.Status, info):
 		resp.Discard()
 		return forward.Lost, errUnsignedResponse
-	case resp.Status != http.StatusOK:
-		return s.handleFailure(resp)
+	case resp.Status != http.StatusOK || !isEventStream(resp):
+		return s.handleOther(resp)
 	}
 	return s.relay(ctx, cancel, resp)
 }
@@ -326,13 +326,19 @@
 	}
 }
 
-// handleFailure handles a response that is not a stream: it is delivered unless a stream has
-// already begun.
-func (s *stream) handleFailure(resp *exchange.Response) (forward.Outcome, error) {
+// errNotEvents means that a run which is to continue a stream was answered with something else.
+var errNotEvents = errors.New("the response does not continue the stream")
+
+// handleOther handles a response that is not an event stream: it is delivered whole unless a stream
+// has already begun.
+func (s *stream) handleOther(resp *exchange.Response) (forward.Outcome, error) {
 	body, err := s.memory.ReadAll(resp.Body, maxResponseBytes)
-	if err != nil || s.headSent {
+	if err != nil {
 		return forward.Lost, err
 	}
+	if s.headSent {
+		return forward.Lost, errNotEvents
+	}
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
 	return forward.Responded, nil
 }
