A broken stream is not held while a failure's body is read

Callers whose stream had broken off, and could not be continued, learned it only at their deadline if the next replica's failure did not end.

Cause: a response that does not continue a begun stream was read to its end, without the check for stages that do not respond, and then dropped.

Evidence: TestBrokenStreamIsNotHeldForTheBodyOfAFailure, without the fix: '"14.971594579s" is not less than "7.5s"', of a deadline of 15 s, for a 500 with a length, one without, and a JSON body with status 200.

The response is now dropped with its head, and its connection closed.

--- a/cmd/internal/entry/begunstream_test.go
+++ b/cmd/internal/entry/begunstream_test.go
@@ -19,6 +19,9 @@
 // trailingWait is how long a client looks for bytes after the end of a stream.
 const trailingWait = 50 * time.Millisecond
 
+// callerDeadline is the deadline of requests in tests.
+const callerDeadline = 15 * time.Second
+
 // received is what a client reads of one stream.
 type received struct {
 	response
@@ -191,3 +194,23 @@
 		}
 	}
 }
+
+// TestBrokenStreamIsNotHeldForTheBodyOfAFailure guards against a caller who waits for the end of its
+// stream while the body of a failure, which it never gets, is awaited.
+func TestBrokenStreamIsNotHeldForTheBodyOfAFailure(t *testing.T) {
+	env, set := startModel(t)
+	for name, second := range map[string]platformtest.Reply{
+		"500 with a length":    {Status: 500, ContentType: "text/plain", Framing: platformtest.Length, Body: "out", Hold: true},
+		"500 without a length": {Status: 500, ContentType: "text/plain", Framing: platformtest.UntilClose, Body: "out", Hold: true},
+		"JSON":                 {ContentType: "application/json", Body: errorBody, Hold: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set(breakThen(second))
+			start := time.Now()
+			got := env.receiveStream("/chat/1", "")
+			require.Error(t, got.err)
+			require.Equal(t, events(1, 3), got.body)
+			require.Less(t, time.Since(start), callerDeadline/2)
+		})
+	}
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -332,13 +332,14 @@
 // handleOther handles a response that is not an event stream: it is delivered whole unless a stream
 // has already begun.
 func (s *stream) handleOther(resp *exchange.Response) (forward.Outcome, error) {
+	if s.headSent {
+		resp.Discard()
+		return forward.Lost, errNotEvents
+	}
 	body, err := s.memory.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return forward.Lost, err
 	}
-	if s.headSent {
-		return forward.Lost, errNotEvents
-	}
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
 	return forward.Responded, nil
 }
