Events without an ID are not relayed

Callers found a failure in the middle of their stream, at times with its head: three events, then 'HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5'. Where a blank line followed, the stream also ended as if it were complete.

Cause: whatever stood before a blank line was an event. One without an ID was relayed at any place, in the first run and in those that continue it: an error event, a text, or the head of a response in the body of another.

A stream is a series of events with increasing IDs, by the platform's page. What has a line that isn't a comment and no ID is now the end of the run: it is lost, and continued where the route allows it.

--- a/cmd/internal/entry/begunstream_test.go
+++ b/cmd/internal/entry/begunstream_test.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// errorHead is the head of a failure.
+const errorHead = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n"
+
 // startModel starts an instance and two replicas that both hold the whole model.
 func startModel(t *testing.T) (*environment, func(func(string) *platformtest.Reply)) {
 	env := newEnvironment(t)
@@ -121,6 +124,13 @@
 		"JSON error without length":              {ContentType: "application/json", Framing: platformtest.UntilClose, Body: errorBody},
 		"text with a blank line":                 {ContentType: "text/plain", Body: "out of memory\n\n"},
 		"empty JSON":                             {ContentType: "application/json", Framing: platformtest.Length},
+		"JSON error in a stream":                 {Body: errorBody},
+		"error event":                            {Body: "event: error\ndata: out of memory\n\n"},
+		"error event after events":               {Body: events(4, 5) + "event: error\ndata: out of memory\n\n"},
+		"head in the body":                       {Framing: platformtest.UntilClose, Body: errorHead + "error"},
+		"head in the chunked body":               {Body: errorHead + "error\n\n"},
+		"head after events":                      {Framing: platformtest.UntilClose, Body: events(4, 5) + errorHead + "error"},
+		"head without body after events":         {Framing: platformtest.UntilClose, Body: events(4, 5) + errorHead},
 		"no signature":                           {Unsigned: true, Body: events(4, 6)},
 		"another request":                        {OtherID: true, Body: events(4, 6)},
 		"no head":                                {Raw: "out of memory\n\n"},
@@ -214,3 +224,40 @@
 		})
 	}
 }
+
+// TestFailureWithinAStreamIsNotPartOfIt guards against a replica that writes a failure into the
+// response which it has begun.
+func TestFailureWithinAStreamIsNotPartOfIt(t *testing.T) {
+	env, set := startModel(t)
+	for name, failure := range map[string]string{
+		"head":         errorHead,
+		"whole answer": errorHead + "error",
+		"JSON":         errorBody,
+		"error event":  "event: error\ndata: out of memory\n\n",
+	} {
+		for _, framing := range []platformtest.Framing{platformtest.Chunked, platformtest.Length, platformtest.UntilClose} {
+			t.Run(fmt.Sprint(name, framing), func(t *testing.T) {
+				set(func(string) *platformtest.Reply {
+					return &platformtest.Reply{Framing: framing, Body: events(1, 3) + failure}
+				})
+				got := env.receiveStream("/once/1", "")
+				require.Error(t, got.err, "the stream looks complete: %q", got.body)
+				require.Equal(t, events(1, 3), got.body)
+				set(func(lastEvent string) *platformtest.Reply {
+					if lastEvent == "3" {
+						return &platformtest.Reply{Body: events(4, 6)}
+					}
+					return &platformtest.Reply{Framing: framing, Body: events(1, 3) + failure}
+				})
+				got = env.receiveStream("/chat/1", "")
+				require.NoError(t, got.err)
+				require.Equal(t, completeStream(), got.body)
+				set(func(string) *platformtest.Reply { return &platformtest.Reply{Framing: framing, Body: failure} })
+				got = env.receiveStream("/once/1", "")
+				require.NoError(t, got.err)
+				require.Equal(t, 502, got.status)
+				require.Empty(t, platformtest.Signature(got.header))
+			})
+		}
+	}
+}
--- a/node/gateway/events.go
+++ b/node/gateway/events.go
@@ -13,7 +13,7 @@
 
 // event is one complete event of a stream.
 type event struct {
-	// id is -1 for events without a number.
+	// id is -1 for events without a number. Only comments may have none.
 	id   int64
 	data []byte
 	// err ends the stream; it is io.EOF after the last event.
@@ -31,6 +31,7 @@
 var (
 	errEventTooLarge  = errors.New("stream event exceeds 64 KiB")
 	errStreamTooLarge = errors.New("stream exceeds 16 MiB")
+	errUnnumbered     = errors.New("stream has an event without an ID")
 )
 
 // isEventStream reports whether the body of a response is a series of events. One that does not
@@ -66,13 +67,19 @@
 }
 
 // nextEvent reads up to the blank line that ends an event. A stream that ends within an
-// event results in io.ErrUnexpectedEOF.
+// event results in io.ErrUnexpectedEOF. An event without an ID can't be one of the numbered series
+// that a stream consists of, but the head or the text of a failure can look like one.
 func nextEvent(br *bufio.Reader) event {
 	ev := event{id: -1}
 	inLine := false // the next bytes continue a line that is longer than the buffer
+	comment := true // all lines so far are comments
 	for {
 		line, err := br.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
+		text := bytes.TrimRight(line, "\r\n")
+		if !inLine && len(text) > 0 && text[0] != ':' {
+			comment = false
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			if len(ev.data) > maxEventBytes {
 				return event{err: errEventTooLarge}
@@ -93,9 +100,13 @@
 			inLine = false
 			continue
 		}
-		if text := bytes.TrimRight(line, "\r\n"); len(text) == 0 {
+		if len(text) == 0 {
+			if ev.id < 0 && !comment {
+				return event{err: errUnnumbered}
+			}
 			return ev
-		} else if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		}
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				ev.id = n
 			}
