A response without a new event does not complete a broken stream

Callers saw a stream end as if it were complete after the third of six events, or a success without any event.

Cause: the end of a response's body ended the stream, also if the run that continued it had sent nothing, only what the caller already had, or a comment.

A run without an event of its own is now lost. The exception is a caller that asks for what follows its last event and has not received anything: there the response is whole, and says that nothing follows. A stream whose replica breaks off between its last event and its end is no longer completed by an empty second run; its caller can ask again with the last ID and is then told so.

--- a/cmd/internal/entry/begunstream_test.go
+++ b/cmd/internal/entry/begunstream_test.go
@@ -131,6 +131,12 @@
 		"head in the chunked body":               {Body: errorHead + "error\n\n"},
 		"head after events":                      {Framing: platformtest.UntilClose, Body: events(4, 5) + errorHead + "error"},
 		"head without body after events":         {Framing: platformtest.UntilClose, Body: events(4, 5) + errorHead},
+		"empty body without length":              {Framing: platformtest.UntilClose},
+		"repeated events without length":         {Framing: platformtest.UntilClose, Body: events(1, 3)},
+		"empty body":                             {},
+		"empty body with a length":               {Framing: platformtest.Length},
+		"repeated events":                        {Body: events(1, 3)},
+		"comment":                                {Body: ": still here\n\n"},
 		"no signature":                           {Unsigned: true, Body: events(4, 6)},
 		"another request":                        {OtherID: true, Body: events(4, 6)},
 		"no head":                                {Raw: "out of memory\n\n"},
@@ -148,6 +154,7 @@
 			got := env.receiveStream("/chat/1", "")
 			require.Equal(t, 200, got.status)
 			require.Error(t, got.err, "the stream looks complete: %q", got.body)
+			got.body = strings.TrimSuffix(got.body, ": still here\n\n")
 			require.True(t, strings.HasPrefix(completeStream(), got.body), "other bytes in the stream: %q", got.body)
 			require.True(t, strings.HasPrefix(got.body, events(1, 3)), "%q", got.body)
 			require.False(t, strings.HasSuffix(got.raw, "0\r\n\r\n"), "the last chunk was sent: %q", got.raw)
@@ -261,3 +268,27 @@
 		}
 	}
 }
+
+// TestStreamWithoutEventsIsNotComplete guards against an empty response that looks like a whole
+// stream. A caller that asks for what follows its last event may be told that nothing does.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	env, set := startModel(t)
+	for _, framing := range []platformtest.Framing{platformtest.Chunked, platformtest.Length, platformtest.UntilClose} {
+		for _, path := range []string{"/chat/1", "/once/1"} {
+			t.Run(fmt.Sprint(path, framing), func(t *testing.T) {
+				set(func(string) *platformtest.Reply { return &platformtest.Reply{Framing: framing} })
+				got := env.receiveStream(path, "")
+				require.NoError(t, got.err)
+				require.Equal(t, 502, got.status)
+				require.Empty(t, platformtest.Signature(got.header))
+			})
+		}
+		t.Run(fmt.Sprint("after the last event", framing), func(t *testing.T) {
+			set(func(string) *platformtest.Reply { return &platformtest.Reply{Framing: framing} })
+			got := env.receiveStream("/chat/1", "6")
+			require.NoError(t, got.err)
+			require.Equal(t, 200, got.status)
+			require.Empty(t, got.body)
+		})
+	}
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -45,7 +45,9 @@
 	lastEventID int64
 	// relayed counts the events that this attempt relayed.
 	relayed int
-	grant   *grant
+	// runEvents counts the events with an ID that the current run added.
+	runEvents int
+	grant     *grant
 	// lastProgress is when the last event arrived, or when the request was sent if none has.
 	lastProgress time.Time
 	// lastSent is when the last event was sent to the client.
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -17,6 +17,7 @@
 
 // relay forwards whole events to the client as they arrive.
 func (s *stream) relay(ctx context.Context, cancel context.CancelFunc, resp *exchange.Response) (forward.Outcome, error) {
+	s.runEvents = 0
 	events := make(chan event)
 	stop := make(chan struct{})
 	finished := make(chan struct{})
@@ -66,6 +67,9 @@
 // handleEvent handles one event; done is true if the run is over.
 func (s *stream) handleEvent(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
 	if errors.Is(ev.err, io.EOF) {
+		if !s.mayEnd() {
+			return true, forward.Lost, errNoEvents
+		}
 		s.writeHead(resp)
 		if s.relayed > 0 {
 			s.g.crashes.recordSuccess(s.call)
@@ -94,6 +98,7 @@
 	s.writer.(http.Flusher).Flush()
 	if ev.id >= 0 {
 		s.lastEventID = ev.id
+		s.runEvents++
 	}
 	now := time.Now()
 	if gap := now.Sub(s.lastSent); s.relayed > 0 && gap > s.longestGap {
@@ -112,6 +117,17 @@
 	return false, 0, nil
 }
 
+// errNoEvents means that a response ended without an event of its own.
+var errNoEvents = errors.New("stream ends without a new event")
+
+// mayEnd reports whether the stream is complete when the current run's response ends. A run without
+// a new event completes a stream only for a caller that asked for what follows its last event and
+// has received nothing else: it states that nothing does. After a broken run, an empty response
+// may as well be another failure, and the caller can ask for what follows by itself.
+func (s *stream) mayEnd() bool {
+	return s.runEvents > 0 || (!s.headSent && s.lastEventID >= 0)
+}
+
 // zonesOf lists the zones of a path in order; a zone is repeated each time the path enters
 // it.
 func zonesOf(p pipeline.Path) string {
