A broken stream continues with its next event or not at all

Callers got a stream with a piece missing that looked complete: events 1 to 3, then 5 and 6.

Cause: events of a run that continues a stream were only compared with what the caller already had; any higher ID was relayed.

While the IDs that a caller has got are consecutive, the first event that a further run adds must have the next one; else the run is lost. The platform's page only says that IDs increase, so a stream whose own IDs leave gaps is continued as before: TestBrokenStreamWithSpacedIDsContinues, which fails with 'Received unexpected error' if that exception is switched off. A gap within one run is the replica's own series and is relayed.

--- a/cmd/internal/entry/begunstream_test.go
+++ b/cmd/internal/entry/begunstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +138,9 @@
 		"empty body with a length":               {Framing: platformtest.Length},
 		"repeated events":                        {Body: events(1, 3)},
 		"comment":                                {Body: ": still here\n\n"},
+		"later events":                           {Body: events(5, 6)},
+		"repeated and later events":              {Body: events(1, 3) + events(5, 6)},
+		"comment and later events":               {Body: ": still here\n\n" + events(5, 6)},
 		"no signature":                           {Unsigned: true, Body: events(4, 6)},
 		"another request":                        {OtherID: true, Body: events(4, 6)},
 		"no head":                                {Raw: "out of memory\n\n"},
@@ -292,3 +296,27 @@
 		})
 	}
 }
+
+// TestBrokenStreamWithSpacedIDsContinues guards against ending a stream whose IDs leave gaps, as the
+// platform allows, because its next event does not have the next number.
+func TestBrokenStreamWithSpacedIDsContinues(t *testing.T) {
+	env, set := startModel(t)
+	for name, ids := range map[string][]int{"from the first on": {10, 20, 30, 40}, "later": {1, 2, 5, 9}} {
+		t.Run(name, func(t *testing.T) {
+			var all string
+			for _, id := range ids {
+				all += events(id, id)
+			}
+			rest := events(ids[3], ids[3])
+			set(func(lastEvent string) *platformtest.Reply {
+				if lastEvent == strconv.Itoa(ids[2]) {
+					return &platformtest.Reply{Body: rest}
+				}
+				return &platformtest.Reply{Body: strings.TrimSuffix(all, rest), Broken: true}
+			})
+			got := env.receiveStream("/chat/1", "")
+			require.NoError(t, got.err)
+			require.Equal(t, all, got.body)
+		})
+	}
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -47,6 +47,8 @@
 	relayed int
 	// runEvents counts the events with an ID that the current run added.
 	runEvents int
+	// spacedIDs is true if the IDs of the events relayed so far are not consecutive.
+	spacedIDs bool
 	grant     *grant
 	// lastProgress is when the last event arrived, or when the request was sent if none has.
 	lastProgress time.Time
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -85,6 +85,9 @@
 	if ev.id >= 0 && ev.id <= s.lastEventID {
 		return false, 0, nil // already sent by an earlier run
 	}
+	if s.skipsEvents(ev.id) {
+		return true, forward.Lost, errEventMissing
+	}
 	s.grant.recordEvent(time.Now())
 	s.writeHead(resp)
 	if s.relayed == 0 {
@@ -97,6 +100,7 @@
 	s.g.crashes.markResponsive(s.grant.path()[0].ID)
 	s.writer.(http.Flusher).Flush()
 	if ev.id >= 0 {
+		s.spacedIDs = s.spacedIDs || ev.id > max(s.lastEventID, 0)+1
 		s.lastEventID = ev.id
 		s.runEvents++
 	}
@@ -128,6 +132,15 @@
 	return s.runEvents > 0 || (!s.headSent && s.lastEventID >= 0)
 }
 
+// errEventMissing means that a run does not continue a stream with its next event.
+var errEventMissing = errors.New("stream does not continue with its next event")
+
+// skipsEvents reports whether the run which continues a stream begins later than with its next
+// event. That cannot be told for a stream whose IDs leave gaps.
+func (s *stream) skipsEvents(id int64) bool {
+	return s.headSent && s.runEvents == 0 && s.lastEventID >= 0 && !s.spacedIDs && id > s.lastEventID+1
+}
+
 // zonesOf lists the zones of a path in order; a zone is repeated each time the path enters
 // it.
 func zonesOf(p pipeline.Path) string {
