--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -45,7 +45,11 @@
 	lastEventID int64
 	// relayed counts the events that this attempt relayed.
 	relayed int
-	grant   *grant
+	// runEvents counts the events with an ID that the current run added.
+	runEvents int
+	// spacedIDs is true if the IDs of the events relayed so far are not consecutive.
+	spacedIDs bool
+	grant     *grant
 	// lastProgress is when the last event arrived, or when the request was sent if none has.
 	lastProgress time.Time
 	// lastSent is when the last event was sent to the client.
@@ -268,8 +272,8 @@
 	case lacksSignature(resp.Status, info):
 		resp.Discard()
 		return forward.Lost, errUnsignedResponse
-	case resp.Status != http.StatusOK:
-		return s.handleFailure(resp)
+	case resp.Status != http.StatusOK || !isEventStream(resp):
+		return s.handleOther(resp)
 	}
 	return s.relay(ctx, cancel, resp)
 }
@@ -348,11 +352,18 @@
 	}
 }
 
-// handleFailure handles a response that is not a stream: it is delivered unless a stream has
-// already begun.
-func (s *stream) handleFailure(resp *exchange.Response) (forward.Outcome, error) {
+// errNotEvents means that a run which is to continue a stream was answered with something else.
+var errNotEvents = errors.New("the response does not continue the stream")
+
+// handleOther handles a response that is not an event stream: it is delivered whole unless a stream
+// has already begun.
+func (s *stream) handleOther(resp *exchange.Response) (forward.Outcome, error) {
+	if s.headSent {
+		resp.Discard()
+		return forward.Lost, errNotEvents
+	}
 	body, err := s.memory.ReadAll(resp.Body, maxResponseBytes)
-	if err != nil || s.headSent {
+	if err != nil {
 		return forward.Lost, err
 	}
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -17,6 +17,7 @@
 
 // relay forwards whole events to the client as they arrive.
 func (s *stream) relay(ctx context.Context, cancel context.CancelFunc, resp *exchange.Response) (forward.Outcome, error) {
+	s.runEvents = 0
 	events := make(chan event)
 	stop := make(chan struct{})
 	finished := make(chan struct{})
@@ -66,6 +67,9 @@
 // handleEvent handles one event; done is true if the run is over.
 func (s *stream) handleEvent(ctx context.Context, resp *exchange.Response, ev event) (done bool, o forward.Outcome, err error) {
 	if errors.Is(ev.err, io.EOF) {
+		if !s.mayEnd() {
+			return true, forward.Lost, errNoEvents
+		}
 		s.writeHead(resp)
 		if s.relayed > 0 {
 			s.g.crashes.recordSuccess(s.call)
@@ -81,6 +85,9 @@
 	if ev.id >= 0 && ev.id <= s.lastEventID {
 		return false, 0, nil // already sent by an earlier run
 	}
+	if s.skipsEvents(ev.id) {
+		return true, forward.Lost, errEventMissing
+	}
 	s.grant.recordEvent(time.Now())
 	s.writeHead(resp)
 	if s.relayed == 0 {
@@ -93,7 +100,9 @@
 	s.g.crashes.markResponsive(s.grant.path()[0].ID)
 	s.writer.(http.Flusher).Flush()
 	if ev.id >= 0 {
+		s.spacedIDs = s.spacedIDs || ev.id > max(s.lastEventID, 0)+1
 		s.lastEventID = ev.id
+		s.runEvents++
 	}
 	now := time.Now()
 	if gap := now.Sub(s.lastSent); s.relayed > 0 && gap > s.longestGap {
@@ -112,6 +121,26 @@
 	return false, 0, nil
 }
 
+// errNoEvents means that a response ended without an event of its own.
+var errNoEvents = errors.New("stream ends without a new event")
+
+// mayEnd reports whether the stream is complete when the current run's response ends. A run without
+// a new event completes a stream only for a caller that asked for what follows its last event and
+// has received nothing else: it states that nothing does. After a broken run, an empty response
+// may as well be another failure, and the caller can ask for what follows by itself.
+func (s *stream) mayEnd() bool {
+	return s.runEvents > 0 || (!s.headSent && s.lastEventID >= 0)
+}
+
+// errEventMissing means that a run does not continue a stream with its next event.
+var errEventMissing = errors.New("stream does not continue with its next event")
+
+// skipsEvents reports whether the run which continues a stream begins later than with its next
+// event. That cannot be told for a stream whose IDs leave gaps.
+func (s *stream) skipsEvents(id int64) bool {
+	return s.headSent && s.runEvents == 0 && s.lastEventID >= 0 && !s.spacedIDs && id > s.lastEventID+1
+}
+
 // zonesOf lists the zones of a path in order; a zone is repeated each time the path enters
 // it.
 func zonesOf(p pipeline.Path) string {
