A refusal written again is not taken for the answer to the next send of the same request

Callers were told "not run, try again" for requests that a replica ran, and a stream that must not be repeated ran twice.

Cause: a response counts as the answer if it bears the request's ID. That does not tell a refusal that a replica writes once more from the answer to a second send of the same request on the same connection. There are two such sends: a stream whose first replica names another stage as the cause is sent to that first replica again, over the most recently used connection; and a caller may repeat a request under its ID.

Evidence, TestRepeatedRefusalIsNotBelievedForTheNextSend on the code before: the stream "expected: 1, actual: 2 ... runs; status 200"; the plain requests "expected: 200, actual: 503 ... the request ran".

Now a connection carries an ID only once, so that on any connection the ID tells the answer from all earlier ones. A refusal on the first send is believed as before.

TestRefusalOfAnotherRequestIsNotBelieved passes on the code before: an earlier refusal with another ID was not believed already. It fails if the IDs are not compared ("expected: 502, actual: 503").

--- /dev/null
+++ b/cmd/internal/entry/refusal_test.go
@@ -0,0 +1,155 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/platform/platformtest"
+)
+
+// onceRoute is a route whose streams must not be repeated.
+const onceRoute = `,{"name":"once","host":"h.example","pathPrefix":"/once/","routeKind":"streaming","timeoutMs":5000,"targetLatencyMs":500,"maxAttempts":2,"service":"llm"}`
+
+// runTime is how long scripted replicas run a request.
+const runTime = 30 * time.Millisecond
+
+// refusalRepeater refuses the first send of each request. On a connection with a refusal,
+// it answers every later request with that refusal once more, although it runs the request,
+// and writes the request's response afterwards.
+type refusalRepeater struct {
+	body string
+
+	mu   sync.Mutex
+	seen map[string]bool
+}
+
+// refuses reports whether a request arrives for the first time.
+func (f *refusalRepeater) refuses(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := !f.seen[id]
+	if f.seen == nil {
+		f.seen = map[string]bool{}
+	}
+	f.seen[id] = true
+	return first
+}
+
+func (f *refusalRepeater) serve(c *platformtest.ScriptedConn) {
+	refusal := ""
+	for {
+		req, ok := c.Next()
+		if !ok {
+			return
+		}
+		if refusal == "" && f.refuses(req.ID) {
+			stage := ""
+			if len(req.Stages) > 1 {
+				stage = req.Stages[1]
+			}
+			refusal = platformtest.Refusal(req.ID, stage)
+			c.Write(refusal)
+			continue
+		}
+		req.Run()
+		c.Write(refusal)
+		time.Sleep(runTime)
+		c.Write(platformtest.Answer(req.ID, http.StatusOK, f.body))
+	}
+}
+
+// sendID sends a request with the given ID.
+func (env *environment) sendID(method, path, id string) response {
+	req, err := platformtest.NewRequest(env.instance.ClientAddr(), method, path, id, "key1", "x")
+	require.NoError(env.t, err)
+	resp, err := env.client.Do(req)
+	if err != nil {
+		return response{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// TestRepeatedRefusalIsNotBelievedForTheNextSend guards against a refusal that a replica
+// writes once more when the refused request is sent to it again on the same connection: the
+// request runs, and must be neither refused nor sent to run again.
+func TestRepeatedRefusalIsNotBelievedForTheNextSend(t *testing.T) {
+	t.Run("stream", func(t *testing.T) {
+		env := newEnvironment(t)
+		env.publishConfig(1, onceRoute)
+		first := env.newReplica("i-1")
+		env.publishEntry(first, "llm", "ready", 0, 2)
+		for _, id := range []string{"i-2", "i-3"} {
+			env.publishEntry(env.newReplica(id), "llm", "ready", 2, 4)
+		}
+		env.start()
+		first.SetBehavior(platformtest.Behavior{Script: (&refusalRepeater{body: completeStream()}).serve})
+		got := env.send("POST", "/once/1", "key1", "prompt")
+		require.NoError(t, got.err)
+		require.Len(t, first.Runs(), 1, "status %d", got.status)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, completeStream(), got.body)
+	})
+	for name, c := range map[string]struct{ method, path string }{
+		"idempotent":     {"GET", "/look/1"},
+		"non-idempotent": {"POST", "/order/1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, "")
+			a := env.newReplica("i-a")
+			env.publishEntry(a, "plain", "ready")
+			env.start()
+			a.SetBehavior(platformtest.Behavior{Script: (&refusalRepeater{body: "done"}).serve})
+			require.Equal(t, http.StatusServiceUnavailable, env.sendID(c.method, c.path, "again").status)
+			got := env.sendID(c.method, c.path, "again")
+			require.Len(t, a.Runs(), 1)
+			require.Equal(t, http.StatusOK, got.status, "the request ran")
+			require.Equal(t, "done", got.body)
+		})
+	}
+}
+
+// TestRefusalOfAnotherRequestIsNotBelieved guards against a refusal of an earlier request
+// that a replica writes once more on the reused connection: the next request runs, and must
+// be neither refused nor sent to run again.
+func TestRefusalOfAnotherRequestIsNotBelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, service string
+		layers        []int
+	}{
+		"plain":  {"/order/1", "plain", nil},
+		"stream": {"/once/1", "llm", []int{0, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, onceRoute)
+			a := env.newReplica("i-a")
+			env.publishEntry(a, c.service, "ready", c.layers...)
+			env.start()
+			refused := "refused"
+			a.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+				for {
+					req, ok := conn.Next()
+					if !ok {
+						return
+					}
+					if req.ID != refused {
+						req.Run()
+					}
+					conn.Write(platformtest.Refusal(refused, ""))
+				}
+			}})
+			require.Equal(t, http.StatusServiceUnavailable, env.sendID("POST", c.path, refused).status)
+			got := env.sendID("POST", c.path, "next")
+			require.Equal(t, http.StatusBadGateway, got.status, "the request may have run")
+			require.Len(t, a.Runs(), 1)
+		})
+	}
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -28,6 +28,10 @@
 
 // Request is one request. Its body is sent with a Content-Length.
 type Request struct {
+	// ID, if set, is the ID that the replica states in its response. A connection carries an
+	// ID only once: a response that the replica writes again could not be told from the
+	// response to a second request with the same ID.
+	ID     string
 	Method string
 	// Target is the request target exactly as the client sent it.
 	Target string
@@ -112,6 +116,7 @@
 	// announcedIdleTimeout is the idle timeout that the replica announced, or 0.
 	announcedIdleTimeout time.Duration
 	reused               bool
+	carried              carried
 }
 
 // New returns a client without open connections.
@@ -123,7 +128,7 @@
 // received. The error is an *Error. The end of ctx aborts the whole exchange, including
 // reading the body.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, address, r.Fresh)
+	cn, err := c.acquire(ctx, address, r)
 	if err != nil {
 		return nil, &Error{Timeout: timedOut(ctx, err), Err: err}
 	}
@@ -253,18 +258,19 @@
 func (r *Response) Discard() { r.notReusable = true }
 
 // acquire returns a usable idle connection or establishes a new one.
-func (c *Client) acquire(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		cn := c.popIdle(address)
+		cn := c.popIdle(address, r.ID)
 		if cn == nil {
-			return c.dial(ctx, address)
+			return c.dial(ctx, address, r.ID)
 		}
 		age := time.Since(cn.lastUsed)
-		if age > c.maxIdleTime(cn) || (fresh && age > maxFreshIdleTime) || !isReusable(cn) {
+		if age > c.maxIdleTime(cn) || (r.Fresh && age > maxFreshIdleTime) || !isReusable(cn) {
 			c.discard(cn)
 			continue
 		}
 		_ = cn.SetDeadline(time.Time{})
+		cn.carried.add(r.ID)
 		return cn, nil
 	}
 }
@@ -277,27 +283,14 @@
 	return c.opts.IdleTimeout
 }
 
-// popIdle removes the most recently used idle connection from the pool and returns it, or
-// nil if there is none.
-func (c *Client) popIdle(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
-}
-
-// release returns a connection to the pool, or closes it if the pool is full.
+// release returns a connection to the pool, or closes it if the pool or its list of carried
+// requests is full.
 func (c *Client) release(cn *conn) {
 	cn.reused = true
 	cn.lastUsed = time.Now()
 	c.mu.Lock()
 	list := c.idle[cn.address]
-	if len(list) < c.opts.IdlePerAddress {
+	if len(list) < c.opts.IdlePerAddress && !cn.carried.full() {
 		c.idle[cn.address] = append(list, cn)
 		c.mu.Unlock()
 		return
@@ -306,7 +299,7 @@
 	c.discard(cn)
 }
 
-func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address, id string) (*conn, error) {
 	d := &net.Dialer{Timeout: c.opts.DialTimeout, KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -317,7 +310,9 @@
 		return nil, trace.Wrap(err, "connection to %s", address)
 	}
 	limiter := &headLimiter{source: nc}
-	return &conn{Conn: nc, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
+	cn := &conn{Conn: nc, address: address, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	cn.carried.add(id)
+	return cn, nil
 }
 
 // Refused reports whether a new connection to address is refused, which means that no
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -370,6 +370,7 @@
 		host = c.http.Host
 	}
 	return &exchange.Request{
+		ID:     c.ID,
 		Method: c.http.Method,
 		Target: c.http.RequestURI,
 		Host:   host,
