A replica's 503 that does not state "not run" is not forwarded for requests that must not be repeated

Callers were told "not run, try again" for requests that a replica ran: they understand 408, 421, 429 and 503 so, and repeat the request.

Cause: a response with one of these statuses but without the statement that the request did not run was forwarded as the replica's own response, like a 500. Only the statement, or a 421, is a proof.

Now such a response counts as lost where the request must not be repeated, and the caller gets a 502, which promises nothing. A request that may be repeated gets the replica's response as before.

--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -153,3 +153,47 @@
 		})
 	}
 }
+
+// TestUnprovenRefusalIsNotForwarded guards against a refusal of a request that may have run:
+// the replica responds with a status that callers understand as "not run", but does not
+// state it. A request that may run twice gets the replica's response.
+func TestUnprovenRefusalIsNotForwarded(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, service string
+		layers        []int
+		repeatable    bool
+	}{
+		"idempotent":       {"/look/1", "plain", nil, true},
+		"non-idempotent":   {"/order/1", "plain", nil, false},
+		"resumable stream": {"/chat/1", "llm", []int{0, 4}, true},
+		"stream":           {"/once/1", "llm", []int{0, 4}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, onceRoute)
+			replicas := []*platformtest.Replica{env.newReplica("i-a"), env.newReplica("i-b")}
+			for _, r := range replicas {
+				env.publishEntry(r, c.service, "ready", c.layers...)
+			}
+			env.start()
+			for n, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+				for _, r := range replicas {
+					r.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+						if req, ok := conn.Next(); ok {
+							req.Run()
+							conn.Write(platformtest.Answer(req.ID, status, "no"))
+						}
+					}})
+				}
+				got := env.send("POST", c.path, "key1", "x")
+				require.NoError(t, got.err)
+				if c.repeatable {
+					require.Equal(t, status, got.status)
+					continue
+				}
+				require.Equal(t, n+1, len(replicas[0].Runs())+len(replicas[1].Runs()))
+				require.Equal(t, http.StatusBadGateway, got.status, "the replica ran the request and responded with %d", status)
+			}
+		})
+	}
+}
--- a/node/gateway/lostrun.go
+++ b/node/gateway/lostrun.go
@@ -54,7 +54,7 @@
 
 // nonCrashErrors lists the errors that do not indicate a crash: the replica responded, if
 // wrongly, or the client disconnected.
-var nonCrashErrors = []error{errResponseMismatch, errUnsignedResponse, errEventTooLarge, errStreamTooLarge, bounded.ErrTooLarge, exchange.ErrHeadTooLarge, errClientWrite, context.Canceled}
+var nonCrashErrors = []error{errResponseMismatch, errUnsignedResponse, errUnprovenRefusal, errEventTooLarge, errStreamTooLarge, bounded.ErrTooLarge, exchange.ErrHeadTooLarge, errClientWrite, context.Canceled}
 
 // mayBeCrash reports whether a run may have been lost because the replica's process ended.
 func mayBeCrash(err error) bool {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -333,6 +333,9 @@
 	if err != nil || s.headSent {
 		return forward.Lost, err
 	}
+	if s.isUnprovenRefusal(resp.Status) {
+		return forward.Lost, errUnprovenRefusal
+	}
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
 	return forward.Responded, nil
 }
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -171,6 +171,9 @@
 		resp.Discard()
 		return forward.Lost, nil, errUnsignedResponse
 	}
+	if c.isUnprovenRefusal(resp.Status) {
+		return forward.Lost, nil, errUnprovenRefusal
+	}
 	response := &plainResponse{status: resp.Status, header: resp.Header, body: body}
 	if resp.Status >= http.StatusInternalServerError {
 		return forward.Failed, response, nil
