Requests without an ID are sent on connections that have carried no request

A caller of a request without an ID could get the response to an earlier such request, or be told "not run, try again" for a request that the replica ran.

Cause: a response belongs to a request if both have the same ID, and two requests without one are the same in this. A response that a replica writes once more on a kept connection was taken for the response to the next request without an ID.

Evidence, TestResponseWithoutAnIDIsNotTheNextResponse on the code before: with a refusal written again "expected: 200, actual: 503", with a success "expected: "2", actual: "1"".

Now such a request gets a new connection. Requests with an ID may use that connection afterwards.

--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,3 +198,43 @@
 		})
 	}
 }
+
+// TestResponseWithoutAnIDIsNotTheNextResponse guards against a response to a request without
+// an ID that a replica writes once more, as the response to the next such request.
+func TestResponseWithoutAnIDIsNotTheNextResponse(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, next string
+	}{
+		"refusal": {platformtest.Refusal("", ""), platformtest.Answer("", http.StatusOK, "2")},
+		"success": {platformtest.Answer("", http.StatusOK, "1"), platformtest.Answer("", http.StatusOK, "2")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, "")
+			a := env.newReplica("i-a")
+			env.publishEntry(a, "plain", "ready")
+			env.start()
+			var requests atomic.Int64
+			a.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+				last := ""
+				for {
+					if _, ok := conn.Next(); !ok {
+						return
+					}
+					response := c.next
+					if requests.Add(1) == 1 {
+						response = c.first
+					}
+					conn.Write(last)
+					time.Sleep(runTime)
+					conn.Write(response)
+					last = response
+				}
+			}})
+			env.sendID("POST", "/order/1", "")
+			got := env.sendID("POST", "/order/2", "")
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, "2", got.body)
+		})
+	}
+}
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -41,6 +41,9 @@
 	// Fresh requires a new or very recently used connection. It is set for requests that
 	// must not be retried.
 	Fresh bool
+	// Unused requires a connection that has carried no request. It is set for requests
+	// without an ID, whose responses could not be told from earlier ones.
+	Unused bool
 }
 
 // Error is the error of a request without a usable response.
@@ -259,6 +262,9 @@
 
 // acquire returns a usable idle connection or establishes a new one.
 func (c *Client) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
+	if r.Unused {
+		return c.dial(ctx, address, r.ID)
+	}
 	for {
 		cn := c.popIdle(address, r.ID)
 		if cn == nil {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -377,5 +377,6 @@
 		Header: g.opts.Codec.Forward(c.http.Header, opts),
 		Body:   c.body,
 		Fresh:  fresh,
+		Unused: c.ID == "",
 	}
 }
