--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -373,7 +373,10 @@
 	if host == "" {
 		host = c.http.Host
 	}
-	r := &exchange.Request{Method: c.http.Method, Target: c.http.RequestURI, Host: host, Body: c.body, Fresh: fresh}
+	r := &exchange.Request{
+		ID: c.ID, Method: c.http.Method, Target: c.http.RequestURI, Host: host, Body: c.body,
+		Fresh: fresh, Unused: c.ID == "",
+	}
 	r.BeforeSend = func() error {
 		if err := mayRun(); err != nil {
 			return err
--- a/node/gateway/lostrun.go
+++ b/node/gateway/lostrun.go
@@ -55,7 +55,7 @@
 // nonCrashErrors lists the errors that do not indicate a crash: the replica responded, if
 // wrongly, or the client disconnected.
 var nonCrashErrors = []error{
-	errResponseMismatch, errUnsignedResponse, errNotEvents, errUnnumbered, errNoEvents, errEventMissing, errEventTooLarge, errStreamTooLarge,
+	errResponseMismatch, errUnsignedResponse, errUnprovenRefusal, errNotEvents, errUnnumbered, errNoEvents, errEventMissing, errEventTooLarge, errStreamTooLarge,
 	bounded.ErrTooLarge, exchange.ErrHeadTooLarge, errClientWrite, context.Canceled,
 }
 
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -366,6 +366,9 @@
 	if err != nil {
 		return forward.Lost, err
 	}
+	if s.isUnprovenRefusal(resp.Status) {
+		return forward.Lost, errUnprovenRefusal
+	}
 	s.g.deliver(s.call, &plainResponse{status: resp.Status, header: resp.Header, body: body})
 	return forward.Responded, nil
 }
