--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -3,10 +3,7 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
-	"net/http"
-	"runtime"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -243,69 +240,6 @@
 	return gateway.RetryBound{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
 
-// listen starts the listeners for clients, readiness checks and, if enabled, metrics.
-func (i *Instance) listen() error {
-	s := i.opts.Settings
-	var err error
-	i.clientServer, err = httpserver.Start(httpserver.Options{
-		Address:           s.CallersAddress,
-		MaxBodyBytes:      maxBodyBytes,
-		MaxConnections:    max(minConnections, s.MaxDescriptors-reservedDescriptors),
-		MaxRequests:       maxRequests,
-		IdleTimeout:       idleTimeout,
-		ClosedCheckPeriod: disconnectCheckInterval,
-		OnDelay:           i.reportDelay,
-		Handler:           i.gateway,
-		ServerErrorBody:   malformedBody,
-	})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	i.readyServer, err = i.startAuxiliary(s.ReadyAddress, http.HandlerFunc(i.handleReady))
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if i.opts.MetricsPort == 0 {
-		return nil
-	}
-	expvar.Publish("masticbank", i.metrics)
-	i.metricsServer, err = i.startAuxiliary(net.JoinHostPort(s.IP, strconv.Itoa(i.opts.MetricsPort)), expvar.Handler())
-	return trace.Wrap(err)
-}
-
-// reportDelay logs that the process got the processor late, so that all it knows is older than usual.
-func (i *Instance) reportDelay(d time.Duration) {
-	i.metrics.ProcessDelayed(d)
-	i.log.Warn("process was delayed", zap.Duration("delay", d), zap.Int("requests", i.metrics.InFlight()),
-		zap.Int("goroutines", runtime.NumGoroutine()))
-}
-
-// startAuxiliary starts a server with low limits for a listener that is not for clients.
-func (i *Instance) startAuxiliary(address string, h http.Handler) (*httpserver.Server, error) {
-	return httpserver.Start(httpserver.Options{
-		Address:           address,
-		MaxBodyBytes:      maxBodyBytes,
-		MaxConnections:    auxiliaryLimit,
-		MaxRequests:       auxiliaryLimit,
-		IdleTimeout:       idleTimeout,
-		ClosedCheckPeriod: auxiliaryCheckInterval,
-		Handler:           h,
-		ServerErrorBody:   malformedBody,
-	})
-}
-
-// malformedBody returns the response body for input that is not a valid HTTP request.
-func malformedBody(int) []byte { return []byte("{\"error\":\"malformed request\"}\n") }
-
-// handleReady handles the platform's readiness checks.
-func (i *Instance) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if i.leaving.Load() || !i.control.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // Reload reads the settings file again and applies changes. If the file is invalid the
 // current settings stay in effect.
 func (i *Instance) Reload(reason string) {
