Keep the incidents of a history until its crashes change

The blocks are recomputed with each message of evidence, and grouped the crashes of every request with three crashes or more, although a message changes few of them. The groups are now kept with the history, and a history is looked at further only if its incidents would be enough for a block without any explanation. The blocks stay the same (TestKeptIncidentsMatchCrashes).

--- a/core/poison/admit.go
+++ b/core/poison/admit.go
@@ -87,7 +87,7 @@
 // trialAt returns the time from which this instance may run a trial, and whether it may at
 // all.
 func (r *crashHistory) trialAt(last time.Time) (time.Time, bool) {
-	trials := max(0, len(incidents(r.crashes))-int(blockThreshold))
+	trials := max(0, len(r.allIncidents())-int(blockThreshold))
 	own := slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Local && c.At.Equal(last) })
 	return last.Add(trialDelay << min(trials, maxTrials)), own && trials < maxTrials
 }
@@ -128,7 +128,7 @@
 	if r == nil {
 		return 0
 	}
-	return len(incidents(r.crashes))
+	return len(r.allIncidents())
 }
 
 // IsBlocked reports whether a request is blocked, regardless of trials.
--- a/core/poison/incidents.go
+++ b/core/poison/incidents.go
@@ -9,23 +9,51 @@
 		return 0
 	}
 	sum := 0.0
-	for _, incident := range incidents(r.crashes) {
+	for _, incident := range r.allIncidents() {
 		sum += l.incidentWeight(f, incident)
 	}
 	return sum
 }
 
 func (l *Ledger) incidentWeight(f Fingerprint, incident []Crash) float64 {
-	weight := progressedWeight
 	for _, c := range incident {
 		if by, ok := l.explainedBy[c.Process]; ok && by != f {
 			return 0
 		}
-		if !c.Progressed {
-			weight = 1
+	}
+	return unexplainedWeight(incident)
+}
+
+// unexplainedWeight is the weight of an incident that no blocked fingerprint explains.
+func unexplainedWeight(incident []Crash) float64 {
+	for i := range incident {
+		if !incident[i].Progressed {
+			return 1
 		}
 	}
-	return weight
+	return progressedWeight
+}
+
+// isSuspect reports whether the incidents are enough for a block if no other blocked fingerprint
+// explains them.
+func (r *crashHistory) isSuspect() bool {
+	if len(r.crashes) < int(blockThreshold) {
+		return false
+	}
+	sum := 0.0
+	for _, incident := range r.allIncidents() {
+		sum += unexplainedWeight(incident)
+	}
+	return sum >= blockThreshold
+}
+
+// allIncidents returns the incidents. They are kept because the blocks are recomputed with each
+// message of evidence, which changes few histories.
+func (r *crashHistory) allIncidents() [][]Crash {
+	if r.incidents == nil {
+		r.incidents = incidents(r.crashes)
+	}
+	return r.incidents
 }
 
 // incidents groups crashes that share a replica process or a run.
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -79,7 +79,9 @@
 // crashHistory holds the crashes of one fingerprint and its block.
 type crashHistory struct {
 	crashes []Crash
-	blocked bool
+	// incidents groups crashes; it is nil after they have changed.
+	incidents [][]Crash
+	blocked   bool
 	// trialUntil is set while the attempt trialAttempt runs as a trial on this instance.
 	trialUntil   time.Time
 	trialAttempt uint64
@@ -276,6 +278,7 @@
 		return
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(x Crash) bool { return !x.At.After(c.At.Add(clearedDuration)) })
+	r.incidents = nil
 	l.blocksValid = false
 	if len(r.crashes) == 0 {
 		l.discard(c.Fingerprint)
@@ -335,6 +338,7 @@
 	default:
 		return false
 	}
+	r.incidents = nil
 	return true
 }
 
--- a/core/poison/storm_test.go
+++ b/core/poison/storm_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // afterLosses returns a ledger after the end of eight processes, each of which took part in the runs
@@ -40,6 +42,44 @@
 	require.Less(t, allocs, 100.0)
 }
 
+// TestKeptIncidentsMatchCrashes checks that the blocks do not depend on what is kept from one
+// computation to the next, and that a fingerprint which is no suspect has too little evidence.
+func TestKeptIncidentsMatchCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger(retention)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now := start.Add(time.Duration(i) * time.Second)
+			f := fingerprint(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "request")))
+			if rapid.IntRange(0, 9).Draw(t, "step") == 0 {
+				l.RecordSuccess(now.Add(-2*clearedDuration), f)
+			}
+			l.Merge(now, Evidence{Crashes: []Crash{{
+				Fingerprint: f, Run: Run{Attempt: uint64(rapid.IntRange(0, 5).Draw(t, "run"))},
+				Process:    process(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "replica")), 1),
+				Progressed: rapid.Bool().Draw(t, "progressed"), At: now,
+			}}})
+			l.BlockedCount()
+			requireSameBlocks(t, l)
+		}
+	})
+}
+
+// requireSameBlocks compares the blocks with those of a ledger with the same evidence that has
+// kept nothing.
+func requireSameBlocks(t *rapid.T, l *Ledger) {
+	other := NewLedger(retention)
+	for f, r := range l.tracked {
+		other.tracked[f] = &crashHistory{crashes: r.crashes}
+	}
+	for f, r := range other.tracked {
+		_, reached := other.thresholdReached(f)
+		require.Equal(t, reached, r.isSuspect())
+	}
+	for f, r := range l.tracked {
+		require.Equal(t, other.IsBlocked(f), r.blocked)
+	}
+}
+
 // BenchmarkMerge measures one message of evidence after many losses.
 func BenchmarkMerge(b *testing.B) {
 	for _, requests := range []int{100, 400, 1600} {
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -17,7 +17,7 @@
 	var open []Fingerprint
 	for f, r := range l.tracked {
 		r.blocked = false
-		if len(r.crashes) >= int(blockThreshold) {
+		if r.isSuspect() {
 			open = append(open, f)
 		}
 	}
@@ -122,7 +122,7 @@
 		weight float64
 	}
 	var steps []step
-	for _, incident := range incidents(l.tracked[f].crashes) {
+	for _, incident := range l.tracked[f].allIncidents() {
 		if w := l.incidentWeight(f, incident); w > 0 {
 			at := slices.MinFunc(incident, func(a, b Crash) int { return a.At.Compare(b.At) }).At
 			steps = append(steps, step{at, w})
