--- a/cmd/internal/entry/begunstream_test.go
+++ b/cmd/internal/entry/begunstream_test.go
@@ -33,8 +33,13 @@
 // receiveStream sends a request on a connection of its own and reads all bytes of the response.
 // lastEvent is the last event that the client has, or "".
 func (env *environment) receiveStream(path, lastEvent string) received {
+	return env.receiveStreamOf(path, lastEvent, fmt.Sprintf("prompt %d", env.requests))
+}
+
+// receiveStreamOf does the same for a request with the given body.
+func (env *environment) receiveStreamOf(path, lastEvent, body string) received {
 	env.requests++
-	req, err := platformtest.NewRequest(env.instance.ClientAddr(), "POST", path, fmt.Sprintf("id-%d", env.requests), "key1", fmt.Sprintf("prompt %d", env.requests))
+	req, err := platformtest.NewRequest(env.instance.ClientAddr(), "POST", path, fmt.Sprintf("id-%d", env.requests), "key1", body)
 	require.NoError(env.t, err)
 	if lastEvent != "" {
 		platformtest.SetLastEvent(req, lastEvent)
@@ -50,8 +55,8 @@
 		return received{response: response{err: err}, raw: raw.String()}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	got := received{response: response{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}}
+	data, err := io.ReadAll(resp.Body)
+	got := received{response: response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}}
 	require.NotErrorIs(env.t, err, os.ErrDeadlineExceeded, "the stream neither ends nor breaks off")
 	if err == nil {
 		require.NoError(env.t, c.SetReadDeadline(time.Now().Add(trailingWait)))
