Streams to HTTP/1.0 clients are whole

An HTTP/1.0 client got the first event of a stream as a complete response, and the others as bytes that belong to no response.

Cause: without chunks nbhttp sends the head at the first flush, with what is written until then as the length of the response.

Evidence: TestHTTP10ClientsGetWholeStreams, without the fix: 'expected: "first\nsecond\nthird\n", actual: "first\n"', and for a response that is aborted 'the response looks complete'.

A response of unknown length to such a client is now kept until it ends, up to 1 MiB (TestLongResponseToHTTP10ClientIsAnError), and sent with its length; an aborted one is not sent. The platform's clients speak HTTP/1.1.

--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -196,7 +196,7 @@
 		s.track(conn, cancel, info)
 		defer s.untrack(conn)
 	}
-	s.opts.Handler.ServeHTTP(newWriter(w, conn), r.WithContext(ctx))
+	s.opts.Handler.ServeHTTP(newWriter(w, r, conn), r.WithContext(ctx))
 }
 
 // deferClose handles requests with "Connection: close" of HTTP/1.1 clients. It lets the
--- a/node/httpserver/writer.go
+++ b/node/httpserver/writer.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"errors"
 	"net/http"
 
 	"github.com/lesismal/nbio"
@@ -12,17 +13,27 @@
 // responses of different connections can mix.
 const maxChunkBytes = 16 << 10
 
+// maxUnchunkedBytes limits a response of unknown length to a client that does not know chunks. It
+// is buffered until its end.
+const maxUnchunkedBytes = 1 << 20
+
+var errUnchunkedTooLarge = errors.New("response is too large for a client without chunked encoding")
+
 // writer is a response writer that splits writes of chunked responses into parts of
 // at most maxChunkBytes and flushes after each.
 type writer struct {
 	http.ResponseWriter
 	flusher http.Flusher
 	conn    *nbio.Conn // nil if unknown
+	// unchunked is set for clients before HTTP/1.1. At the first flush nbhttp would announce what
+	// is written until then as the length of the whole response.
+	unchunked bool
+	buffered  int
 }
 
-func newWriter(w http.ResponseWriter, conn *nbio.Conn) *writer {
+func newWriter(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) *writer {
 	f, _ := w.(http.Flusher)
-	return &writer{ResponseWriter: w, flusher: f, conn: conn}
+	return &writer{ResponseWriter: w, flusher: f, conn: conn, unchunked: !r.ProtoAtLeast(1, 1)}
 }
 
 // statusClass is the number of status codes in one class, such as 4xx.
@@ -46,6 +57,12 @@
 	if w.Header().Get("Content-Length") != "" {
 		return w.ResponseWriter.Write(data)
 	}
+	if w.unchunked {
+		if w.buffered += len(data); w.buffered > maxUnchunkedBytes {
+			return 0, errUnchunkedTooLarge
+		}
+		return w.ResponseWriter.Write(data)
+	}
 	written := 0
 	for written < len(data) {
 		chunk := data[written:min(len(data), written+maxChunkBytes)]
@@ -61,7 +78,7 @@
 
 // Flush implements http.Flusher.
 func (w *writer) Flush() {
-	if w.flusher != nil {
+	if w.flusher != nil && (!w.unchunked || w.Header().Get("Content-Length") != "") {
 		w.flusher.Flush()
 	}
 }
