A failure with a replica's signature keeps its status

Callers got a failure with a replica's signature and another status than the replica gave: 500 for its 520, 400 for 499, 300 for 306.

Cause: nbhttp cannot send a status that net/http has no text for, and httpserver sends the first one of its class instead.

A failure whose status cannot be sent is now replaced by a 502 of the router's own, without the signature, and logged as unknown_status with the replica's status. httpserver is unchanged.

--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -198,8 +198,14 @@
 	return forward.Lost
 }
 
-// deliver sends a complete response of a replica to the client.
+// deliver sends a complete response of a replica to the client. The server sends another status in
+// place of one that it does not know; a failure with another status must not bear the replica's
+// signature.
 func (g *Gateway) deliver(c *call, response *plainResponse) {
+	if response.status >= http.StatusMultipleChoices && http.StatusText(response.status) == "" {
+		g.sendRefusal(c, http.StatusBadGateway, "unknown_status", 0, zap.Int("replica_status", response.status))
+		return
+	}
 	h := c.writer.Header()
 	for k, v := range g.opts.Codec.ToClient(response.header) {
 		h[k] = v
