--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -196,7 +196,7 @@
 		s.track(conn, info)
 		defer s.untrack(conn)
 	}
-	s.opts.Handler.ServeHTTP(newWriter(w, conn), r.WithContext(ctx))
+	s.opts.Handler.ServeHTTP(newWriter(w, r, conn), r.WithContext(ctx))
 	info.awaitClosed()
 }
 
