An engine's refusal must identify the step that it refuses

A caller of the completion API could be told "execution": "not_run" for a request that an engine had run in part.

Cause: a refusal of a step proves that the step did not run, but does not say of which step it speaks. An earlier refusal that an engine writes once more on a kept connection, after the next step was written, was taken for the refusal of that step. Results of steps were safe: they name their step.

Now error bodies name the refused step, and a refusal of another step, or of an unnamed one, is a failure that proves nothing. An engine that does not name the step is still used; its refusals count as failures, of which a request survives fewer.

Calls to plain services that must not be repeated were safe already: each has its own connection.

--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return newCallError(ctx, err, true)
 	}
-	return decodeResponse(resp.StatusCode, data, out)
+	return decodeResponse(resp.StatusCode, data, in, out)
 }
 
 func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
@@ -189,7 +189,11 @@
 	wire.CodeMalformed:      true,
 }
 
-func decodeResponse(status int, data []byte, out any) error {
+// errOtherStep means that a refusal does not identify the step that was sent. It may be an
+// earlier response that the engine wrote once more.
+var errOtherStep = errors.New("the refusal belongs to another step")
+
+func decodeResponse(status int, data []byte, in, out any) error {
 	if status < http.StatusBadRequest {
 		if out == nil {
 			return nil
@@ -203,6 +207,9 @@
 	if err := json.Unmarshal(data, &body); err != nil {
 		return &engine.CallError{Code: engine.CodeProtocol, Err: fmt.Errorf("status %d: %w", status, err)}
 	}
+	if step, ok := in.(*wire.StepRequest); ok && (body.Step == nil || *body.Step != *step.ID()) {
+		return &engine.CallError{Code: engine.CodeProtocol, Err: fmt.Errorf("%w: %s: %s", errOtherStep, body.Code, body.Message)}
+	}
 	ce := &engine.CallError{Code: body.Code, Err: errors.New(body.Message)}
 	if refusalCodes[body.Code] {
 		ce.Proof = engine.ProofRefused
--- a/node/wire/engine.go
+++ b/node/wire/engine.go
@@ -177,4 +177,19 @@
 type ErrorBody struct {
 	Code    string `json:"code"`
 	Message string `json:"message"`
+	// Step is the step that the response refuses; nil if it refuses something else. A refusal
+	// of a step is believed only if it identifies the step.
+	Step *StepID `json:"step,omitempty"`
+}
+
+// StepID identifies one step on an engine.
+type StepID struct {
+	RequestID string `json:"request_id"`
+	Attempt   int    `json:"attempt"`
+	Position  int    `json:"position"`
+}
+
+// ID returns the ID of the step.
+func (r *StepRequest) ID() *StepID {
+	return &StepID{RequestID: r.RequestID, Attempt: r.Attempt, Position: r.Position}
 }
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -40,7 +40,7 @@
 	}
 	s, refused := e.beginStep(req)
 	if refused != nil {
-		writeRefusal(w, refused)
+		writeStepRefusal(w, req, refused)
 		return
 	}
 	select {
@@ -52,7 +52,7 @@
 	e.stopWaiting(s)
 	e.applyConnectionFaults(r)
 	if s.refusal != nil {
-		writeRefusal(w, s.refusal)
+		writeStepRefusal(w, req, s.refusal)
 		return
 	}
 	e.respond(w, *s.response)
@@ -169,6 +169,10 @@
 	writeJSON(w, http.StatusOK, e.State())
 }
 
+func writeStepRefusal(w http.ResponseWriter, req *wire.StepRequest, r *refusal) {
+	writeJSON(w, httpStatus(r.code), wire.ErrorBody{Code: r.code, Message: r.message, Step: req.ID()})
+}
+
 func writeRefusal(w http.ResponseWriter, r *refusal) {
 	writeJSON(w, httpStatus(r.code), wire.ErrorBody{Code: r.code, Message: r.message})
 }
