The rest of a refusal does not delay the retry

Callers got a 503 at the deadline, and not the response of another replica, when a refusal announced a longer body than it had.

Cause: the body of a refusal was read to its end before the retry, so that its connection can be reused, without a limit on the time. The head states already that the request did not run.

Evidence, TestIncompleteRefusalDoesNotDelayTheRetry on the code before, for plain requests and streams: "expected: 200, actual: 503", after the route's timeout of 5 s.

Now the rest is awaited for at most 50 ms, after which the connection is closed.

--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -238,3 +239,37 @@
 		})
 	}
 }
+
+// TestIncompleteRefusalDoesNotDelayTheRetry guards against waiting until the deadline for the
+// rest of a refusal, the head of which states already that the request did not run.
+func TestIncompleteRefusalDoesNotDelayTheRetry(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, service, body string
+		layers              []int
+	}{
+		"plain":  {"/order/1", "plain", "answer of i-b", nil},
+		"stream": {"/once/1", "llm", completeStream(), []int{0, 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, onceRoute)
+			a, b := env.newReplica("i-a"), env.newReplica("i-b")
+			env.publishEntry(a, c.service, "ready", c.layers...)
+			env.publishEntry(b, c.service, "ready", c.layers...)
+			env.start()
+			var refusals atomic.Int64
+			a.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+				if req, ok := conn.Next(); ok {
+					conn.Write(strings.Replace(platformtest.Refusal(req.ID, ""), "Content-Length: 0", "Content-Length: 9", 1))
+					refusals.Add(1)
+					conn.Next()
+				}
+			}})
+			for refusals.Load() == 0 {
+				got := env.send("POST", c.path, "key1", "x")
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, c.body, got.body)
+			}
+		})
+	}
+}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -181,15 +180,17 @@
 	return forward.Responded, response, nil
 }
 
-// drainBody reads the rest of a short response so that its connection can be reused. The
-// connection of a longer one is closed.
-func drainBody(resp *exchange.Response) {
-	// After an error the connection can't be reused; Close detects that.
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
-}
+// drainBody reads the rest of a short rejection so that its connection can be reused. The
+// connection of a longer one, or of one that does not arrive soon, is closed.
+func drainBody(resp *exchange.Response) { resp.Drain(maxDrainBytes, drainTimeout) }
 
-// maxDrainBytes limits how much of a rejection's body is read.
-const maxDrainBytes = 64 << 10
+const (
+	// maxDrainBytes limits how much of a rejection's body is read.
+	maxDrainBytes = 64 << 10
+	// drainTimeout limits how long the retry waits for it. The head states all that matters,
+	// and the body is usually in the same packet.
+	drainTimeout = 50 * time.Millisecond
+)
 
 // outcomeOf classifies an error of sending a request: Unsent if it certainly did not reach
 // the replica, else Lost.
