Tests of responses that resemble a refusal

What could be taken for "not run" and is not: a refusal or a 421 without the request's ID or with another one, a truncated head, the rest of an earlier refusal, an interim response with the statement, a refusal after the success, and one among the events of a stream. All pass on the code before; they keep it so.

--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -273,3 +274,74 @@
 		})
 	}
 }
+
+// onWire returns a response without a body that has the given status line and headers.
+func onWire(status string, headers ...string) string {
+	return "HTTP/1.1 " + status + "\r\n" + strings.Join(append(headers, "Content-Length: 0"), "\r\n") + "\r\n\r\n"
+}
+
+// TestOnlyAWholeRefusalOfThisRequestIsBelieved guards against responses that resemble a
+// refusal: the replica runs the request, which must be neither refused nor sent to another
+// replica.
+func TestOnlyAWholeRefusalOfThisRequestIsBelieved(t *testing.T) {
+	refusal := func(id string) string { return platformtest.Refusal(id, "") }
+	success := func(id string) string { return platformtest.Answer(id, http.StatusOK, "done") }
+	for name, c := range map[string]struct {
+		response func(id string) string
+		status   int
+	}{
+		"wrong replica, without the ID": {func(string) string { return onWire("421 Misdirected Request") }, http.StatusBadGateway},
+		"refusal without the ID":        {func(string) string { return refusal("") }, http.StatusBadGateway},
+		"refusal with another ID":       {func(string) string { return refusal("other") + success("other") }, http.StatusBadGateway},
+		"truncated head":                {func(id string) string { return strings.TrimSuffix(refusal(id), "\r\n") }, http.StatusBadGateway},
+		"rest of an earlier refusal":    {func(id string) string { return "queue is full" + refusal(id) }, http.StatusBadGateway},
+		"interim response": {func(id string) string {
+			return strings.Replace(refusal(id), "503 Service Unavailable", "103 Early Hints", 1) + success(id)
+		}, http.StatusOK},
+		"refusal after the success": {func(id string) string { return success(id) + refusal(id) }, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t)
+			env.publishConfig(1, "")
+			a, b := env.newReplica("i-a"), env.newReplica("i-b")
+			env.publishEntry(a, "plain", "ready")
+			env.publishEntry(b, "plain", "ready")
+			env.start()
+			a.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+				if req, ok := conn.Next(); ok {
+					req.Run()
+					conn.Write(c.response(req.ID))
+				}
+			}})
+			got := env.send("POST", "/order/1", "key1", strings.Repeat("x", 60_000))
+			require.NoError(t, got.err)
+			require.Equal(t, c.status, got.status)
+			require.Len(t, a.Runs(), 1)
+			require.Empty(t, b.Runs())
+		})
+	}
+}
+
+// TestRefusalWithinAStreamBreaksIt guards against a stream that runs a second time, or that
+// looks complete, after a refusal of the same request among its events.
+func TestRefusalWithinAStreamBreaksIt(t *testing.T) {
+	env := newEnvironment(t)
+	env.publishConfig(1, onceRoute)
+	replicas := []*platformtest.Replica{env.newReplica("i-a"), env.newReplica("i-b")}
+	for _, r := range replicas {
+		env.publishEntry(r, "llm", "ready", 0, 4)
+		r.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+			if req, ok := conn.Next(); ok {
+				req.Run()
+				head, _, _ := strings.Cut(platformtest.Answer(req.ID, http.StatusOK, ""), "Content-Length")
+				const event = "id: 1\ndata: token 1\n\n"
+				conn.Write(fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(event), event))
+				conn.Write(platformtest.Refusal(req.ID, "") + "0\r\n\r\n")
+			}
+		}})
+	}
+	env.start()
+	got := env.send("POST", "/once/1", "key1", "prompt")
+	require.Error(t, got.err, "the stream must not look complete")
+	require.Equal(t, 1, len(replicas[0].Runs())+len(replicas[1].Runs()))
+}
