Layers outside the model end no leader

Callers: every instance that became the leader ended, one after the other, while one entry named more layers than the model has ("the machines that read the list ended again and again"). Streams through each of them were lost.

Cause: layout.Plan takes the ranges of entries and reports as they are. They are compared with the model only in places; where a group has several pipelines, evaluateRelease and evaluateRelocation index the model's layers by them. One layer too many is enough.

Evidence: TestLayersOutsideTheModelDoNotEndThePlan, before: "panic: runtime error: index out of range [80] with length 80" in (*search).evaluateRelease, for an entry of layers 0 to 81 of 80.

Fix: Plan clips all ranges to the model before it uses them, so that nothing in the package can hold others. What a replica holds within the model still counts; one that holds nothing there counts as empty and is assigned layers. Plans are the same for ranges within the model: the other tests of the package pass unchanged (go test -race ./layout).

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -79,7 +79,7 @@
 }
 
 // groups returns one group of replicas for each zone that can hold the model on its own. The
-// replicas of all other zones form one group together.
+// replicas of all other zones form one group together. Their ranges are clipped to the model.
 func groups(m *pipeline.Model, replicas []Replica) [][]Replica {
 	byZone := map[string][]Replica{}
 	var zones []string
@@ -87,6 +87,8 @@
 		if m.MaxLayers(r.Kind) == 0 {
 			continue
 		}
+		r.From, r.To = clip(m, r.From, r.To)
+		r.PendingFrom, r.PendingTo = clip(m, r.PendingFrom, r.PendingTo)
 		if byZone[r.Zone] == nil {
 			zones = append(zones, r.Zone)
 		}
@@ -111,6 +113,16 @@
 	return out
 }
 
+// clip returns the part of a range that lies within the model's layers, or 0 and 0 if there is none.
+// Entries and reports name ranges without regard to the model, which may also have changed since.
+func clip(m *pipeline.Model, from, to int) (clippedFrom, clippedTo int) {
+	from, to = max(0, from), min(to, m.Layers)
+	if from >= to {
+		return 0, 0
+	}
+	return from, to
+}
+
 // maxLayers returns the largest number of layers that a replica of the kind can hold while the
 // given share of its memory stays free.
 func maxLayers(m *pipeline.Model, kind string, freeShare float64) int {
