A message that cannot be encoded ends no session

Cause: a key of the store may hold any bytes. As a replica's ID it goes into a message to the peers, and text that is not UTF-8 cannot be encoded there. The sender took this for a failure of the connection and ended the session.

Evidence: TestMessageWithInvalidTextDoesNotEndTheSessions, before: "timed out waiting for a value" at the message that follows the invalid one.

Fix: the sender logs and drops such a message. Nothing of it has been written yet, so that the stream stays in order.

--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -314,3 +314,22 @@
 	_, _, ok = a.register(end("c", true, 33, 0))
 	require.False(t, ok, "dialed to an instance that is not in the set of peers")
 }
+
+// TestMessageWithInvalidTextDoesNotEndTheSessions guards against a message that cannot be encoded
+// and ends the sessions with all peers. Only that message is lost.
+func TestMessageWithInvalidTextDoesNotEndTheSessions(t *testing.T) {
+	a, eventsA := startNode(t, "a", nil)
+	b, eventsB := startNode(t, "b", nil)
+	a.SetPeers([]Peer{peerOf(b)})
+	receive(t, eventsA.up)
+	receive(t, eventsB.up)
+	invalid := &peerpb.Suspicion{Upstream: "i-\xff"}
+	_, err := a.Broadcast(invalid)
+	require.NoError(t, err)
+	require.NoError(t, a.Send("b", invalid))
+	_, err = a.Broadcast(&peerpb.Suspicion{Upstream: "i-1"})
+	require.NoError(t, err)
+	require.Equal(t, "i-1", receive(t, eventsB.messages).(*peerpb.Suspicion).GetUpstream())
+	require.Empty(t, eventsA.down)
+	require.Empty(t, eventsB.down)
+}
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -111,6 +111,7 @@
 		interval:     n.options.HeartbeatInterval,
 		timeout:      n.options.MessageTimeout,
 		newHeartbeat: n.newHeartbeat,
+		logger:       n.options.Logger,
 	}
 }
 
--- a/node/peer/session.go
+++ b/node/peer/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -100,6 +101,7 @@
 	// newHeartbeat returns the message to send after an interval without
 	// another.
 	newHeartbeat func() *peerpb.Envelope
+	logger       *zap.Logger
 	// buffer holds one message with its length prefix, so that both are sent in
 	// one write.
 	buffer []byte
@@ -131,6 +133,8 @@
 	}
 }
 
+// write sends a message. One that cannot be encoded, for example because it holds
+// invalid text, is dropped: the session need not end for it.
 func (w *sender) write(message *peerpb.Envelope) error {
 	if err := w.stream.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return trace.ConnectionProblem(err, "set write deadline")
@@ -139,7 +143,8 @@
 	var err error
 	w.buffer, err = proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(w.buffer, message)
 	if err != nil {
-		return trace.Wrap(err)
+		w.logger.Error("message to a peer cannot be encoded", zap.String("peer", w.session.remoteID), zap.Error(err))
+		return nil
 	}
 	if _, err := w.stream.Write(w.buffer); err != nil {
 		return trace.ConnectionProblem(err, "write message")
