Test the leader with layers outside the model end to end

TestLayersOutsideTheModelStopTheInstance: an entry of layers 2 to 5 of 4 in a fleet whose first layers have one holder.

--- a/cmd/internal/entry/odd_test.go
+++ b/cmd/internal/entry/odd_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"masticbank.example/platform"
+	"masticbank.example/platform/platformtest"
 )
 
 // putOddEntries publishes entries of another writer, none of which names a usable replica.
@@ -66,3 +68,24 @@
 	env.publishEntry(b, "plain", "draining")
 	env.eventually(func() bool { return env.send("POST", "/order/4", "key1", "").status == 503 }, "no replica is left")
 }
+
+// TestLayersOutsideTheModelStopTheInstance guards against a leader that ends when it plans with the
+// layers of an entry that names more than the model has.
+func TestLayersOutsideTheModelStopTheInstance(t *testing.T) {
+	env := newEnvironment(t)
+	env.publishConfig(1, "")
+	// The first layers have one holder, so that the leader has something to improve.
+	odd := env.newReplica("i-odd")
+	env.publishEntry(odd, "llm", "ready", 2, 5)
+	replicas := []*platformtest.Replica{odd}
+	for i, from := range []int{0, 2, 2} {
+		r := env.newReplica(fmt.Sprintf("i-%d", i))
+		env.publishEntry(r, "llm", "ready", from, from+2)
+		replicas = append(replicas, r)
+	}
+	env.start()
+	env.eventually(func() bool {
+		return slices.ContainsFunc(replicas, func(r *platformtest.Replica) bool { return len(r.Orders()) > 0 })
+	}, "the leader assigns layers")
+	require.Equal(t, completeStream(), env.send("POST", "/chat/1", "key1", "prompt").body)
+}
