Test a heartbeat that is too large end to end

TestHeartbeatTooLargeHidesLaterEntries: an entry with 1e18 heartbeats under the ID of a sound replica, which then drains.

--- a/cmd/internal/entry/odd_test.go
+++ b/cmd/internal/entry/odd_test.go
@@ -89,3 +89,20 @@
 	}, "the leader assigns layers")
 	require.Equal(t, completeStream(), env.send("POST", "/chat/1", "key1", "prompt").body)
 }
+
+// TestHeartbeatTooLargeHidesLaterEntries guards against an odd entry under the ID of a sound replica
+// that counts more heartbeats than the replica ever will: all that the replica says later would be
+// taken for outdated.
+func TestHeartbeatTooLargeHidesLaterEntries(t *testing.T) {
+	env := newEnvironment(t)
+	env.publishConfig(1, "")
+	a := env.newReplica("i-a")
+	env.publishEntry(a, "plain", "ready")
+	env.start()
+	const tooLarge = 1e18
+	env.store.PutJSON(platform.ReplicaTopic, a.ID, a.Entry("plain", "z", "ready", env.startTime, tooLarge))
+	calls := env.store.Calls("/-/log-read")
+	env.eventually(func() bool { return env.store.Calls("/-/log-read") > calls+4 }, "the odd entry is read")
+	env.publishEntry(a, "plain", "draining")
+	env.eventually(func() bool { return env.send("GET", "/look/1", "key1", "").status == 503 }, "the draining replica gets no new requests")
+}
