An entry that cannot be read is not taken for a removal

Callers: 503 from an instance that read the whole list again while the newest entry of a sound replica could not be read; its peers were told that the replica was removed, and its end counted as unannounced.

Cause: the whole list is read again when the store has deleted the history. Unreadable entries are left out of it, and roster.Replace removed whatever was missing.

Evidence: TestOddEntryEndsASoundReplicaWhenAllIsRead, before: "the last good entry stays: expected: 200, actual: 503".

Fix: Replace is told the IDs of unreadable entries and leaves these replicas as they are, until the entry is removed or readable again. An unreadable entry is no heartbeat and lists no replica that was not known.

--- a/cmd/internal/entry/odd_test.go
+++ b/cmd/internal/entry/odd_test.go
@@ -106,3 +106,22 @@
 	env.publishEntry(a, "plain", "draining")
 	env.eventually(func() bool { return env.send("GET", "/look/1", "key1", "").status == 503 }, "the draining replica gets no new requests")
 }
+
+// TestOddEntryEndsASoundReplicaWhenAllIsRead guards against treating a replica as gone because its
+// newest entry cannot be read when the whole list is read again.
+func TestOddEntryEndsASoundReplicaWhenAllIsRead(t *testing.T) {
+	env := newEnvironment(t)
+	env.publishConfig(1, "")
+	a := env.newReplica("i-a")
+	env.publishEntry(a, "plain", "ready")
+	env.start()
+	env.store.Put(platform.ReplicaTopic, a.ID, []byte("{"))
+	pages := env.store.Calls("/-/log-newest")
+	env.store.DeleteHistory(platform.ReplicaTopic)
+	env.eventually(func() bool { return env.store.Calls("/-/log-newest") > pages }, "the whole list is read again")
+	calls := env.store.Calls("/-/log-read")
+	env.eventually(func() bool { return env.store.Calls("/-/log-read") > calls+4 }, "the list is followed")
+	require.Equal(t, 200, env.send("GET", "/look/1", "key1", "").status, "the last good entry stays")
+	env.store.Put(platform.ReplicaTopic, a.ID, nil)
+	env.eventually(func() bool { return env.send("GET", "/look/1", "key1", "").status == 503 }, "a removed entry does not stay")
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -260,11 +260,14 @@
 	return r.Put(*u.Entry)
 }
 
-// Replace applies a full list that was read at now: entries missing from it are removed. It
-// returns the changes by ID.
-func (r *Roster) Replace(now time.Time, list []Entry) map[string]Change {
+// Replace applies a full list that was read at now: entries missing from it are removed, but
+// not those whose IDs are listed as unreadable. It returns the changes by ID.
+func (r *Roster) Replace(now time.Time, list []Entry, unreadable []string) map[string]Change {
 	changed := map[string]Change{}
-	listed := make(map[string]bool, len(list))
+	listed := make(map[string]bool, len(list)+len(unreadable))
+	for _, id := range unreadable {
+		listed[id] = true
+	}
 	for _, e := range list {
 		listed[e.ID] = true
 		if c := r.Put(e); c != Unchanged {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -102,7 +102,7 @@
 	r := roster.New()
 	r.Put(entry("a", 1))
 	r.Put(entry("b", 1))
-	changes := r.Replace(start, []roster.Entry{entry("b", 2), entry("c", 1)})
+	changes := r.Replace(start, []roster.Entry{entry("b", 2), entry("c", 1)}, nil)
 	require.Equal(t, map[string]roster.Change{"a": roster.Left, "c": roster.Joined}, changes)
 	require.Equal(t, []string{"b", "c"}, usable(r))
 }
@@ -130,7 +130,7 @@
 		r.SetStoreAvailable(start)
 		require.Equal(t, roster.Left, r.Put(entry("a", 6)))
 		require.Empty(t, usable(r))
-		r.Replace(start, []roster.Entry{entry("a", 7)})
+		r.Replace(start, []roster.Entry{entry("a", 7)}, nil)
 		require.Empty(t, usable(r))
 		again := entry("a", 1)
 		again.StartTime = 101
@@ -189,3 +189,19 @@
 	}, r.DrainEnded())
 	require.Empty(t, r.DrainEnded())
 }
+
+// TestUnreadableEntryIsTakenForARemoval guards against the end of a replica whose entry is listed but
+// cannot be read.
+func TestUnreadableEntryIsTakenForARemoval(t *testing.T) {
+	r := roster.New()
+	r.Put(entry("a", 1))
+	r.Put(entry("b", 1))
+	changes := r.Replace(start, nil, []string{"a", "unknown"})
+	require.Equal(t, map[string]roster.Change{"b": roster.Left}, changes)
+	_, leaving, ok := r.Get("a")
+	require.True(t, ok)
+	require.False(t, leaving)
+	_, _, ok = r.Get("unknown")
+	require.False(t, ok)
+	require.Len(t, r.DrainEnded(), 1)
+}
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -195,10 +195,14 @@
 		return err
 	}
 	c.reportMalformed(malformed)
+	unreadable := make([]string, 0, len(malformed))
+	for _, m := range malformed {
+		unreadable = append(unreadable, m.Key)
+	}
 	c.opts.Gateway.RecordListRead()
 	c.mu.Lock()
 	c.feed.Reset(cursor)
-	changes := c.roster.Replace(time.Now(), list)
+	changes := c.roster.Replace(time.Now(), list, unreadable)
 	for id, change := range changes {
 		c.logChange(id, change)
 	}
--- a/node/control/port.go
+++ b/node/control/port.go
@@ -51,7 +51,7 @@
 // ReplicaSource reads the replicas' entries.
 type ReplicaSource interface {
 	// Newest returns all entries and a cursor. Malformed entries are returned beside the
-	// valid ones.
+	// valid ones, with their replica's ID as the key.
 	Newest(ctx context.Context) ([]roster.Entry, []*MalformedError, int64, error)
 	// Next returns the changes from the cursor on.
 	Next(ctx context.Context, cursor int64) (roster.Updates, []*MalformedError, error)
