An odd instance does not hide the others of the list

Callers: not seen; an entry instance would keep its last copy of the platform's instance list for as long as one entry is odd, and one that starts would have none.

Cause: the list was decoded as a whole, so that one field of another type, or a number beyond int, in one entry was an error for the whole list, poll after poll.

Evidence: TestOddInstanceHidesTheOthers, before: "json: cannot unmarshal number into Go struct field InstanceList.instances of type wire.Instance".

Fix: entries are decoded one by one, and odd ones are omitted as those without an ID are. A list that is not JSON as a whole, or nested deeper than 10,000 levels, is still an error, and the last copy stays.

--- a/node/instancelist/instancelist.go
+++ b/node/instancelist/instancelist.go
@@ -49,8 +49,8 @@
 	return &HTTP{client: client, url: u.JoinPath(wire.PathInstances).String()}, nil
 }
 
-// List implements Lister. Entries without an ID are omitted and entries with the same
-// ID are merged.
+// List implements Lister. Entries without an ID or with fields of another type are omitted,
+// and entries with the same ID are merged.
 func (h *HTTP) List(ctx context.Context) ([]wire.Instance, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
 	if err != nil {
@@ -75,11 +75,21 @@
 	if len(body) > MaxListBytes {
 		return nil, trace.LimitExceeded("instance list exceeds %d bytes", MaxListBytes)
 	}
-	var list wire.InstanceList
+	// The entries, those of wire.InstanceList, are decoded one by one: an odd one is omitted.
+	var list struct {
+		Instances []json.RawMessage `json:"instances"`
+	}
 	if err := json.Unmarshal(body, &list); err != nil {
 		return nil, trace.BadParameter("instance list: %v", err)
 	}
-	return merge(list.Instances), nil
+	instances := make([]wire.Instance, 0, len(list.Instances))
+	for _, raw := range list.Instances {
+		var instance wire.Instance
+		if json.Unmarshal(raw, &instance) == nil {
+			instances = append(instances, instance)
+		}
+	}
+	return merge(instances), nil
 }
 
 // merge removes entries without an ID and merges entries with the same ID: the last one
--- a/node/instancelist/instancelist_test.go
+++ b/node/instancelist/instancelist_test.go
@@ -51,6 +51,20 @@
 	require.Error(t, err)
 }
 
+// TestOddInstanceHidesTheOthers guards against one entry that keeps the whole list from being read,
+// poll after poll.
+func TestOddInstanceHidesTheOthers(t *testing.T) {
+	want := []wire.Instance{{ID: "e1"}, {ID: "e2", Address: "10.0.0.1:80"}}
+	for _, odd := range []string{
+		`7`, `null`, `"e3"`, `[]`, `{"id":7}`, `{"id":"e3","address":7}`, `{"id":"e3","leaving":"yes"}`,
+		`{"id":"e3","last_layer":1e19}`, `{"id":"e3","first_layer":1.5}`, `{"id":"e3","zone":{"a":[[[[1]]]]}}`,
+	} {
+		got, err := listFrom(t, http.StatusOK, `{"instances":[{"id":"e1"},`+odd+`,{"id":"e2","address":"10.0.0.1:80"}]}`)
+		require.NoError(t, err, odd)
+		require.Equal(t, want, got, odd)
+	}
+}
+
 type listerFunc func(ctx context.Context) ([]wire.Instance, error)
 
 func (f listerFunc) List(ctx context.Context) ([]wire.Instance, error) { return f(ctx) }
