--- a/node/control/leadership_test.go
+++ b/node/control/leadership_test.go
@@ -68,7 +68,7 @@
 	c := New(Options{Logger: zap.NewNop(), ReplicaControl: p, Gateway: newGateway(p)})
 	c.leadership.Membership = Membership{Leader: true, Generation: 7}
 	c.leadership.until = time.Now().Add(time.Minute)
-	c.roster.Replace(time.Now(), p.entries)
+	c.roster.Replace(time.Now(), p.entries, nil)
 	assignment := layout.Assignment{ID: e.ID, From: 0, To: 4}
 	c.sendAssignment(t.Context(), p.config.Services[0].Model, e, assignment, 1, 7)
 	require.Equal(t, []string{e.ID}, p.assigned)
