Blocks are decided anew with each message of evidence: failing test

The crash guard counts the blocked requests before and after each message of another instance, to log a change. After 400 requests with shared parts lost replicas, a message takes some 8 ms of a core (450 messages: 3.4 s); BenchmarkMerge in core/poison has no parts and doesn't show it.

--- /dev/null
+++ b/node/gateway/crashes_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"masticbank.example/core/poison"
+)
+
+// guardAfterLosses returns a crash guard with evidence of other instances: of each request three runs
+// were lost with processes, before any part of their responses. The requests share 40 parts.
+func guardAfterLosses(requests int) *crashGuard {
+	k := newCrashGuard(nil, NewMetrics(), zap.NewNop())
+	for i := range requests {
+		k.merge(lossOf(i))
+	}
+	return k
+}
+
+func lossOf(request int) poison.Evidence {
+	var out poison.Evidence
+	for run := range 3 {
+		for _, f := range []poison.Fingerprint{
+			poison.FingerprintOf("m", strconv.Itoa(request)),
+			poison.FingerprintOfPart("s", strconv.Itoa(request%40)),
+		} {
+			out.Crashes = append(out.Crashes, poison.Crash{
+				Fingerprint: f, Run: poison.Run{Attempt: uint64(request), Number: uint32(run)},
+				Process: poison.Process{Replica: strconv.Itoa((request + 3*run) % 8)}, At: time.Now(),
+			})
+		}
+	}
+	return out
+}
+
+// With 89 instances up to 400 messages of evidence arrive within a second after replicas end. Which
+// requests are blocked must not be decided anew for each of them.
+func TestMessageOfEvidenceCostsLittle(t *testing.T) {
+	k := guardAfterLosses(400)
+	n := 400
+	allocs := testing.AllocsPerRun(50, func() {
+		n++
+		k.merge(lossOf(n))
+	})
+	require.Less(t, allocs, 100.0)
+}
+
+// TestBlocksFollowMergedEvidence guards against blocks that are not seen by the next request.
+func TestBlocksFollowMergedEvidence(t *testing.T) {
+	k := newCrashGuard(nil, NewMetrics(), zap.NewNop())
+	c := &call{fingerprint: poison.FingerprintOf("m", "1")}
+	require.Nil(t, k.admit(c))
+	k.merge(lossOf(1))
+	require.NotNil(t, k.admit(c))
+	require.False(t, k.mayRetry(c))
+	require.Equal(t, 2, k.ledger.BlockedCount(), "the request and its part")
+}
