Decide on blocks when a request asks, not with each message of evidence

Merging evidence of another instance leaves the blocks to the next request, which asks for them anyway, and to the check of each second, which now logs a change of their number. The blocks depend on the evidence alone, so a request meets the same ones.

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -47,6 +47,8 @@
 	ledger *poison.Ledger
 	// checkedAt is when each replica process was last checked.
 	checkedAt map[poison.Process]time.Time
+	// blocked is the number of blocked fingerprints when that was last counted.
+	blocked int
 
 	queue chan check
 	// activeChecks counts the checks in progress; while it is 0, responses are not
@@ -304,16 +306,12 @@
 // one more replica.
 const recurringIncidents = 2
 
-// merge adds the evidence of another instance.
+// merge adds the evidence of another instance. It leaves the blocks to the next request and to expire:
+// with many instances hundreds of messages arrive within a second after replicas end.
 func (k *crashGuard) merge(evidence poison.Evidence) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	before := k.ledger.BlockedCount()
 	k.logCrashes(k.ledger.Merge(time.Now(), evidence), "reported by another instance")
-	if after := k.ledger.BlockedCount(); after != before {
-		k.log.Info("blocked requests", zap.Int("before", before), zap.Int("now", after), zap.String("source", "another instance"),
-			zap.Int("crashes", len(evidence.Crashes)), zap.Int("clears", len(evidence.Clearances)))
-	}
 }
 
 func (k *crashGuard) state() poison.Evidence {
@@ -328,13 +326,17 @@
 	return k.ledger.Digest()
 }
 
-// expire removes expired data.
+// expire removes expired data and counts the blocked fingerprints.
 func (k *crashGuard) expire() {
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.ledger.Expire(now)
-	k.metrics.SetBlocked(k.ledger.BlockedCount())
+	if blocked := k.ledger.BlockedCount(); blocked != k.blocked {
+		k.log.Info("blocked requests", zap.Int("before", k.blocked), zap.Int("now", blocked))
+		k.blocked = blocked
+		k.metrics.SetBlocked(blocked)
+	}
 	for r, at := range k.checkedAt {
 		if now.Sub(at) > checkInterval {
 			delete(k.checkedAt, r)
