--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -126,7 +126,7 @@
 // maxLayers returns the largest number of layers that a replica of the kind can hold while the
 // given share of its memory stays free.
 func maxLayers(m *pipeline.Model, kind string, freeShare float64) int {
-	return min(m.MaxLayers(kind), int(m.Kinds[kind].MemoryMB*(1-freeShare)/m.LayerMB))
+	return min(m.MaxLayers(kind), m.LayersIn(m.Kinds[kind].MemoryMB*(1-freeShare)))
 }
 
 // totalLayers returns the number of layers that the replicas can hold together.
--- a/core/pipeline/model.go
+++ b/core/pipeline/model.go
@@ -70,5 +70,14 @@
 	if !ok || m.LayerMB <= 0 {
 		return 0
 	}
-	return min(m.Layers, int(k.MemoryMB/m.LayerMB))
+	return m.LayersIn(k.MemoryMB)
+}
+
+// LayersIn returns the number of layers that fit into the given memory. It compares before it
+// converts, because a ratio may be too large for an int.
+func (m *Model) LayersIn(mb float64) int {
+	if m.LayerMB <= 0 {
+		return 0
+	}
+	return int(max(0, min(float64(m.Layers), mb/m.LayerMB)))
 }
