--- a/node/gateway/crashes_test.go
+++ b/node/gateway/crashes_test.go
@@ -39,7 +39,7 @@
 
 // With 89 instances up to 400 messages of evidence arrive within a second after replicas end. Which
 // requests are blocked must not be decided anew for each of them.
-func TestMessageOfEvidenceCostsLittle(t *testing.T) {
+func TestBlocksAreNotDecidedForEachMessage(t *testing.T) {
 	k := guardAfterLosses(400)
 	n := 400
 	allocs := testing.AllocsPerRun(50, func() {
