Test of unproven refusals keeps the replica's connections open

TestUnprovenRefusalIsNotForwarded failed once in ten runs beside other work ("expected: 2, actual: 1", the runs): its replica closed the connection after each response, and a request that was just being sent on it was lost before it ran. The replica now serves until the other end closes.

--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -174,20 +174,24 @@
 		t.Run(name, func(t *testing.T) {
 			env := newEnvironment(t)
 			env.publishConfig(1, onceRoute)
+			var responseStatus atomic.Int64
 			replicas := []*platformtest.Replica{env.newReplica("i-a"), env.newReplica("i-b")}
 			for _, r := range replicas {
 				env.publishEntry(r, c.service, "ready", c.layers...)
+				r.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
+					for {
+						req, ok := conn.Next()
+						if !ok {
+							return
+						}
+						req.Run()
+						conn.Write(platformtest.Answer(req.ID, int(responseStatus.Load()), "no"))
+					}
+				}})
 			}
 			env.start()
 			for n, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
-				for _, r := range replicas {
-					r.SetBehavior(platformtest.Behavior{Script: func(conn *platformtest.ScriptedConn) {
-						if req, ok := conn.Next(); ok {
-							req.Run()
-							conn.Write(platformtest.Answer(req.ID, status, "no"))
-						}
-					}})
-				}
+				responseStatus.Store(int64(status))
 				got := env.send("POST", c.path, "key1", "x")
 				require.NoError(t, got.err)
 				if c.repeatable {
