--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -132,6 +132,11 @@
 	if parts != "" {
 		platformtest.SetPromptParts(req, parts)
 	}
+	return env.do(req)
+}
+
+// do sends a request and reads its response.
+func (env *environment) do(req *http.Request) response {
 	resp, err := env.client.Do(req)
 	if err != nil {
 		return response{err: err}
--- a/cmd/internal/entry/refusal_test.go
+++ b/cmd/internal/entry/refusal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -70,13 +69,7 @@
 func (env *environment) sendID(method, path, id string) response {
 	req, err := platformtest.NewRequest(env.instance.ClientAddr(), method, path, id, "key1", "x")
 	require.NoError(env.t, err)
-	resp, err := env.client.Do(req)
-	if err != nil {
-		return response{err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	return env.do(req)
 }
 
 // TestRepeatedRefusalIsNotBelievedForTheNextSend guards against a refusal that a replica
