Review case 1: configuration not followed after quiet connections go silent

A script: nine instances, a stand-in of the store whose quiet connections go silent, and a change of the configuration 3.5 s later.

--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,268 @@
+// Command standin plays one case of the review: it starts stand-ins of the platform's store and of
+// replicas, and the entry instances as separate processes, and checks one rule.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+var cases = map[string]func(*world, bool) bool{
+	"silent-store": silentStore,
+	"silent-drain": silentDrain,
+	"poison":       poison,
+}
+
+func main() {
+	name := flag.String("case", "", "the case to play")
+	dir := flag.String("dir", ".", "where record.txt is written")
+	program := flag.String("program", "target/masticbank", "the program under test")
+	flag.Parse()
+	play := cases[*name]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "unknown case")
+		os.Exit(2)
+	}
+	if _, err := os.Stat(*program); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	w := newWorld(*dir, *program)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.fatal("interrupted")
+	}()
+	time.AfterFunc(115*time.Second, func() { w.fatal("out of time") })
+	broken := play(w, os.Getenv("TROUBLE") != "0")
+	w.stop()
+	if broken {
+		fmt.Println("the rule was broken")
+		os.Exit(1)
+	}
+	fmt.Println("the rule held")
+}
+
+// silentStore: connections to the store go silent; later the operator changes the configuration.
+func silentStore(w *world, trouble bool) bool {
+	routes := []route{plainRoute("/lohu/", "idempotent", "xano55b", 2)}
+	services := []string{"xano55b"}
+	w.publish(3, routes, services, "keyone", "keytwo")
+	for i, z := range zones {
+		w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", z, 10*time.Millisecond)
+	}
+	w.start(9)
+	w.awaitReady(10 * time.Second)
+	time.Sleep(10 * time.Second)
+	routes = append(routes, plainRoute("/cufi/", "idempotent", "xano55b", 2))
+	w.publish(5, routes, services, "keyone", "keytwo")
+	time.Sleep(3 * time.Second)
+	for _, in := range w.instances {
+		if a := w.send(in, "GET", "/cufi/2f", "keytwo", 1500*time.Millisecond); a.status != 200 {
+			w.fatal("version 5 is not in force at %s: %d %v", in.name, a.status, a.err)
+		}
+	}
+	if trouble {
+		lost, all := w.storeLink.lose(chooser(os.Getenv("SILENT")))
+		w.logf("%d of %d open connections to the store go silent; new ones work", lost, all)
+	}
+	time.Sleep(3500 * time.Millisecond) // contactMs and a half second
+	routes = append(routes, plainRoute("/pufi/", "idempotent", "xano55b", 2))
+	acked := w.publish(8, routes, services, "keyone")
+	time.Sleep(time.Until(acked.Add(2050 * time.Millisecond)))
+	broken := 0
+	for time.Since(acked) < 26*time.Second {
+		for _, in := range w.instances {
+			since := time.Since(acked).Seconds()
+			if a := w.send(in, "GET", "/pufi/2f", "keyone", 1500*time.Millisecond); a.status == 404 {
+				broken++
+				w.logf("BROKEN %s: 404 for the route that version 8 added, sent %.2f s after its acknowledgement", in.name, since)
+			} else if a.status != 200 {
+				w.logf("%s: %s status %d %v", in.name, a.attempt, a.status, a.err)
+			}
+			if a := w.send(in, "GET", "/lohu/2f", "keytwo", 1500*time.Millisecond); len(w.runsOf(a.attempt)) > 0 {
+				broken++
+				w.logf("BROKEN %s: %s ran with the key that version 8 dropped, status %d, sent %.2f s after its acknowledgement", in.name, a.attempt, a.status, since)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	w.logf("%d requests were handled as only an older version allows", broken)
+	fmt.Println(broken, "requests handled as only an older version allows")
+	return broken > 0
+}
+
+// chooser returns which open connections go silent: all, or only those that have been quiet.
+func chooser(how string) func(time.Duration) bool {
+	switch how {
+	case "quiet":
+		return func(quiet time.Duration) bool { return quiet > 1500*time.Millisecond }
+	case "half":
+		return func(time.Duration) bool { return rand.Intn(2) == 0 }
+	default:
+		return func(time.Duration) bool { return true }
+	}
+}
+
+// silentDrain: connections to the store go silent; later a replica that does not report draining
+// leaves.
+func silentDrain(w *world, trouble bool) bool {
+	services := []string{"xano55b"}
+	w.publish(3, []route{plainRoute("/lohu/", "idempotent", "xano55b", 2)}, services, "keyone")
+	var replicas []*replica
+	for i := range 4 {
+		replicas = append(replicas, w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", zones[i%3], 10*time.Millisecond))
+	}
+	w.start(9)
+	w.awaitReady(10 * time.Second)
+	time.Sleep(10 * time.Second)
+	done := make(chan struct{})
+	for _, in := range w.instances {
+		go func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(40 * time.Millisecond):
+					go w.send(in, "GET", "/lohu/2f", "keyone", 1500*time.Millisecond)
+				}
+			}
+		}()
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		lost, all := w.storeLink.lose(chooser(os.Getenv("SILENT")))
+		w.logf("%d of %d open connections to the store go silent; new ones work", lost, all)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	left := replicas[0]
+	left.remove()
+	acked := time.Now()
+	w.logf("the removal of the entry of %s is acknowledged; it goes on serving", left.id)
+	time.Sleep(2050 * time.Millisecond)
+	w.mu.Lock()
+	before := w.runsAt(left.id)
+	w.mu.Unlock()
+	time.Sleep(6 * time.Second)
+	close(done)
+	w.mu.Lock()
+	after := w.runsAt(left.id)
+	w.mu.Unlock()
+	w.logf("%d requests reached %s later than drainMs after the acknowledgement (%.1f s)", after-before, left.id, time.Since(acked).Seconds())
+	fmt.Println(after-before, "requests reached the replica that had left")
+	return after-before > 0
+}
+
+// runsAt returns the number of runs of a replica. The lock is held.
+func (w *world) runsAt(id string) int {
+	n := 0
+	for _, list := range w.runs {
+		for _, r := range list {
+			if r == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// poison: one request crashes each replica that runs it, and comes again at all machines.
+func poison(w *world, trouble bool) bool {
+	services := []string{"xano55b"}
+	kind, attempts := "non_idempotent", 1
+	if os.Getenv("SAFE") != "" {
+		kind, attempts = "idempotent", 2
+	}
+	w.publish(3, []route{plainRoute("/lohu/", "idempotent", "xano55b", 2), plainRoute("/puxa/", kind, "xano55b", attempts)}, services, "keyone", "keytwo")
+	back := 2 * time.Second
+	if d, err := time.ParseDuration(os.Getenv("BACK")); err == nil {
+		back = d
+	}
+	var replicas []*replica
+	for i := range 3 {
+		r := w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", zones[i%3], 20*time.Millisecond)
+		r.crashOn, r.backAfter = "/puxa/", back
+		replicas = append(replicas, r)
+	}
+	w.start(9)
+	w.awaitReady(10 * time.Second)
+	time.Sleep(10 * time.Second)
+	done := make(chan struct{})
+	for _, in := range w.instances {
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(100 * time.Millisecond):
+					go w.send(in, "GET", fmt.Sprintf("/lohu/%d", i%40), "keyone", 1500*time.Millisecond)
+				}
+			}
+		}()
+	}
+	method := "POST"
+	if kind == "idempotent" {
+		method = "GET"
+	}
+	crashes := func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		n := 0
+		for _, r := range replicas {
+			n += r.crashes
+		}
+		return n
+	}
+	var third time.Time
+	retries := 0
+	if !trouble {
+		time.Sleep(5 * time.Second)
+		close(done)
+		return false
+	}
+	end := time.Now().Add(85 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		in := w.instances[rand.Intn(len(w.instances))]
+		go func() {
+			sent := time.Now()
+			a := w.send(in, method, "/puxa/2f", "keyone", 1500*time.Millisecond)
+			runs := len(w.runsOf(a.attempt))
+			w.logf("the request %s at %s: status %d, %d runs %v", a.attempt, in.name, a.status, runs, a.err)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if runs > 0 && !third.IsZero() && sent.After(third.Add(3050*time.Millisecond)) {
+				retries++
+			}
+		}()
+		time.Sleep(time.Duration(200+rand.Intn(900)) * time.Millisecond)
+		if crashes() >= 3 {
+			w.mu.Lock()
+			if third.IsZero() {
+				third = time.Now()
+			}
+			w.mu.Unlock()
+		}
+		if every := os.Getenv("KILL"); every != "" && i%4 == 3 {
+			k := w.instances[rand.Intn(len(w.instances))]
+			w.logf("%s is killed", k.name)
+			_ = k.cmd.Process.Kill()
+			<-k.exited
+			time.Sleep(100 * time.Millisecond)
+			w.startInstance(k)
+		}
+	}
+	close(done)
+	time.Sleep(2 * time.Second)
+	w.mu.Lock()
+	n := retries
+	w.mu.Unlock()
+	w.logf("%d crashes; the request ran in %d retries later than contactMs after its third crash", crashes(), n)
+	fmt.Println(crashes(), "crashes,", n, "retries")
+	return n > 3
+}
