--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,14 +8,18 @@
 	"math/rand"
 	"os"
 	"os/signal"
+	"runtime"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
 
 var cases = map[string]func(*world, bool) bool{
-	"silent-store": silentStore,
-	"silent-drain": silentDrain,
-	"poison":       poison,
+	"silent-store":    silentStore,
+	"silent-drain":    silentDrain,
+	"poison":          poison,
+	"partition-drain": partitionDrain,
 }
 
 func main() {
@@ -32,6 +36,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	runtime.LockOSThread() // the processes end with the thread that started them
 	w := newWorld(*dir, *program)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
@@ -266,3 +271,91 @@
 	fmt.Println(crashes(), "crashes,", n, "retries")
 	return n > 3
 }
+
+// partitionDrain: the instances of a zone are cut off for some seconds; just before they are back a
+// replica leaves that does not report draining.
+func partitionDrain(w *world, trouble bool) bool {
+	w.partition, w.firstStart = newPartition(), false
+	services := []string{"xano55b"}
+	w.publish(3, []route{plainRoute("/lohu/", "idempotent", "xano55b", 2)}, services, "keyone")
+	var replicas []*replica
+	for i := range 4 {
+		work := 16 * time.Millisecond
+		if i == 0 {
+			work = 8 * time.Millisecond // replicas differ in speed
+		}
+		replicas = append(replicas, w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", zones[i%3], work))
+	}
+	w.start(9)
+	w.awaitReady(10 * time.Second)
+	time.Sleep(10 * time.Second)
+	done := make(chan struct{})
+	var requests sync.WaitGroup
+	var mu sync.Mutex
+	var answers []partitionAnswer
+	for _, in := range w.instances {
+		requests.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(50 * time.Millisecond):
+					requests.Go(func() {
+						a := w.send(in, "GET", "/lohu/2f", "keyone", 1500*time.Millisecond)
+						mu.Lock()
+						defer mu.Unlock()
+						answers = append(answers, partitionAnswer{in, a})
+					})
+				}
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		w.partition.set(true)
+		w.logf("the instances of %s are cut off from the store and from the other instances", zones[0])
+	}
+	time.Sleep(cutFor - 600*time.Millisecond)
+	left := replicas[0]
+	left.remove()
+	acked := time.Now()
+	w.logf("the removal of the entry of %s is acknowledged; it goes on serving", left.id)
+	time.Sleep(600 * time.Millisecond)
+	w.partition.set(false)
+	healed := time.Now()
+	w.logf("the partition is healed")
+	time.Sleep(time.Until(acked.Add(servesOn)))
+	w.logf("%s ends", left.id)
+	left.stop()
+	time.Sleep(time.Second)
+	close(done)
+	requests.Wait()
+	from := acked.Add(2050 * time.Millisecond)
+	if inTouch := healed.Add(3050 * time.Millisecond); trouble && inTouch.After(from) {
+		from = inTouch
+	}
+	broken := 0
+	for _, x := range answers {
+		if !x.sent.After(from) || !slices.Contains(w.runsOf(x.attempt), left.id) {
+			continue
+		}
+		broken++
+		w.logf("BROKEN %s: %s was sent %.2f s after the acknowledgement (%.2f s after the partition was healed) and ran at %s",
+			x.in.name, x.attempt, x.sent.Sub(acked).Seconds(), x.sent.Sub(healed).Seconds(), left.id)
+	}
+	w.logf("%d requests reached %s later than drainMs after the acknowledgement, sent on by instances in touch", broken, left.id)
+	fmt.Println(broken, "requests reached the replica that had left")
+	return broken > 0
+}
+
+type partitionAnswer struct {
+	in *instance
+	answer
+}
+
+const (
+	// cutFor is how long the instances are cut off.
+	cutFor = 7 * time.Second
+	// servesOn is how long the replica serves after the removal of its entry: drainMs and some seconds.
+	servesOn = 6 * time.Second
+)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -320,6 +320,8 @@
 	net.Listener
 	mu    sync.Mutex
 	conns map[*linkConn]struct{}
+	// through, if set, returns the partition that a connection passes, or nil.
+	through func(remote net.Addr) *partition
 }
 
 type linkConn struct {
@@ -328,7 +330,8 @@
 	mu       sync.Mutex
 	silent   bool
 	lastUsed time.Time
-	opened   time.Time
+	// partition, if set, holds up what is sent while it is cut.
+	partition *partition
 }
 
 func newLink(l net.Listener) *link { return &link{Listener: l, conns: map[*linkConn]struct{}{}} }
@@ -339,7 +342,10 @@
 	if err != nil {
 		return nil, err
 	}
-	lc := &linkConn{Conn: c, link: l, lastUsed: time.Now(), opened: time.Now()}
+	lc := &linkConn{Conn: c, link: l, lastUsed: time.Now()}
+	if l.through != nil {
+		lc.partition = l.through(c.RemoteAddr())
+	}
 	l.mu.Lock()
 	l.conns[lc] = struct{}{}
 	l.mu.Unlock()
@@ -373,6 +379,7 @@
 // Read implements net.Conn. What arrives on a silent connection, also its end, is lost.
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.partition.wait()
 	c.mu.Lock()
 	silent := c.silent
 	if !silent && n > 0 {
@@ -390,6 +397,7 @@
 	if c.isSilent() {
 		return len(p), nil
 	}
+	c.partition.wait()
 	return c.Conn.Write(p)
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -28,16 +28,20 @@
 	storeLink *link
 	storeAddr string
 	instances []*instance
-	mu        sync.Mutex
-	record    *os.File
-	nextID    atomic.Int64
-	prefix    string
-	runs      map[string][]string // replica IDs by attempt
+	// partition, if set, separates the first zone's instances from the rest of the system.
+	partition  *partition
+	firstStart bool
+	mu         sync.Mutex
+	record     *os.File
+	nextID     atomic.Int64
+	prefix     string
+	runs       map[string][]string // replica IDs by attempt
 }
 
 type instance struct {
 	name, zone, ip         string
 	front, ready, settings string
+	cut                    bool // it is behind the partition
 	cmd                    *exec.Cmd
 	exited                 chan struct{}
 }
@@ -68,13 +72,22 @@
 		os.Exit(2)
 	}
 	w := &world{dir: tmp, program: program, started: time.Now(), record: record, runs: map[string][]string{},
-		prefix: strconv.FormatInt(time.Now().UnixNano(), 36)}
+		prefix: strconv.FormatInt(time.Now().UnixNano(), 36), firstStart: true}
 	w.store = newStore()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		w.fatal("%v", err)
 	}
 	w.storeLink, w.storeAddr = newLink(l), l.Addr().String()
+	w.storeLink.through = func(remote net.Addr) *partition {
+		if w.partition == nil {
+			return nil
+		}
+		if in := w.owner(remote); in != nil && in.cut {
+			return w.partition
+		}
+		return nil
+	}
 	go func() { _ = http.Serve(w.storeLink, w.store) }()
 	return w
 }
@@ -94,18 +107,40 @@
 // start starts n entry instances with the command of the deploy file. Each has an address of its own;
 // the ports are the same on all, as on the platform.
 func (w *world) start(n int) {
-	front, ready, control, peer, last := freePort(), freePort(), freePort(), freePort(), 0
-	last = peer
+	front, ready, control, peer, other := freePort(), freePort(), freePort(), freePort(), freePort()
+	address := func(i int) string {
+		return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 80+i%len(zones), 11+i/len(zones))
+	}
+	port := func(i int) int {
+		if w.partition != nil && i%len(zones) == 0 {
+			return other
+		}
+		return peer
+	}
+	if w.partition != nil {
+		// The separated instances listen for peers on a port of their own. At the ports that each side
+		// dials on the other, the partition listens.
+		for i := range n {
+			mine, theirs := peer, other
+			if port(i) == peer {
+				mine, theirs = other, peer
+			}
+			if err := w.partition.forward(net.JoinHostPort(address(i), strconv.Itoa(mine)), net.JoinHostPort(address(i), strconv.Itoa(theirs))); err != nil {
+				w.fatal("%v", err)
+			}
+		}
+	}
 	for i := range n {
 		zone := zones[i%len(zones)]
-		ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 80+i%len(zones), 11+i/len(zones))
+		ip := address(i)
 		in := &instance{name: fmt.Sprintf("edge-%s-%d", zone, 1+i/len(zones)), zone: zone, ip: ip,
 			front: net.JoinHostPort(ip, strconv.Itoa(front)), ready: net.JoinHostPort(ip, strconv.Itoa(ready)),
 			settings: filepath.Join(w.dir, "node-"+strconv.Itoa(i)+".yaml")}
-		text := fmt.Sprintf(settingsText, in.name, ip, zone, in.front, in.ready, ip, control, peer, last, w.storeAddr)
+		text := fmt.Sprintf(settingsText, in.name, ip, zone, in.front, in.ready, ip, control, port(i), port(i), w.firstStart, w.storeAddr)
 		if err := os.WriteFile(in.settings, []byte(text), 0o644); err != nil {
 			w.fatal("%v", err)
 		}
+		in.cut = w.partition != nil && i%len(zones) == 0
 		w.instances = append(w.instances, in)
 		w.startInstance(in)
 	}
@@ -189,7 +224,7 @@
   - %d
   - %d
 seeds: []
-firstStart: true
+firstStart: %t
 countsAsLoss: false
 limits:
   cpuShare: 0.4
@@ -358,6 +393,20 @@
 	r.w.store.put("keyed.servers", r.id, nil)
 }
 
+// stop ends the process of the replica.
+func (r *replica) stop() {
+	_ = r.listener.Close()
+	r.link.mu.Lock()
+	var open []*linkConn
+	for c := range r.link.conns {
+		open = append(open, c)
+	}
+	r.link.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
 func (r *replica) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
 	attempt := req.Header.Get("Attempt-Id")
 	if attempt != "" {
