--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Instances are cut off for some seconds; just before they are back a replica leaves.
+# Open connections to the store that are quiet go silent; later the configuration changes.
 cd "$(dirname "$0")" || exit 2
-exec ../bin/standin -case partition-drain -dir . -program ../../target/masticbank
+exec env SILENT=quiet ../bin/standin -case silent-store -dir . -program ../../target/masticbank
