--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Open connections to the store that are quiet go silent; later the configuration changes.
 cd "$(dirname "$0")" || exit 2
-exec env SILENT=quiet ../bin/standin -case silent-store -dir . -program ../../target/masticbank
+exec ../bin/standin -case silent-store -dir . -program ../../target/masticbank
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand"
 	"os"
 	"os/signal"
 	"runtime"
@@ -17,8 +16,6 @@
 
 var cases = map[string]func(*world, bool) bool{
 	"silent-store":    silentStore,
-	"silent-drain":    silentDrain,
-	"poison":          poison,
 	"partition-drain": partitionDrain,
 }
 
@@ -54,7 +51,10 @@
 	fmt.Println("the rule held")
 }
 
-// silentStore: connections to the store go silent; later the operator changes the configuration.
+// quietFor is how long a connection was quiet that goes silent.
+const quietFor = 1500 * time.Millisecond
+
+// silentStore: connections to the store that are quiet go silent; later the operator changes the configuration.
 func silentStore(w *world, trouble bool) bool {
 	routes := []route{plainRoute("/lohu/", "idempotent", "xano55b", 2)}
 	services := []string{"xano55b"}
@@ -74,8 +74,8 @@
 		}
 	}
 	if trouble {
-		lost, all := w.storeLink.lose(chooser(os.Getenv("SILENT")))
-		w.logf("%d of %d open connections to the store go silent; new ones work", lost, all)
+		lost, all := w.storeLink.lose(quietFor)
+		w.logf("%d of %d open connections to the store go silent, those that were quiet for %v; new ones work", lost, all, quietFor)
 	}
 	time.Sleep(3500 * time.Millisecond) // contactMs and a half second
 	routes = append(routes, plainRoute("/pufi/", "idempotent", "xano55b", 2))
@@ -103,175 +103,6 @@
 	return broken > 0
 }
 
-// chooser returns which open connections go silent: all, or only those that have been quiet.
-func chooser(how string) func(time.Duration) bool {
-	switch how {
-	case "quiet":
-		return func(quiet time.Duration) bool { return quiet > 1500*time.Millisecond }
-	case "half":
-		return func(time.Duration) bool { return rand.Intn(2) == 0 }
-	default:
-		return func(time.Duration) bool { return true }
-	}
-}
-
-// silentDrain: connections to the store go silent; later a replica that does not report draining
-// leaves.
-func silentDrain(w *world, trouble bool) bool {
-	services := []string{"xano55b"}
-	w.publish(3, []route{plainRoute("/lohu/", "idempotent", "xano55b", 2)}, services, "keyone")
-	var replicas []*replica
-	for i := range 4 {
-		replicas = append(replicas, w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", zones[i%3], 10*time.Millisecond))
-	}
-	w.start(9)
-	w.awaitReady(10 * time.Second)
-	time.Sleep(10 * time.Second)
-	done := make(chan struct{})
-	for _, in := range w.instances {
-		go func() {
-			for {
-				select {
-				case <-done:
-					return
-				case <-time.After(40 * time.Millisecond):
-					go w.send(in, "GET", "/lohu/2f", "keyone", 1500*time.Millisecond)
-				}
-			}
-		}()
-	}
-	time.Sleep(time.Second)
-	if trouble {
-		lost, all := w.storeLink.lose(chooser(os.Getenv("SILENT")))
-		w.logf("%d of %d open connections to the store go silent; new ones work", lost, all)
-	}
-	time.Sleep(1100 * time.Millisecond)
-	left := replicas[0]
-	left.remove()
-	acked := time.Now()
-	w.logf("the removal of the entry of %s is acknowledged; it goes on serving", left.id)
-	time.Sleep(2050 * time.Millisecond)
-	w.mu.Lock()
-	before := w.runsAt(left.id)
-	w.mu.Unlock()
-	time.Sleep(6 * time.Second)
-	close(done)
-	w.mu.Lock()
-	after := w.runsAt(left.id)
-	w.mu.Unlock()
-	w.logf("%d requests reached %s later than drainMs after the acknowledgement (%.1f s)", after-before, left.id, time.Since(acked).Seconds())
-	fmt.Println(after-before, "requests reached the replica that had left")
-	return after-before > 0
-}
-
-// runsAt returns the number of runs of a replica. The lock is held.
-func (w *world) runsAt(id string) int {
-	n := 0
-	for _, list := range w.runs {
-		for _, r := range list {
-			if r == id {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// poison: one request crashes each replica that runs it, and comes again at all machines.
-func poison(w *world, trouble bool) bool {
-	services := []string{"xano55b"}
-	kind, attempts := "non_idempotent", 1
-	if os.Getenv("SAFE") != "" {
-		kind, attempts = "idempotent", 2
-	}
-	w.publish(3, []route{plainRoute("/lohu/", "idempotent", "xano55b", 2), plainRoute("/puxa/", kind, "xano55b", attempts)}, services, "keyone", "keytwo")
-	back := 2 * time.Second
-	if d, err := time.ParseDuration(os.Getenv("BACK")); err == nil {
-		back = d
-	}
-	var replicas []*replica
-	for i := range 3 {
-		r := w.startReplica(fmt.Sprintf("i-7f3a91c%d", i), "xano55b", zones[i%3], 20*time.Millisecond)
-		r.crashOn, r.backAfter = "/puxa/", back
-		replicas = append(replicas, r)
-	}
-	w.start(9)
-	w.awaitReady(10 * time.Second)
-	time.Sleep(10 * time.Second)
-	done := make(chan struct{})
-	for _, in := range w.instances {
-		go func() {
-			for i := 0; ; i++ {
-				select {
-				case <-done:
-					return
-				case <-time.After(100 * time.Millisecond):
-					go w.send(in, "GET", fmt.Sprintf("/lohu/%d", i%40), "keyone", 1500*time.Millisecond)
-				}
-			}
-		}()
-	}
-	method := "POST"
-	if kind == "idempotent" {
-		method = "GET"
-	}
-	crashes := func() int {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		n := 0
-		for _, r := range replicas {
-			n += r.crashes
-		}
-		return n
-	}
-	var third time.Time
-	retries := 0
-	if !trouble {
-		time.Sleep(5 * time.Second)
-		close(done)
-		return false
-	}
-	end := time.Now().Add(85 * time.Second)
-	for i := 0; time.Now().Before(end); i++ {
-		in := w.instances[rand.Intn(len(w.instances))]
-		go func() {
-			sent := time.Now()
-			a := w.send(in, method, "/puxa/2f", "keyone", 1500*time.Millisecond)
-			runs := len(w.runsOf(a.attempt))
-			w.logf("the request %s at %s: status %d, %d runs %v", a.attempt, in.name, a.status, runs, a.err)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if runs > 0 && !third.IsZero() && sent.After(third.Add(3050*time.Millisecond)) {
-				retries++
-			}
-		}()
-		time.Sleep(time.Duration(200+rand.Intn(900)) * time.Millisecond)
-		if crashes() >= 3 {
-			w.mu.Lock()
-			if third.IsZero() {
-				third = time.Now()
-			}
-			w.mu.Unlock()
-		}
-		if every := os.Getenv("KILL"); every != "" && i%4 == 3 {
-			k := w.instances[rand.Intn(len(w.instances))]
-			w.logf("%s is killed", k.name)
-			_ = k.cmd.Process.Kill()
-			<-k.exited
-			time.Sleep(100 * time.Millisecond)
-			w.startInstance(k)
-		}
-	}
-	close(done)
-	time.Sleep(2 * time.Second)
-	w.mu.Lock()
-	n := retries
-	w.mu.Unlock()
-	w.logf("%d crashes; the request ran in %d retries later than contactMs after its third crash", crashes(), n)
-	fmt.Println(crashes(), "crashes,", n, "retries")
-	return n > 3
-}
-
 // partitionDrain: the instances of a zone are cut off for some seconds; just before they are back a
 // replica leaves that does not report draining.
 func partitionDrain(w *world, trouble bool) bool {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -151,7 +151,7 @@
 	writeJSON(w, 200, map[string]any{"offset": first, "end": len(s.logs[name])})
 }
 
-// expire removes the members that have sent nothing for their ttl, and deals the partitions
+// update removes the members that have sent nothing for their ttl, and deals the partitions
 // evenly when the members have changed. The lock is held.
 func (g *group) update() {
 	now := time.Now()
@@ -352,15 +352,15 @@
 	return lc, nil
 }
 
-// lose makes the open connections for which choose returns true silent, and returns their number and
-// that of all.
-func (l *link) lose(choose func(quiet time.Duration) bool) (lost, all int) {
+// lose makes the open connections silent on which nothing was sent for the given time, and returns their
+// number and that of all.
+func (l *link) lose(quiet time.Duration) (lost, all int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		all++
 		c.mu.Lock()
-		if choose(time.Since(c.lastUsed)) {
+		if time.Since(c.lastUsed) >= quiet {
 			c.silent = true
 			lost++
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -92,14 +92,45 @@
 	return w
 }
 
-// freePort returns a port that is free on all addresses.
-func freePort() int {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
-	if err != nil {
-		return 0
+// freePorts returns n different ports that are free on all addresses.
+func freePorts(n int) []int {
+	var out []int
+	for range n {
+		l, err := net.Listen("tcp", "0.0.0.0:0")
+		if err != nil {
+			return make([]int, n)
+		}
+		defer l.Close()
+		out = append(out, l.Addr().(*net.TCPAddr).Port)
+	}
+	return out
+}
+
+// metricsPort is the port in the command of the deploy file.
+const metricsPort = "9464"
+
+// freeNetwork returns a prefix such that the addresses of n instances have a free port for metrics.
+func freeNetwork(n int) string {
+	for i := range 250 {
+		prefix := fmt.Sprintf("127.%d", 1+(os.Getpid()+i)%250)
+		free := true
+		for k := range n {
+			l, err := net.Listen("tcp", net.JoinHostPort(instanceIP(prefix, k), metricsPort))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return prefix
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
+	return "127.1"
+}
+
+func instanceIP(prefix string, i int) string {
+	return fmt.Sprintf("%s.%d.%d", prefix, 80+i%len(zones), 11+i/len(zones))
 }
 
 var zones = []string{"norte-a", "norte-b", "norte-c"}
@@ -107,10 +138,9 @@
 // start starts n entry instances with the command of the deploy file. Each has an address of its own;
 // the ports are the same on all, as on the platform.
 func (w *world) start(n int) {
-	front, ready, control, peer, other := freePort(), freePort(), freePort(), freePort(), freePort()
-	address := func(i int) string {
-		return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 80+i%len(zones), 11+i/len(zones))
-	}
+	ports, prefix := freePorts(5), freeNetwork(n)
+	front, ready, control, peer, other := ports[0], ports[1], ports[2], ports[3], ports[4]
+	address := func(i int) string { return instanceIP(prefix, i) }
 	port := func(i int) int {
 		if w.partition != nil && i%len(zones) == 0 {
 			return other
@@ -147,7 +177,7 @@
 }
 
 func (w *world) startInstance(in *instance) {
-	args := strings.Fields("platform --metrics-port 9464")
+	args := strings.Fields("platform --metrics-port " + metricsPort)
 	in.cmd = exec.Command(w.program, args...)
 	in.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "MASTICBANK_SETTINGS=" + in.settings}
 	in.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -290,62 +320,6 @@
 	sequence                   int
 	gone                       chan struct{}
 	link                       *link
-	// answer, if set, handles requests in place of the usual answer.
-	answer func(http.ResponseWriter, *http.Request)
-	// crashOn, if set, is a path whose requests crash the replica; it is back after backAfter.
-	crashOn   string
-	backAfter time.Duration
-	crashes   int
-	down      bool
-	server    *http.Server
-}
-
-// crash ends the process of the replica: it resets its connections and sends nothing any more. It is
-// back under the same ID and address, as a new process.
-func (r *replica) crash() {
-	r.w.mu.Lock()
-	if r.down {
-		r.w.mu.Unlock()
-		return
-	}
-	r.down = true
-	r.crashes++
-	r.w.mu.Unlock()
-	r.w.logf("replica %s crashes", r.id)
-	_ = r.listener.Close()
-	r.link.mu.Lock()
-	var open []*linkConn
-	for c := range r.link.conns {
-		open = append(open, c)
-	}
-	r.link.mu.Unlock()
-	for _, c := range open {
-		if t, ok := c.Conn.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
-	}
-	time.AfterFunc(3600*time.Millisecond, func() {
-		r.w.mu.Lock()
-		down := r.down
-		r.w.mu.Unlock()
-		if down {
-			r.w.store.put("keyed.servers", r.id, nil) // three heartbeats of silence
-		}
-	})
-	time.AfterFunc(r.backAfter, func() {
-		l, err := net.Listen("tcp", r.address)
-		if err != nil {
-			r.w.fatal("replica %s: %v", r.id, err)
-		}
-		r.w.mu.Lock()
-		r.listener, r.link, r.born, r.sequence, r.down = l, newLink(l), time.Now().UnixMilli(), 0, false
-		link := r.link
-		r.w.mu.Unlock()
-		go func() { _ = (&http.Server{Handler: r, IdleTimeout: 10 * time.Second}).Serve(link) }()
-		r.w.logf("replica %s is back", r.id)
-		r.beat("ready")
-	})
 }
 
 func (w *world) startReplica(id, service, zone string, work time.Duration) *replica {
@@ -365,12 +339,7 @@
 			case <-r.gone:
 				return
 			case <-time.After(1200 * time.Millisecond):
-				r.w.mu.Lock()
-				down := r.down
-				r.w.mu.Unlock()
-				if !down {
-					r.beat("ready")
-				}
+				r.beat("ready")
 			}
 		}
 	}()
@@ -418,16 +387,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	if r.answer != nil {
-		r.answer(rw, req)
-		return
-	}
 	r.w.ran(attempt, r, req)
-	if r.crashOn != "" && strings.HasPrefix(req.URL.Path, r.crashOn) {
-		time.Sleep(time.Millisecond)
-		r.crash()
-		panic(http.ErrAbortHandler)
-	}
 	time.Sleep(r.work)
 	rw.Header().Set("Response-Signature", r.id+"."+attempt)
 	rw.Header().Set("Replica-Load", "1,0,6")
