--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,7 +21,7 @@
 
 func main() {
 	name := flag.String("case", "", "the case to play")
-	dir := flag.String("dir", ".", "where record.txt is written")
+	record := flag.String("record", "record.txt", "the file to which what was sent, answered and run is written")
 	program := flag.String("program", "target/masticbank", "the program under test")
 	flag.Parse()
 	play := cases[*name]
@@ -34,7 +34,7 @@
 		os.Exit(2)
 	}
 	runtime.LockOSThread() // the processes end with the thread that started them
-	w := newWorld(*dir, *program)
+	w := newWorld(*record, *program)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
@@ -120,6 +120,11 @@
 	w.start(9)
 	w.awaitReady(10 * time.Second)
 	time.Sleep(10 * time.Second)
+	for _, in := range w.instances {
+		if a := w.send(in, "GET", "/lohu/2f", "keyone", 1500*time.Millisecond); a.status != 200 {
+			w.fatal("%s does not serve: %d %v", in.name, a.status, a.err)
+		}
+	}
 	done := make(chan struct{})
 	var requests sync.WaitGroup
 	var mu sync.Mutex
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -60,8 +60,8 @@
 	os.Exit(2)
 }
 
-func newWorld(dir, program string) *world {
-	record, err := os.Create(filepath.Join(dir, "record.txt"))
+func newWorld(path, program string) *world {
+	record, err := os.Create(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
