Log and count the share of the retry budget, retries by service and evidence of crashes

The users' record of BUDGET and LOST can't tell a budget that is too small at one instance from one that is too large over all: the lines name neither the share nor the number of instances that it rests on. `retry share changed` logs both at each change; `attempt failed` has what was left of the share, the runs and the crashes known of the request; the metrics count first attempts, retries and messages with evidence. No decision changes. go test ./node/gateway ./node/control ./node/mesh passes.

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -113,6 +113,13 @@
 	return k.ledger.MayRetry(c.fingerprint, attemptOf(c), c.partFingerprints...)
 }
 
+// incidents returns the number of independent crashes that are known of a request.
+func (k *crashGuard) incidents(c *call) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ledger.Incidents(c.fingerprint)
+}
+
 // attemptOf returns the hash that identifies the client's attempt.
 func attemptOf(c *call) uint64 { return xxhash.Sum64String(c.ID) }
 
@@ -309,6 +316,7 @@
 // merge adds the evidence of another instance. It leaves the blocks to the next request and to expire:
 // with many instances hundreds of messages arrive within a second after replicas end.
 func (k *crashGuard) merge(evidence poison.Evidence) {
+	k.metrics.CountEvidence(evidenceReceived)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.logCrashes(k.ledger.Merge(time.Now(), evidence), "reported by another instance")
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"masticbank.example/core/retry"
 )
 
 const (
@@ -30,8 +32,16 @@
 	mu       sync.Mutex
 	inFlight int
 	outcomes map[string]uint64
-	// denied counts denied retries by reason.
-	denied map[string]uint64
+	// denied counts denied retries by reason. firsts and retries count, by service, the first
+	// attempts and the retries that were spent.
+	denied  map[string]uint64
+	firsts  map[string]uint64
+	retries map[string]uint64
+	// retryShare is this instance's share of the retry budget, computed for instances instances.
+	retryShare retry.BudgetConfig
+	instances  int
+	// evidence counts messages with crash evidence by direction.
+	evidence map[string]uint64
 	// crashes counts replicas that ended while they ran a request of this instance, once
 	// per request. blocked is the number of requests that are refused because of such
 	// crashes.
@@ -48,6 +58,9 @@
 	return &Metrics{
 		outcomes:        map[string]uint64{},
 		denied:          map[string]uint64{},
+		firsts:          map[string]uint64{},
+		retries:         map[string]uint64{},
+		evidence:        map[string]uint64{},
 		delays:          map[string]*hdrhistogram.Histogram{},
 		totalTimes:      map[string]*hdrhistogram.Histogram{},
 		firstEventTimes: map[string]*hdrhistogram.Histogram{},
@@ -89,6 +102,41 @@
 	m.denied[reason]++
 }
 
+// CountFirst counts a first attempt, which adds to the retry budget of its service.
+func (m *Metrics) CountFirst(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.firsts[service]++
+}
+
+// CountRetry counts a retry that was spent from the budget of a service.
+func (m *Metrics) CountRetry(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retries[service]++
+}
+
+// SetRetryShare records this instance's share of the retry budget and the number of instances for
+// which it was computed.
+func (m *Metrics) SetRetryShare(share retry.BudgetConfig, instances int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retryShare, m.instances = share, instances
+}
+
+// Directions of messages with crash evidence.
+const (
+	evidenceSent     = "sent"
+	evidenceReceived = "received"
+)
+
+// CountEvidence counts a message with crash evidence.
+func (m *Metrics) CountEvidence(direction string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evidence[direction]++
+}
+
 // CountCrash counts a replica that ended while it ran a request.
 func (m *Metrics) CountCrash() {
 	m.mu.Lock()
@@ -151,6 +199,11 @@
 		"in_flight":   m.inFlight,
 		"outcomes":    m.outcomes,
 		"denied":      m.denied,
+		"firsts":      m.firsts,
+		"retries":     m.retries,
+		"instances":   m.instances,
+		"retry_share": map[string]float64{"burst": m.retryShare.Burst, "per_second": m.retryShare.MinPerSecond, "ratio": m.retryShare.Ratio},
+		"evidence":    m.evidence,
 		"crashes":     m.crashes,
 		"blocked":     m.blocked,
 		"request":     summaries(m.totalTimes),
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -125,7 +125,8 @@
 			zap.Int("parts", len(s.grant.path())), zap.String("zones", zonesOf(s.grant.path())),
 			zap.Duration("expected_first_event", s.grant.choice.FirstToken), zap.Duration("run_took", time.Since(s.runAt)),
 			zap.Duration("silent", time.Since(s.lastProgress)), zap.Duration("left", c.remaining(time.Now())),
-			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason), zap.Error(err))
+			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason),
+			zap.Int("runs", h.Runs), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
 		if next == forward.Retry {
 			s.delay = delayOf(outcome)
 			continue
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -68,7 +68,8 @@
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
 				zap.Duration("left", c.remaining(time.Now())),
-				zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason), zap.Error(err))
+				zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason),
+				zap.Int("runs", h.Runs), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
 		}
 		switch next {
 		case forward.Retry:
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/retry"
 	"masticbank.example/node/caller"
@@ -89,7 +91,18 @@
 func (g *Gateway) retryAllowed(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget(service).TrySpend(time.Now())
+	if !g.budget(service).TrySpend(time.Now()) {
+		return false
+	}
+	g.opts.Metrics.CountRetry(service)
+	return true
+}
+
+// availableRetries returns the retries that are left in this instance's share of a service's budget.
+func (g *Gateway) availableRetries(service string) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget(service).Available(time.Now())
 }
 
 // countFirst adds the first attempt of a request to the service's budget.
@@ -97,6 +110,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.budget(service).RecordFirst(time.Now())
+	g.opts.Metrics.CountFirst(service)
 }
 
 const (
@@ -168,8 +182,17 @@
 	if first {
 		clear(g.budgets) // recreated on demand with a full bucket
 	}
+	g.configureBudgets()
+}
+
+// configureBudgets applies this instance's current share to its budgets. The lock is held.
+func (g *Gateway) configureBudgets() {
+	share := g.budgetConfig()
+	g.opts.Metrics.SetRetryShare(share, g.instances)
+	g.log.Info("retry share changed", zap.Int("instances", g.instances), zap.Float64("burst", share.Burst),
+		zap.Float64("per_second", share.MinPerSecond), zap.Float64("ratio", share.Ratio))
 	now := time.Now()
 	for _, b := range g.budgets {
-		b.Configure(now, g.budgetConfig())
+		b.Configure(now, share)
 	}
 }
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -125,6 +125,7 @@
 func (g *Gateway) publishEvidence() {
 	delta, recurring := g.crashes.pending()
 	if !delta.Empty() && g.opts.OnEvidence != nil {
+		g.opts.Metrics.CountEvidence(evidenceSent)
 		g.opts.OnEvidence(delta, recurring)
 	}
 }
@@ -227,8 +228,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.opts.Retries = b
-	now := time.Now()
-	for _, budget := range g.budgets {
-		budget.Configure(now, g.budgetConfig())
-	}
+	g.configureBudgets()
 }
