--- a/node/gateway/budget_test.go
+++ b/node/gateway/budget_test.go
@@ -52,6 +52,69 @@
 	})
 }
 
+// newLimitedGateway returns a gateway whose service "s" has the retry budget of the further grown
+// deployment.
+func newLimitedGateway(slack float64) *Gateway {
+	return New(Options{
+		Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
+		Retries: RetryBound{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+	})
+}
+
+// TestRestartsRefillTheRetryBudget guards against instances that restart and spend once more what
+// their predecessors have spent: half of 89 are killed twice within one window.
+func TestRestartsRefillTheRetryBudget(t *testing.T) {
+	const instances, slack, restarts = 89, 362.0, 2 * 49
+	synctest.Test(t, func(t *testing.T) {
+		total := 0
+		for i := range instances + restarts {
+			g := newLimitedGateway(slack)
+			if i >= instances {
+				total += spendAll(g) // the number of instances is not known yet
+			}
+			g.SetInstances(instances)
+			total += spendAll(g)
+		}
+		require.LessOrEqual(t, float64(total), slack)
+	})
+}
+
+// TestMoreInstancesThanRetriesExceedTheBudget guards against shares that are rounded up to one retry
+// at each of many instances.
+func TestMoreInstancesThanRetriesExceedTheBudget(t *testing.T) {
+	const instances, slack = 1900, 362.0
+	synctest.Test(t, func(t *testing.T) {
+		total := 0
+		for range instances {
+			g := newLimitedGateway(slack)
+			g.SetInstances(instances)
+			total += spendAll(g)
+		}
+		require.LessOrEqual(t, float64(total), slack)
+	})
+}
+
+// TestShortListOfInstancesRaisesTheRetryBudget guards against instances that each believe to be one
+// of a few for some seconds, as after a cut, and spend the shares of the others.
+func TestShortListOfInstancesRaisesTheRetryBudget(t *testing.T) {
+	const instances, listed, slack = 89, 10, 362.0
+	synctest.Test(t, func(t *testing.T) {
+		total := 0
+		for range instances {
+			g := newLimitedGateway(slack)
+			g.SetInstances(instances)
+			start := time.Now()
+			total += spendAll(g)
+			g.SetInstances(listed)
+			for time.Since(start) < g.opts.Retries.Window {
+				time.Sleep(time.Second)
+				total += spendAll(g)
+			}
+		}
+		require.LessOrEqual(t, float64(total), slack)
+	})
+}
+
 // A request whose retry only the budget denies waits until other requests have added to
 // it, or until its client's time is over.
 func TestRetryWaitsForTheBudget(t *testing.T) {
