A process that starts has earned no retries yet

Cause: a process began with a full share of the slack, and got another one once it knew the number of instances, although its predecessor may have spent one in the same window. Class: a limit for the whole system that rests on state which ends with the process.

Only when the whole system starts for the first time are budgets full; later processes earn theirs at the minimum rate from their start on. The share of a limit is computed in core/retry now, where the gateway had it.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"masticbank.example/core/poison"
+	"masticbank.example/core/retry"
 	"masticbank.example/core/roster"
 	"masticbank.example/node/control"
 	"masticbank.example/node/exchange"
@@ -160,7 +161,8 @@
 		// Most of the memory is for requests that are queued or streaming.
 		ResponseBytes: int64(float64(s.MemoryMB) * responseMemoryFraction * bytesPerMB),
 
-		Retries: retryBound(s),
+		Retries:    retryBound(s),
+		FirstStart: s.FirstStart,
 		OnUnresponsive: func(replica string) {
 			i.mesh.ReportUnresponsive(replica)
 			i.control.ExcludeUnresponsive(replica)
@@ -250,8 +252,8 @@
 // memberFields is the number of fields in a member's name.
 const memberFields = 3
 
-func retryBound(s *platform.Settings) gateway.RetryBound {
-	return gateway.RetryBound{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
+func retryBound(s *platform.Settings) retry.Limit {
+	return retry.Limit{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 }
 
 // Reload reads the settings file again and applies changes. If the file is invalid the
--- a/node/gateway/budget_test.go
+++ b/node/gateway/budget_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"masticbank.example/core/retry"
 	"masticbank.example/core/routing"
 	"masticbank.example/node/exchange"
 )
@@ -28,17 +29,11 @@
 	const instances, slack, ratio, requests = 59, 302.0, 0.2, 50
 	synctest.Test(t, func(t *testing.T) {
 		total, first := 0, 0
-		start := func() *Gateway {
-			return New(Options{
-				Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
-				Retries: RetryBound{Ratio: ratio, Slack: slack, Window: 10 * time.Second},
-			})
-		}
 		for range instances {
-			g := start()
+			g := newLimitedGateway(slack, true)
 			g.SetInstances(instances)
 			total += spendAll(g)
-			g = start() // restarts after the power failure
+			g = newLimitedGateway(slack, false) // restarts after the power failure
 			for range requests {
 				g.countFirst("s")
 				first++
@@ -54,10 +49,11 @@
 
 // newLimitedGateway returns a gateway whose service "s" has the retry budget of the further grown
 // deployment.
-func newLimitedGateway(slack float64) *Gateway {
+func newLimitedGateway(slack float64, firstStart bool) *Gateway {
 	return New(Options{
-		Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
-		Retries: RetryBound{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
+		FirstStart: firstStart,
+		Client:     exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
+		Retries: retry.Limit{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	})
 }
 
@@ -68,7 +64,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		total := 0
 		for i := range instances + restarts {
-			g := newLimitedGateway(slack)
+			g := newLimitedGateway(slack, i < instances)
 			if i >= instances {
 				total += spendAll(g) // the number of instances is not known yet
 			}
@@ -86,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		total := 0
 		for range instances {
-			g := newLimitedGateway(slack)
+			g := newLimitedGateway(slack, true)
 			g.SetInstances(instances)
 			total += spendAll(g)
 		}
@@ -101,7 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		total := 0
 		for range instances {
-			g := newLimitedGateway(slack)
+			g := newLimitedGateway(slack, true)
 			g.SetInstances(instances)
 			start := time.Now()
 			total += spendAll(g)
@@ -121,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := New(Options{
 			Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(),
-			Retries: RetryBound{Ratio: 0.2, Window: 10 * time.Second},
+			Retries: retry.Limit{Ratio: 0.2, Window: 10 * time.Second},
 		})
 		g.SetInstances(95)
 		c := &call{service: &routing.Service{Name: "s"}}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -61,7 +61,10 @@
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Retries limits the retries of all instances together.
-	Retries RetryBound
+	Retries retry.Limit
+	// FirstStart is true if the whole system starts for the first time, so that no earlier
+	// process has spent retries.
+	FirstStart bool
 	// OnUnresponsive, if set, is called with a replica that is unresponsive.
 	OnUnresponsive func(replica string)
 	// OnRejected, if set, is called with a replica that rejected a request although it has
@@ -77,14 +80,6 @@
 	OnEvidence func(delta poison.Evidence, recurring []poison.Crash)
 }
 
-// RetryBound limits the retries of one service for all instances together: in each window,
-// Ratio times the service's requests plus Slack.
-type RetryBound struct {
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // Gateway is the http.Handler that serves clients. It is safe for concurrent use.
 type Gateway struct {
 	opts   Options
@@ -110,10 +105,12 @@
 	models  map[string]*modelPool
 	plains  map[string]*plainPool
 	budgets map[string]*retry.Budget
+	// share is this instance's share of the retry limit.
+	share   *retry.Share
 	crashes *crashGuard
 	// memory limits the large responses that are buffered at the same time.
 	memory *bounded.MemoryLimit
-	// instances is the number of instances that share the retry budget; 0 while unknown.
+	// instances is the number of instances that share the work; 0 while unknown.
 	instances int
 }
 
@@ -129,6 +126,7 @@
 		models:  map[string]*modelPool{},
 		plains:  map[string]*plainPool{},
 		budgets: map[string]*retry.Budget{},
+		share:   retry.NewShare(o.Retries, time.Now(), o.FirstStart),
 		memory:  bounded.NewMemoryLimit(max(o.ResponseBytes, minResponseMemory)),
 		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
 		started: time.Now(),
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -113,47 +113,16 @@
 	g.opts.Metrics.CountFirst(service)
 }
 
-const (
-	// retryRatioShare is the fraction of the allowed retry ratio that is used. What the
-	// requests of one window add may be spent in the next one, so it counts twice; the
-	// rest covers requests that are counted in another window.
-	retryRatioShare = 0.4
-	// retryBurstShare is the fraction of the slack that may be spent at once, as when a
-	// replica dies with many streams; retryRateShare is the fraction that is refilled
-	// within one window. Their sum stays below 1 because an instance that restarts has a
-	// full bucket again.
-	retryBurstShare = 0.5
-	retryRateShare  = 0.25
-)
-
 // budget returns this instance's share of a service's retry budget. The lock is held.
 func (g *Gateway) budget(service string) *retry.Budget {
 	b := g.budgets[service]
 	if b == nil {
-		b = retry.NewBudget(g.budgetConfig())
+		b = g.share.NewBudget(time.Now())
 		g.budgets[service] = b
 	}
 	return b
 }
 
-// budgetConfig returns this instance's share of the limit. While the number of instances
-// is unknown, retries are limited to what this instance's own requests add: when all
-// instances start together, each would otherwise assume that it is one of a few.
-func (g *Gateway) budgetConfig() retry.BudgetConfig {
-	if g.instances == 0 {
-		return retry.BudgetConfig{Ratio: g.opts.Retries.Ratio * retryRatioShare, Burst: 1, Window: g.opts.Retries.Window}
-	}
-	n := float64(g.instances)
-	window := max(g.opts.Retries.Window, time.Second).Seconds()
-	slack := g.opts.Retries.Slack / n
-	return retry.BudgetConfig{
-		Ratio:        g.opts.Retries.Ratio * retryRatioShare,
-		MinPerSecond: slack * retryRateShare / window,
-		Burst:        max(1, slack*retryBurstShare),
-		Window:       g.opts.Retries.Window,
-	}
-}
-
 // sharingLocked describes how the replicas are shared. An instance that does not know the
 // number of instances has no information about their load either. The lock is held.
 func (g *Gateway) sharingLocked() pipeline.Sharing {
@@ -171,15 +140,20 @@
 func (g *Gateway) SetInstances(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n < 1 || n == g.instances {
+	if n < 1 {
 		return
 	}
-	first := g.instances == 0
-	g.instances = n
-	for _, p := range g.models {
-		p.setSharing(g.sharingLocked())
+	if n != g.instances {
+		g.instances = n
+		for _, p := range g.models {
+			p.setSharing(g.sharingLocked())
+		}
+	}
+	first := g.share.Instances() == 0
+	if !g.share.SetInstances(n) {
+		return
 	}
-	if first {
+	if first && g.opts.FirstStart {
 		clear(g.budgets) // recreated on demand with a full bucket
 	}
 	g.configureBudgets()
@@ -187,9 +161,9 @@
 
 // configureBudgets applies this instance's current share to its budgets. The lock is held.
 func (g *Gateway) configureBudgets() {
-	share := g.budgetConfig()
-	g.opts.Metrics.SetRetryShare(share, g.instances)
-	g.log.Info("retry share changed", zap.Int("instances", g.instances), zap.Float64("burst", share.Burst),
+	share := g.share.Config()
+	g.opts.Metrics.SetRetryShare(share, g.share.Instances())
+	g.log.Info("retry share changed", zap.Int("instances", g.share.Instances()), zap.Int("now", g.instances), zap.Float64("burst", share.Burst),
 		zap.Float64("per_second", share.MinPerSecond), zap.Float64("ratio", share.Ratio))
 	now := time.Now()
 	for _, b := range g.budgets {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -7,6 +7,7 @@
 
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/poison"
+	"masticbank.example/core/retry"
 	"masticbank.example/core/roster"
 	"masticbank.example/core/routing"
 )
@@ -224,9 +225,9 @@
 }
 
 // SetRetryBound changes the limit on retries.
-func (g *Gateway) SetRetryBound(b RetryBound) {
+func (g *Gateway) SetRetryBound(b retry.Limit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.opts.Retries = b
+	g.share.SetLimit(b)
 	g.configureBudgets()
 }
