A share of the retry budget may be less than one retry

Cause: each instance's share was rounded up to one retry, so that with more instances than the slack has retries the shares exceed it: 1,900 of 362 at the size of docs/CAPACITY.md (TestMoreInstancesThanRetriesExceedTheBudget, which failed before).

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -65,7 +65,7 @@
 		return c
 	}
 	slack := s.limit.Slack / float64(s.instances)
-	c.Burst = max(1, slack*burstFraction)
+	c.Burst = slack * burstFraction
 	c.MinPerSecond = slack * rateFraction / max(s.limit.Window, minWindow).Seconds()
 	return c
 }
