Instances that are missing from the list keep their share of the retry budget for a window

Cause: a smaller number of instances raised the shares at once. A smaller number now counts only after a window without a larger one.

TestRetriesOfAllInstancesExceedTheLimit checks all three faults together: random restarts, short lists and failures of up to 40 instances against the users' rule.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -25,14 +25,18 @@
 }
 
 // Share is one instance's share of a Limit. The shares of all instances keep the limit together
-// also when processes restart. It is not safe for concurrent use.
+// also when processes restart and when instances disagree on their number for a while. It is not
+// safe for concurrent use.
 type Share struct {
 	limit     Limit
 	startedAt time.Time
 	// full is set if no earlier process can have spent a part of this share.
 	full bool
-	// instances is the number of instances; 0 while unknown.
+	// instances is the largest number of instances in the last window; 0 while unknown.
 	instances int
+	// lower is the largest number since lowerSince, from which on all were below instances.
+	lower      int
+	lowerSince time.Time
 }
 
 // NewShare returns the share of a process that starts at startedAt. If the whole system starts for the
@@ -48,13 +52,24 @@
 // Instances returns the number of instances that the share rests on; 0 while it is unknown.
 func (s *Share) Instances() int { return s.instances }
 
-// SetInstances records the number of instances. It reports whether the share changed.
-func (s *Share) SetInstances(n int) bool {
-	if n < 1 || n == s.instances {
-		return false
+// SetInstances records the number of instances. A larger number counts at once, a smaller one only after
+// a window without a larger one: the missing instances may be alive and spend their shares. It
+// reports whether the share changed.
+func (s *Share) SetInstances(now time.Time, n int) bool {
+	before := s.instances
+	switch {
+	case n < 1:
+	case n >= s.instances:
+		s.instances, s.lowerSince = n, time.Time{}
+	case s.lowerSince.IsZero():
+		s.lower, s.lowerSince = n, now
+	default:
+		s.lower = max(s.lower, n)
+		if now.Sub(s.lowerSince) >= s.limit.Window {
+			s.instances, s.lowerSince = s.lower, time.Time{}
+		}
 	}
-	s.instances = n
-	return true
+	return s.instances != before
 }
 
 // Config returns the configuration of one group's budget. While the number of instances is unknown,
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -5,14 +5,108 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
+// sharer is one of the instances that keep a limit together.
+type sharer struct {
+	share  *Share
+	budget *Budget
+}
+
+func newSharer(l Limit, now time.Time, firstStart bool) *sharer {
+	return &sharer{share: NewShare(l, now, firstStart)}
+}
+
+func (s *sharer) setInstances(now time.Time, n int) {
+	if s.share.SetInstances(now, n) && s.budget != nil {
+		s.budget.Configure(now, s.share.Config())
+	}
+}
+
+func (s *sharer) get(now time.Time) *Budget {
+	if s.budget == nil {
+		s.budget = s.share.NewBudget(now)
+	}
+	return s.budget
+}
+
+// TestRetriesOfAllInstancesExceedTheLimit guards against shares that together allow more retries in a
+// window than the limit, while instances restart and read lists of instances that are too short.
+func TestRetriesOfAllInstancesExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Ratio: rapid.Float64Range(0, 0.3).Draw(t, "ratio"), Slack: rapid.Float64Range(0, 100).Draw(t, "slack"), Window: 10 * time.Second}
+		now := epoch
+		instances := rapid.IntRange(1, 40).Draw(t, "instances")
+		all := make([]*sharer, instances)
+		for i := range all {
+			all[i] = newSharer(l, now, true)
+			all[i].setInstances(now, instances)
+		}
+		var firsts, retries []time.Time
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			some := all[:rapid.IntRange(1, instances).Draw(t, "some")]
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				for i := range some {
+					some[i] = newSharer(l, now, false)
+					some[i].setInstances(now, instances)
+				}
+			case 1:
+				for _, s := range some {
+					s.setInstances(now, rapid.IntRange(1, instances).Draw(t, "listed"))
+					s.setInstances(now, instances)
+				}
+			case 2:
+				for _, s := range some {
+					s.get(now).RecordFirst(now)
+					firsts = append(firsts, now)
+				}
+			default:
+				for _, s := range some {
+					for s.get(now).TrySpend(now) {
+						retries = append(retries, now)
+					}
+				}
+			}
+		}
+		within := func(list []time.Time, from, to time.Time) float64 {
+			n := 0.0
+			for _, at := range list {
+				if !at.Before(from) && !at.After(to) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, at := range retries {
+			end := at.Add(l.Window)
+			counted := max(within(firsts, at, end), within(firsts, at.Add(-l.Window/2), at.Add(l.Window/2)), within(firsts, at.Add(-l.Window), at))
+			require.LessOrEqual(t, within(retries, at, end), l.Ratio*counted+l.Slack+1e-6)
+		}
+	})
+}
+
+// TestMissingInstancesKeepTheirShares guards against shares that grow at once when instances are
+// missing from the list, which may be alive.
+func TestMissingInstancesKeepTheirShares(t *testing.T) {
+	s := NewShare(Limit{Slack: 100, Window: 10 * time.Second}, epoch, true)
+	require.True(t, s.SetInstances(epoch, 10))
+	require.False(t, s.SetInstances(epoch.Add(time.Second), 2))
+	require.False(t, s.SetInstances(epoch.Add(9*time.Second), 4))
+	require.True(t, s.SetInstances(epoch.Add(11*time.Second), 3))
+	require.Equal(t, 4, s.Instances())
+	require.True(t, s.SetInstances(epoch.Add(12*time.Second), 12))
+	require.Equal(t, 12, s.Instances())
+}
+
 // TestRestartedProcessEarnsItsShareAgain guards against processes that never get retries again after a
 // restart, and services that are added later and get none.
 func TestRestartedProcessEarnsItsShareAgain(t *testing.T) {
 	l := Limit{Slack: 100, Window: 10 * time.Second}
 	s := NewShare(l, epoch, false)
-	s.SetInstances(10)
+	s.SetInstances(epoch, 10)
 	b := s.NewBudget(epoch)
 	require.False(t, b.TrySpend(epoch))
 	require.True(t, b.TrySpend(epoch.Add(5*time.Second)))
@@ -22,6 +116,6 @@
 
 // newBudgetOf returns a new budget of one of n instances.
 func (s *Share) newBudgetOf(n int) *Budget {
-	s.SetInstances(n)
+	s.SetInstances(epoch, n)
 	return s.NewBudget(epoch)
 }
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -150,7 +150,7 @@
 		}
 	}
 	first := g.share.Instances() == 0
-	if !g.share.SetInstances(n) {
+	if !g.share.SetInstances(time.Now(), n) {
 		return
 	}
 	if first && g.opts.FirstStart {
