Tests of silence: comments no longer say that each budget holds one retry

Since a share may be less than one retry, a budget without slack and ratio holds none. The tests spend a retry that might be there, as before.

--- a/cmd/internal/entry/silence_test.go
+++ b/cmd/internal/entry/silence_test.go
@@ -130,7 +130,7 @@
 			env.start()
 			env.eventually(func() bool { return env.send("POST", "/chat/1", "key1", "x").status == 200 }, "served")
 			if c.slack == 0 {
-				// The first retry is allowed: a budget holds one at least.
+				// A retry that the budget might hold is spent.
 				replicas[0].SetBehavior(platformtest.Behavior{BreakAfter: 2})
 				replicas[1].SetBehavior(platformtest.Behavior{BreakAfter: 2})
 				require.Error(t, env.send("POST", "/chat/1", "key1", "x").err)
@@ -256,7 +256,7 @@
 	}
 }
 
-// spendRetryBudget makes a request fail on two replicas: a budget allows one retry at least.
+// spendRetryBudget makes a request fail on two replicas, which spends a retry that the budget might hold.
 func (env *environment) spendRetryBudget(replicas []*platformtest.Replica) {
 	for _, r := range replicas {
 		r.SetBehavior(platformtest.Behavior{Status: http.StatusInternalServerError})
