An answer that has begun waits for the rest as long as its client does

What callers saw: streams whose run was lost or given up are closed in the middle 1.5 s after their last event, with up to 17 s of their deadline left, because no path is free or the retry budget is spent. Clients by the protocol wait for 2 s.

Cause: the limit after which a request without an event is refused, half a second before its client leaves, was used for answers that have begun too. Those cannot be refused: to close them early helps nobody, and the path or the retry may come.

Now such an answer waits until its client leaves or its deadline; while the instance shuts down, until half a second after its client's patience. A move to another path is still only tried within the patience.

--- a/core/waitlist/maxwait.go
+++ b/core/waitlist/maxwait.go
@@ -16,10 +16,15 @@
 // transmission, the prefill and the first event.
 const firstEventReserve = 500 * time.Millisecond
 
+// Patience returns how long a client waits for the first event, and for each further one.
+func Patience(objective, gap time.Duration) time.Duration {
+	return max(minClientTimeout, objectiveFactor*objective, gapFactor*gap)
+}
+
 // MaxWait returns how long a stream that has received no event, or none for a
 // while, may wait for free capacity or for a retry. After a longer wait the client
 // would give up before the next event. Objective and gap are the objectives of the
 // route for the first event and for the gap between events, 0 if it has none.
 func MaxWait(objective, gap time.Duration) time.Duration {
-	return max(minClientTimeout, objectiveFactor*objective, gapFactor*gap) - firstEventReserve
+	return Patience(objective, gap) - firstEventReserve
 }
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -176,21 +176,6 @@
 	return &waitlist.Item{Rank: s.rank, Arrival: s.arrival, RefuseAt: s.waitLimit()}
 }
 
-// waitLimit is the latest time at which a path is still of use: after that, the client
-// would have waited too long since the request arrived, or since the last event, and would
-// leave before another event could reach it.
-func (s *stream) waitLimit() time.Time {
-	since := s.arrival
-	if s.headSent {
-		since = s.lastSent
-	}
-	end := since.Add(waitlist.MaxWait(s.route.LatencyObjective, s.route.EventGapObjective))
-	if s.deadline.Before(end) {
-		return s.deadline
-	}
-	return end
-}
-
 // endWithoutPath sends the error response when no path was granted in time.
 func (s *stream) endWithoutPath(ctx context.Context, h *forward.History) {
 	if h.MayHaveRun() || s.headSent {
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -191,7 +191,7 @@
 		if caller.Check(ctx) != nil {
 			return false
 		}
-		choice, ok := s.grant.alternative(s.excluded, time.Until(s.waitLimit()))
+		choice, ok := s.grant.alternative(s.excluded, time.Until(s.patienceEnd()))
 		if !ok {
 			s.g.log.Info("no alternative path", zap.String("request", s.ID), zap.String("first", first.ID), zap.Int("avoided", len(s.excluded)))
 			return false
