Evidence for another instance begins with the requests that are blocked

Cause: one message has at most 256 crashes, and was filled by the number of crashes.

Why it works: blocked fingerprints come first, then by the weight of the evidence, which counts incidents and not crashes.

--- a/core/poison/state.go
+++ b/core/poison/state.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -47,16 +48,11 @@
 }
 
 // Evidence returns the evidence to send to an instance that may lack some of it, within
-// MaxEvidence. Requests with the most crashes come first, among them those with the latest
-// crash.
+// MaxEvidence. Blocked requests come first, then those with the most evidence against them, among
+// equals those with the latest crash: the other instance must refuse these soonest.
 func (l *Ledger) Evidence() Evidence {
-	order := make([]Fingerprint, 0, len(l.tracked))
-	for f := range l.tracked {
-		order = append(order, f)
-	}
-	slices.SortFunc(order, func(a, b Fingerprint) int { return l.compare(b, a) })
-	var evidence Evidence
-	for _, f := range order {
+	evidence := Evidence{Crashes: make([]Crash, 0, min(MaxEvidence, len(l.tracked)*maxCrashesEach))}
+	for _, f := range l.mostSuspicious() {
 		crashes := l.tracked[f].crashes
 		if len(evidence.Crashes)+len(crashes) > MaxEvidence {
 			break
@@ -72,6 +68,39 @@
 	return evidence
 }
 
+// mostSuspicious returns the fingerprints with crashes in the order in which other instances need
+// their evidence.
+func (l *Ledger) mostSuspicious() []Fingerprint {
+	l.updateBlocks()
+	type suspect struct {
+		f       Fingerprint
+		blocked bool
+		weight  float64
+		last    time.Time
+	}
+	suspects := make([]suspect, 0, len(l.tracked))
+	for f, r := range l.tracked {
+		suspects = append(suspects, suspect{f, r.blocked, l.weight(f), r.last()})
+	}
+	slices.SortFunc(suspects, func(a, b suspect) int {
+		switch {
+		case a.blocked != b.blocked && a.blocked:
+			return -1
+		case a.blocked != b.blocked:
+			return 1
+		case a.weight != b.weight:
+			return cmp.Compare(b.weight, a.weight)
+		default:
+			return b.last.Compare(a.last)
+		}
+	})
+	out := make([]Fingerprint, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, s.f)
+	}
+	return out
+}
+
 // compare orders fingerprints by their number of crashes, then by the time of the last
 // crash.
 func (l *Ledger) compare(a, b Fingerprint) int {
