A session that replaces another is new to the exchange of evidence

What callers saw: nothing yet; an instance could lack crashes that others know (found by reading).

Cause: when a peer dials again before this side has seen the end of the session, the new session replaces the old one without PeerDown, and what was queued or under way on the old one is lost. The state of the comparison of digests stayed, so that all evidence was sent only once both digests had not changed for 0.7 s; while replicas keep ending they change all the time.

Why it works: PeerUp forgets the state, and the first digests that differ lead to a message with all evidence, as after any other connection. Cost: one message (at most 32 KiB) for each session.

--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -286,6 +286,8 @@
 	h.mesh.opts.Logger.Info("peer connected", zap.String("peer", info.ID), zap.String("zone", info.Zone))
 	h.mesh.mu.Lock()
 	h.mesh.connected[info.ID] = peerState{zone: info.Zone}
+	// A session may replace another one without PeerDown, and messages of that one are lost.
+	delete(h.mesh.evidenceStates, info.ID)
 	h.mesh.mu.Unlock()
 	h.mesh.sendDeparted(info.ID)
 }
