The gateway publishes crashes when they are recorded

What callers saw: a client that sends a copy of its request to another instance right after its answer could have one replica more crashed, as that instance was told up to 0.1 s later, and later still while paths were granted to many waiting requests, which happened in the same loop.

Cause: evidence was collected and sent every 100 ms. With the 4 s of the rule on such requests it makes no difference, except where an instance is killed within that time.

Evidence: TestCrashWaitsForTheNextPublication failed before (nothing sent at the time of the crash).

Why it works: a recorded crash wakes the publishing, which has a goroutine of its own.

Cost: the interval of 100 ms between two messages stays the bound (TestPublicationsOfManyCrashesAreBounded: at most 11 in a second with 1000 crashes), so that no instance gets more messages than before.

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -51,6 +51,8 @@
 	blocked int
 
 	queue chan check
+	// recorded receives a value when crashes were recorded that are not published yet.
+	recorded chan struct{}
 	// activeChecks counts the checks in progress; while it is 0, responses are not
 	// recorded in lastResponse.
 	activeChecks atomic.Int32
@@ -72,6 +74,7 @@
 		ledger:    poison.NewLedger(poison.Retention),
 		checkedAt: map[poison.Process]time.Time{},
 		queue:     make(chan check, maxQueuedChecks),
+		recorded:  make(chan struct{}, 1),
 	}
 }
 
@@ -166,9 +169,15 @@
 	k.logCrashes(k.ledger.RecordEnd(time.Now(), r), evidence)
 }
 
-// logCrashes logs each crash, and each request that is blocked because of it. The lock is
-// held.
+// logCrashes logs each crash, and each request that is blocked because of it, and has them published.
+// The lock is held.
 func (k *crashGuard) logCrashes(crashes []poison.Crash, evidence string) {
+	if len(crashes) > 0 {
+		select {
+		case k.recorded <- struct{}{}:
+		default:
+		}
+	}
 	for _, c := range crashes {
 		k.metrics.CountCrash()
 		k.log.Info("replica ended while running a request", zap.Stringer("fingerprint", c.Fingerprint), zap.String("replica", c.Process.Replica),
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -103,9 +103,10 @@
 	defer grants.Stop()
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
-	var checks sync.WaitGroup
-	defer checks.Wait()
-	checks.Go(func() { g.crashes.run(ctx) })
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { g.crashes.run(ctx) })
+	tasks.Go(func() { g.publishEvidence(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,7 +115,6 @@
 			for _, p := range g.modelPools() {
 				p.grantNow()
 			}
-			g.publishEvidence()
 		case <-prune.C:
 			g.opts.Client.Prune()
 			g.crashes.expire()
@@ -122,13 +122,41 @@
 	}
 }
 
-// publishEvidence publishes new evidence about requests that crash replicas.
-func (g *Gateway) publishEvidence() {
+// publishInterval is the minimum time between two messages with evidence: each of them reaches all
+// other instances.
+const publishInterval = 100 * time.Millisecond
+
+// publishEvidence publishes new evidence about requests that crash replicas until ctx ends: crashes at
+// once, unless the last message is too recent, and clearances with the next crash or within
+// publishInterval.
+func (g *Gateway) publishEvidence(ctx context.Context) {
+	t := time.NewTimer(publishInterval)
+	defer t.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.crashes.recorded:
+			t.Reset(max(0, publishInterval-time.Since(last)))
+		case <-t.C:
+			if g.publishPending() {
+				last = time.Now()
+			}
+			t.Reset(publishInterval)
+		}
+	}
+}
+
+// publishPending publishes the evidence that was not published yet, and reports whether there was any.
+func (g *Gateway) publishPending() bool {
 	delta, recurring := g.crashes.pending()
-	if !delta.Empty() && g.opts.OnEvidence != nil {
-		g.opts.Metrics.CountEvidence(evidenceSent)
-		g.opts.OnEvidence(delta, recurring)
+	if delta.Empty() || g.opts.OnEvidence == nil {
+		return false
 	}
+	g.opts.Metrics.CountEvidence(evidenceSent)
+	g.opts.OnEvidence(delta, recurring)
+	return true
 }
 
 // MergeEvidence merges another instance's evidence about requests that crash replicas.
