--- a/core/poison/state.go
+++ b/core/poison/state.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -39,24 +40,66 @@
 	return proved
 }
 
-// DrainUpdates returns the evidence that was not sent yet and marks it as sent.
+// DrainUpdates returns the evidence that was not sent yet and marks it as sent. Earlier crashes of the
+// same requests go with it, as other instances may have missed them.
 func (l *Ledger) DrainUpdates() Evidence {
 	updates := l.updates
 	l.updates = Evidence{}
+	updates.Crashes = append(updates.Crashes, l.earlier(updates.Crashes)...)
 	return updates
 }
 
+// maxToldAgain is the maximum number of earlier crashes of one fingerprint that are sent with a new
+// one. With that one they are enough to block it.
+const maxToldAgain = 3
+
+// earlier returns one crash of each other incident of the fingerprints of the given crashes.
+func (l *Ledger) earlier(crashes []Crash) []Crash {
+	type key struct {
+		f Fingerprint
+		p Process
+	}
+	told := make(map[key]bool, len(crashes))
+	for _, c := range crashes {
+		told[key{c.Fingerprint, c.Process}] = true
+	}
+	var out []Crash
+	seen := make(map[Fingerprint]bool, len(crashes))
+	for _, c := range crashes {
+		r := l.tracked[c.Fingerprint]
+		if r == nil || seen[c.Fingerprint] {
+			continue
+		}
+		seen[c.Fingerprint] = true
+		again := 0
+		for _, incident := range slices.Backward(r.allIncidents()) {
+			isNew := slices.ContainsFunc(incident, func(x Crash) bool { return told[key{x.Fingerprint, x.Process}] })
+			if isNew || again == maxToldAgain {
+				continue
+			}
+			again++
+			out = append(out, strongest(incident))
+		}
+	}
+	return out
+}
+
+// strongest returns a crash that gives an incident its weight.
+func strongest(incident []Crash) Crash {
+	for _, c := range incident {
+		if !c.Progressed {
+			return c
+		}
+	}
+	return incident[0]
+}
+
 // Evidence returns the evidence to send to an instance that may lack some of it, within
-// MaxEvidence. Requests with the most crashes come first, among them those with the latest
-// crash.
+// MaxEvidence. Blocked requests come first, then those with the most evidence against them, among
+// equals those with the latest crash: the other instance must refuse these soonest.
 func (l *Ledger) Evidence() Evidence {
-	order := make([]Fingerprint, 0, len(l.tracked))
-	for f := range l.tracked {
-		order = append(order, f)
-	}
-	slices.SortFunc(order, func(a, b Fingerprint) int { return l.compare(b, a) })
-	var evidence Evidence
-	for _, f := range order {
+	evidence := Evidence{Crashes: make([]Crash, 0, min(MaxEvidence, len(l.tracked)*maxCrashesEach))}
+	for _, f := range l.mostSuspicious() {
 		crashes := l.tracked[f].crashes
 		if len(evidence.Crashes)+len(crashes) > MaxEvidence {
 			break
@@ -72,6 +115,39 @@
 	return evidence
 }
 
+// mostSuspicious returns the fingerprints with crashes in the order in which other instances need
+// their evidence.
+func (l *Ledger) mostSuspicious() []Fingerprint {
+	l.updateBlocks()
+	type suspect struct {
+		f       Fingerprint
+		blocked bool
+		weight  float64
+		last    time.Time
+	}
+	suspects := make([]suspect, 0, len(l.tracked))
+	for f, r := range l.tracked {
+		suspects = append(suspects, suspect{f, r.blocked, l.weight(f), r.last()})
+	}
+	slices.SortFunc(suspects, func(a, b suspect) int {
+		switch {
+		case a.blocked != b.blocked && a.blocked:
+			return -1
+		case a.blocked != b.blocked:
+			return 1
+		case a.weight != b.weight:
+			return cmp.Compare(b.weight, a.weight)
+		default:
+			return b.last.Compare(a.last)
+		}
+	})
+	out := make([]Fingerprint, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, s.f)
+	}
+	return out
+}
+
 // compare orders fingerprints by their number of crashes, then by the time of the last
 // crash.
 func (l *Ledger) compare(a, b Fingerprint) int {
