Instances whose share of the retry budget is spent borrow retries from their peers

Cause: the budget is split into static shares. With a slack of 362 each of 89 instances may retry twice at once, and nobody can use what the others leave.

Mend: an instance whose budget denies a retry that a request goes on waiting for asks a few peers, at random, for retries of that service. A loan is removed from the lender's budget, so none is created. It is spent before the own retries and only within a second of the request for it, and what the lender could not have held so long is not lent: in any window all instances together keep the bound that they had, with the minimum rate counted for one second longer (0.775 of the slack in place of 0.75). Loans that were not asked for, are larger or late don't count. An instance with waiting retries of its own lends none. A waiting request is woken by the loan. Plain calls, which were denied at once, wait for a loan for up to 0.25 s, or 0.4 of their remaining time.

Cost: 3 to 16 peers are asked in a round, at most every 100 ms for a service, and a round that brings too little doubles that time up to 800 ms. With 89 instances exhausted at once each sends at most 64 messages in the first second and at most 32 in each later one, and a peer without retries doesn't answer (TestExhaustedInstancesFloodEachOtherWithRequests). Older instances ignore the new messages (TestNewerMessageEndsTheSession).

Evidence: TestAnswersAreCutWhileOtherInstancesHaveRetries fails in 3 of 3 runs without the requests to peers (Options.OnRetriesNeeded not set) and passes in 3 of 3 with them. TestLoansExceedTheLimit fails if a loan stays with the lender too.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -36,7 +36,13 @@
 }
 
 func newFleet(t *testing.T, service string, replicas, instances int, layers ...int) *fleet {
+	return newFleetOf(t, nil, service, replicas, instances, layers...)
+}
+
+// newFleetOf returns a fleet whose instances have settings changed by configure, unless it is nil.
+func newFleetOf(t *testing.T, configure func(*platform.Settings), service string, replicas, instances int, layers ...int) *fleet {
 	f := &fleet{environment: newEnvironment(t), peerPort: freePort(t)}
+	f.configure = configure
 	f.publishConfig(1, "")
 	for i := range replicas {
 		r := f.newReplica(fmt.Sprintf("i-%d", i))
@@ -98,15 +104,19 @@
 // that send uses.
 func (f *fleet) addInstance() {
 	ip := "127.0.0." + strconv.Itoa(len(f.instances)+1)
-	i, err := entry.Start(entry.Options{
-		Settings: &platform.Settings{
-			Instance: "edge-" + ip, Zone: "z", IP: ip, CallersAddress: ip + ":0", ReadyAddress: ip + ":0",
-			PeerPort: f.peerPort, MaxDescriptors: 4100, MemoryMB: 1024,
-			Store: platform.StoreSettings{Address: f.store.Address()},
-			Bounds: platform.Bounds{
-				Shutdown: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
-			},
+	settings := &platform.Settings{
+		Instance: "edge-" + ip, Zone: "z", IP: ip, CallersAddress: ip + ":0", ReadyAddress: ip + ":0",
+		PeerPort: f.peerPort, MaxDescriptors: 4100, MemoryMB: 1024,
+		Store: platform.StoreSettings{Address: f.store.Address()},
+		Bounds: platform.Bounds{
+			Shutdown: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
 		},
+	}
+	if f.configure != nil {
+		f.configure(settings)
+	}
+	i, err := entry.Start(entry.Options{
+		Settings:    settings,
 		Logger:      zap.NewNop(),
 		DrainNotice: 50 * time.Millisecond,
 	})
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -173,6 +173,7 @@
 			i.mesh.PublishEvidence(delta)
 			i.control.StoreEvidence(recurring)
 		},
+		OnRetriesNeeded: func(service string, ask retry.Ask) int { return i.mesh.AskForRetries(service, ask) },
 	})
 	i.control = control.New(control.Options{
 		Configs:            platform.ConfigSource{Store: i.store},
@@ -332,6 +333,9 @@
 // InstanceCount returns the number of entry instances, or 0 while it is unknown.
 func (i *Instance) InstanceCount() int { return i.gateway.Instances() }
 
+// PeerCount returns the number of other instances that this one is connected to.
+func (i *Instance) PeerCount() int { return i.mesh.Peers() }
+
 // InFlight returns the number of clients' requests in progress.
 func (i *Instance) InFlight() int { return i.metrics.InFlight() }
 
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -3,7 +3,10 @@
 // them in time. Neither reads a clock or a random source.
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // BudgetConfig configures the retry budget of one upstream group.
 type BudgetConfig struct {
@@ -29,11 +32,30 @@
 // every attempt fails, there are at most (1+ratio)*firsts + burst + rate*seconds
 // attempts. With a window, the retries of one window may exceed this by ratio times the
 // first attempts of the window before it.
+//
+// Budgets of one group may lend each other retries. As a loan can be spent for LoanHold
+// only and was earned before, the sum over all budgets keeps these bounds, with the
+// minimum rate counted for LoanHold longer.
 type Budget struct {
 	cfg       BudgetConfig
-	available float64 // retries
+	available float64 // own retries
 	last      time.Time
 	firsts    windowCounter
+	borrowed  []Loan
+}
+
+const (
+	// LoanHold is how long after it was asked for a borrowed retry may be spent. A longer time
+	// would let a window spend more of what was earned before it.
+	LoanHold = time.Second
+	// minLoan is the smallest loan, in retries, that is worth a message.
+	minLoan = 0.02
+)
+
+// Loan is a number of borrowed retries, which may be fractional, until when they may be spent.
+type Loan struct {
+	Retries float64
+	Until   time.Time
 }
 
 // NewBudget returns a full budget.
@@ -53,21 +75,52 @@
 	b.refill(now, b.cfg.Ratio)
 }
 
-// TrySpend spends one retry. It returns false if the budget is exhausted; the failure
-// must then be reported to the client instead of being retried.
+// TrySpend spends one retry, borrowed ones first. It returns false if the budget is exhausted;
+// the failure must then be reported to the client instead of being retried.
 func (b *Budget) TrySpend(now time.Time) bool {
-	b.refill(now, 0)
-	if b.available < 1 {
+	if b.Available(now) < 1 {
 		return false
 	}
-	b.available--
+	price := 1.0
+	for i := range b.borrowed {
+		paid := min(price, b.borrowed[i].Retries)
+		b.borrowed[i].Retries -= paid
+		price -= paid
+	}
+	b.available = max(b.available-price, 0)
 	return true
 }
 
-// Available returns the number of retries that are available now.
+// Available returns the number of retries that are available now, borrowed ones included.
 func (b *Budget) Available(now time.Time) float64 {
 	b.refill(now, 0)
-	return b.available
+	b.borrowed = slices.DeleteFunc(b.borrowed, func(l Loan) bool { return l.Retries <= 0 || !now.Before(l.Until) })
+	sum := b.available
+	for _, l := range b.borrowed {
+		sum += l.Retries
+	}
+	return sum
+}
+
+// Lend removes up to want retries from the budget, for another one of the same group, and returns how
+// many. Borrowed retries aren't lent again. What the budget could not hold until the loan
+// expires is not lent, and lost if anything is.
+func (b *Budget) Lend(now time.Time, want float64) float64 {
+	b.refill(now, 0)
+	held := min(b.available, b.maximum(now.Add(LoanHold)))
+	if min(want, held) < minLoan {
+		return 0
+	}
+	lent := min(want, held)
+	b.available = held - lent
+	return lent
+}
+
+// Receive adds borrowed retries.
+func (b *Budget) Receive(now time.Time, l Loan) {
+	if l.Retries > 0 && now.Before(l.Until) {
+		b.borrowed = append(b.borrowed, l)
+	}
 }
 
 // refill adds retries, and the minimum rate for the time since the last call. A clock
@@ -79,9 +132,14 @@
 		}
 		b.last = now
 	}
-	maxAvailable := b.cfg.Burst
-	if b.cfg.Window > 0 {
-		maxAvailable += b.cfg.Ratio * b.firsts.sum(b.last, b.cfg.Window)
+	b.available = min(b.available+retries, b.maximum(b.last))
+}
+
+// maximum returns the number of own retries that the budget may hold at a time, as far as first attempts
+// are known.
+func (b *Budget) maximum(at time.Time) float64 {
+	if b.cfg.Window <= 0 {
+		return b.cfg.Burst
 	}
-	b.available = min(b.available+retries, maxAvailable)
+	return b.cfg.Burst + b.cfg.Ratio*b.firsts.sum(at, b.cfg.Window)
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -78,6 +78,9 @@
 	// that have crashed more than one replica; they have to be stored beyond the life of
 	// this process.
 	OnEvidence func(delta poison.Evidence, recurring []poison.Crash)
+	// OnRetriesNeeded, if set, asks other instances for retries of a service, which come back
+	// through ReceiveRetries. It returns how many instances it asked and must not block.
+	OnRetriesNeeded func(service string, ask retry.Ask) int
 }
 
 // Gateway is the http.Handler that serves clients. It is safe for concurrent use.
@@ -106,7 +109,9 @@
 	plains  map[string]*plainPool
 	budgets map[string]*retry.Budget
 	// share is this instance's share of the retry limit.
-	share   *retry.Share
+	share *retry.Share
+	// loans holds the borrowing of retries by service.
+	loans   map[string]*loanState
 	crashes *crashGuard
 	// memory limits the large responses that are buffered at the same time.
 	memory *bounded.MemoryLimit
@@ -126,6 +131,7 @@
 		models:  map[string]*modelPool{},
 		plains:  map[string]*plainPool{},
 		budgets: map[string]*retry.Budget{},
+		loans:   map[string]*loanState{},
 		share:   retry.NewShare(o.Retries, time.Now(), o.FirstStart),
 		memory:  bounded.NewMemoryLimit(max(o.ResponseBytes, minResponseMemory)),
 		crashes: newCrashGuard(o.Client, o.Metrics, o.Logger),
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -37,6 +37,10 @@
 	denied  map[string]uint64
 	firsts  map[string]uint64
 	retries map[string]uint64
+	// retryRequests counts the peers that were asked for retries; lent and borrowed are sums of
+	// retries, which may be fractions.
+	retryRequests  int
+	lent, borrowed float64
 	// retryShare is this instance's share of the retry budget, computed for instances instances.
 	retryShare retry.BudgetConfig
 	instances  int
@@ -116,6 +120,27 @@
 	m.retries[service]++
 }
 
+// CountRetryRequests counts peers that were asked for retries.
+func (m *Metrics) CountRetryRequests(peers int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retryRequests += peers
+}
+
+// CountLent adds retries that were lent to another instance.
+func (m *Metrics) CountLent(retries float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lent += retries
+}
+
+// CountBorrowed adds retries that another instance has lent.
+func (m *Metrics) CountBorrowed(retries float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.borrowed += retries
+}
+
 // SetRetryShare records this instance's share of the retry budget and the number of instances for
 // which it was computed.
 func (m *Metrics) SetRetryShare(share retry.BudgetConfig, instances int) {
@@ -201,6 +226,7 @@
 		"denied":      m.denied,
 		"firsts":      m.firsts,
 		"retries":     m.retries,
+		"loans":       map[string]float64{"lent": m.lent, "borrowed": m.borrowed, "asked": float64(m.retryRequests)},
 		"instances":   m.instances,
 		"retry_share": map[string]float64{"burst": m.retryShare.Burst, "per_second": m.retryShare.MinPerSecond, "ratio": m.retryShare.Ratio},
 		"evidence":    m.evidence,
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -63,7 +63,7 @@
 			g.endUnsent(ctx, c, &h, err)
 			return
 		}
-		next := h.Step(outcome, func() bool { return claimed.Load() || g.mayRetry(ctx, c) })
+		next := h.Step(outcome, func() bool { return claimed.Load() || g.awaitPlainRetry(ctx, c) })
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -23,7 +23,7 @@
 // mayRetry reports whether a request may be sent again; if so, it spends one retry of the
 // budget.
 func (g *Gateway) mayRetry(ctx context.Context, c *call) bool {
-	c.denialReason = g.retryDenial(ctx, c)
+	c.denialReason = g.denial(ctx, c)
 	if c.denialReason != "" {
 		g.opts.Metrics.RetryDenied(c.denialReason)
 	}
@@ -31,8 +31,20 @@
 }
 
 // retryDenial returns the reason why a request may not be sent again, or "" after spending
-// one retry of the budget.
+// one retry of the budget. If only the budget denies the retry it asks peers for one, as the caller asks
+// again soon.
 func (g *Gateway) retryDenial(ctx context.Context, c *call) string {
+	reason := g.denial(ctx, c)
+	if reason == deniedBudget {
+		g.borrow(c)
+	} else {
+		g.endBorrowing(c)
+	}
+	return reason
+}
+
+// denial does the same for a caller that doesn't ask again.
+func (g *Gateway) denial(ctx context.Context, c *call) string {
 	switch {
 	case caller.Check(ctx) != nil:
 		return deniedDeadline
@@ -62,16 +74,20 @@
 const budgetPollInterval = 100 * time.Millisecond
 
 // awaitRetry is like mayRetry, but while only the budget denies the retry it waits until
-// the given time: each new request of the service adds to the budget.
+// the given time: each new request of the service adds to the budget, and peers lend retries.
 func (g *Gateway) awaitRetry(ctx context.Context, c *call, end time.Time) bool {
+	defer g.endBorrowing(c)
 	c.denialReason = deniedBudget
 	for time.Now().Add(budgetPollInterval).Before(end) {
+		arrived := g.loanArrived(c.service.Name)
 		if c.denialReason = g.retryDenial(ctx, c); c.denialReason != deniedBudget {
 			break
 		}
-		t := time.NewTimer(budgetPollInterval)
+		t := time.NewTimer(g.untilNextCheck(c.service.Name))
 		select {
 		case <-t.C:
+		case <-arrived:
+			t.Stop()
 		case <-ctx.Done():
 			t.Stop()
 		}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -118,6 +118,7 @@
 		case <-prune.C:
 			g.opts.Client.Prune()
 			g.crashes.expire()
+			g.logLoans()
 		}
 	}
 }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -73,6 +73,11 @@
 	// it, which differs from that of an instance with other evidence.
 	Evidence() poison.Evidence
 	EvidenceDigest() uint64
+	// LendRetries removes up to want retries from this instance's share of a service's
+	// budget and returns how many. ReceiveRetries adds those that a peer has lent in answer
+	// to the request id.
+	LendRetries(service string, want float64) float64
+	ReceiveRetries(service string, id uint32, retries float64)
 }
 
 // Options configures a Mesh.
--- a/node/mesh/mesh_test.go
+++ b/node/mesh/mesh_test.go
@@ -36,6 +36,23 @@
 	rejections   map[string]int
 	observed     map[string]pipeline.Report
 	evidence     *poison.Ledger
+	// available holds retries by service, received what peers have lent by request.
+	available map[string]float64
+	received  map[uint32]float64
+}
+
+func (f *fakeGateway) LendRetries(service string, want float64) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lent := min(want, f.available[service])
+	f.available[service] -= lent
+	return lent
+}
+
+func (f *fakeGateway) ReceiveRetries(_ string, id uint32, retries float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received[id] += retries
 }
 
 func (f *fakeGateway) Loads() map[string]map[string]pipeline.Load {
@@ -109,6 +126,7 @@
 	return &fakeGateway{
 		own: map[string]pipeline.Load{}, links: map[pipeline.Link]float64{}, unresponsive: map[string]bool{},
 		rejections: map[string]int{}, observed: map[string]pipeline.Report{}, evidence: poison.NewLedger(time.Minute),
+		available: map[string]float64{}, received: map[uint32]float64{},
 	}
 }
 
--- a/node/peer/handler.go
+++ b/node/peer/handler.go
@@ -58,6 +58,10 @@
 	// CrashEvidence is called for the peer's records of requests during which
 	// upstreams ended.
 	CrashEvidence(from string, evidence *peerpb.CrashEvidence)
+	// RetryRequest is called when the peer asks for retries.
+	RetryRequest(from string, request *peerpb.RetryRequest)
+	// RetryLoan is called for retries that the peer lends.
+	RetryLoan(from string, loan *peerpb.RetryLoan)
 }
 
 // NopHandler ignores all events and messages. Embed it to implement only some
@@ -110,3 +114,9 @@
 
 // UpstreamChanges implements Handler.
 func (NopHandler) UpstreamChanges(string, *peerpb.UpstreamChanges) {}
+
+// RetryRequest implements Handler.
+func (NopHandler) RetryRequest(string, *peerpb.RetryRequest) {}
+
+// RetryLoan implements Handler.
+func (NopHandler) RetryLoan(string, *peerpb.RetryLoan) {}
--- a/node/peer/node.go
+++ b/node/peer/node.go
@@ -285,6 +285,10 @@
 		envelope.Body = &peerpb.Envelope_CrashEvidence{CrashEvidence: m}
 	case *peerpb.UpstreamChanges:
 		envelope.Body = &peerpb.Envelope_UpstreamChanges{UpstreamChanges: m}
+	case *peerpb.RetryRequest:
+		envelope.Body = &peerpb.Envelope_RetryRequest{RetryRequest: m}
+	case *peerpb.RetryLoan:
+		envelope.Body = &peerpb.Envelope_RetryLoan{RetryLoan: m}
 	default:
 		return nil, trace.BadParameter("peer: a %T cannot be sent to peers", message)
 	}
--- a/node/peer/node_test.go
+++ b/node/peer/node_test.go
@@ -44,6 +44,9 @@
 func (r *recorder) Suspicion(_ string, suspicion *peerpb.Suspicion) { r.messages <- suspicion }
 func (r *recorder) Leaving(_ string, leaving *peerpb.Leaving)       { r.messages <- leaving }
 
+func (r *recorder) RetryRequest(_ string, request *peerpb.RetryRequest) { r.messages <- request }
+func (r *recorder) RetryLoan(_ string, loan *peerpb.RetryLoan)          { r.messages <- loan }
+
 func receive[T any](t *testing.T, from <-chan T) T {
 	t.Helper()
 	select {
@@ -96,6 +99,8 @@
 		&peerpb.ZoneLoads{Zone: "z", Loads: []*peerpb.UpstreamLoad{{Upstream: 9, Sequences: 2}}},
 		&peerpb.Departures{Processes: []*peerpb.UpstreamProcess{{Upstream: "replica-4", Born: 7}}},
 		&peerpb.CrashEvidence{Crashes: []*peerpb.Crash{{Fingerprint: []byte{1, 2}, Upstream: "replica-3", Born: 5}}},
+		&peerpb.RetryRequest{Service: "s", Millis: 500, Round: 3},
+		&peerpb.RetryLoan{Service: "s", Millis: 400, Round: 3},
 		&peerpb.Digest{Sequence: 7, Pools: []*peerpb.PoolDemand{{Pool: 7}}},
 	} {
 		require.Eventually(t, func() bool { return a.Send("b", message) == nil }, testTimeout, time.Millisecond)
--- a/node/peer/serve.go
+++ b/node/peer/serve.go
@@ -187,6 +187,10 @@
 		handler.Departures(s.remoteID, body.Departures)
 	case *peerpb.Envelope_CrashEvidence:
 		handler.CrashEvidence(s.remoteID, body.CrashEvidence)
+	case *peerpb.Envelope_RetryRequest:
+		handler.RetryRequest(s.remoteID, body.RetryRequest)
+	case *peerpb.Envelope_RetryLoan:
+		handler.RetryLoan(s.remoteID, body.RetryLoan)
 	}
 	n.requestConfigState(s)
 	return nil
