Crashes under copies of one request leave room for further ones

Cause: 16 crashes are kept of a fingerprint and up to four of one process, so that four processes fill the list. With events such an incident counts half: their weight is 2, the threshold is 3, and further crashes were not recorded. Which four processes were kept depended on the order, so that the digests of instances stayed different and they sent each other all evidence again and again.

Evidence: TestManyCopiesHideLaterCrashes: 12 of 12 replicas crashed before, 6 now, which is what incidents that count half need. TestKeptCrashesDoNotDependOnOrder failed after 3 cases before.

Why it works: with n crashed processes at most 16/n crashes of each are kept, those with the lowest hashes, so that 16 processes fit and the result depends on the evidence alone.

--- a/core/poison/exchange_test.go
+++ b/core/poison/exchange_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // afterSharedCrashes returns a ledger after the end of two processes, each with 160 runs whose
@@ -84,6 +85,49 @@
 	}
 }
 
+// TestManyCopiesHideLaterCrashes guards against a bound on the crashes of one fingerprint that is
+// filled by copies which ran on the same replicas: a request that crashes replicas after its response
+// has gone on for a while needs six incidents, and four copies run on each replica.
+func TestManyCopiesHideLaterCrashes(t *testing.T) {
+	const replicas, copies, allowed = 12, 4, 6
+	l := NewLedger(retention)
+	f := fingerprint("deadly")
+	crashed := 0
+	for p := range replicas {
+		if l.Admit(start, f, 1) != nil {
+			break
+		}
+		r := process(fmt.Sprint(p), 1)
+		for range copies {
+			run := lostRun(f, start, r)
+			run.Progressed = true
+			l.RecordLostRun(start, run)
+		}
+		l.RecordEnd(start, r)
+		crashed++
+	}
+	require.Equal(t, allowed, crashed)
+}
+
+// TestKeptCrashesDoNotDependOnOrder guards against instances whose digests stay different, so that they
+// send each other all evidence again and again, as each keeps other crashes of a part that many
+// requests share.
+func TestKeptCrashesDoNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewLedger(retention), NewLedger(retention)
+		var crashes []Crash
+		for range rapid.IntRange(1, 60).Draw(t, "crashes") {
+			crashes = append(crashes, Crash{
+				Fingerprint: fingerprint("a"), Run: Run{Attempt: uint64(rapid.IntRange(0, 20).Draw(t, "run"))},
+				Process: process(fmt.Sprint(rapid.IntRange(0, maxCrashesEach-1).Draw(t, "replica")), 1), At: start,
+			})
+		}
+		a.Merge(start, Evidence{Crashes: crashes})
+		b.Merge(start, Evidence{Crashes: rapid.Permutation(crashes).Draw(t, "order")})
+		require.Equal(t, a.Digest(), b.Digest())
+	})
+}
+
 // BenchmarkEvidence measures the evidence for one other instance after many losses.
 func BenchmarkEvidence(b *testing.B) {
 	for _, requests := range []int{100, 400, 1600} {
--- a/core/poison/history.go
+++ b/core/poison/history.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // crashHistory holds the crashes of one fingerprint and its block.
 type crashHistory struct {
@@ -24,32 +27,50 @@
 }
 
 // insert adds a crash and returns false if it is already known or exceeds a limit. Many requests may
-// have a part in common when one process ends: of their crashes those with the lowest hashes are kept,
-// which are the same on all instances.
+// have a part in common when one process ends, and many copies of a request may run on it: the more
+// processes have crashed, the fewer crashes are kept of each, so that there is room for further ones.
+// Those with the lowest hashes are kept, which are the same on all instances.
 func (r *crashHistory) insert(c Crash) bool {
-	same, highest := 0, -1
 	for i := range r.crashes {
-		x := &r.crashes[i]
-		if x.Process != c.Process {
-			continue
-		}
-		if x.Run == c.Run {
+		if x := &r.crashes[i]; x.Run == c.Run && x.Process == c.Process {
 			return false
 		}
-		if same++; highest < 0 || x.hash() > r.crashes[highest].hash() {
-			highest = i
-		}
 	}
-	switch {
-	case same < maxCrashesPerProcess && len(r.crashes) < maxCrashesEach:
-		r.crashes = append(r.crashes, c)
-	case same == maxCrashesPerProcess && c.hash() < r.crashes[highest].hash():
-		r.digest ^= r.crashes[highest].hash()
-		r.crashes[highest] = c
-	default:
+	crashes := map[Process]int{c.Process: 0}
+	for i := range r.crashes {
+		crashes[r.crashes[i].Process]++
+	}
+	if len(crashes) > maxCrashesEach {
+		return false
+	}
+	limit := min(maxCrashesPerProcess, maxCrashesEach/len(crashes))
+	if crashes[c.Process] >= limit && c.hash() > r.crashes[r.highest(c.Process)].hash() {
 		return false
 	}
+	r.crashes = append(r.crashes, c)
 	r.digest ^= c.hash()
+	crashes[c.Process]++
+	for p, n := range crashes {
+		for ; n > limit; n-- {
+			i := r.highest(p)
+			r.digest ^= r.crashes[i].hash()
+			r.crashes = slices.Delete(r.crashes, i, i+1)
+		}
+	}
 	r.incidents = nil
 	return true
 }
+
+// highest returns the index of the crash with the highest hash among those of a process.
+func (r *crashHistory) highest(p Process) int {
+	highest, hash := -1, uint64(0)
+	for i := range r.crashes {
+		if r.crashes[i].Process != p {
+			continue
+		}
+		if h := r.crashes[i].hash(); highest < 0 || h > hash {
+			highest, hash = i, h
+		}
+	}
+	return highest
+}
