An attempt that reached no replica uses up no retry

What callers saw (LOST by way of the budget): answers cut with the retry budget denied, while other requests had paid retries for attempts without a connection. Such an attempt is no arrival at a replica, and the rule counts arrivals only. Cause: each repeat was charged, whether or not the attempt before it had reached a replica.

core/forward counts the sends that may have reached a replica and the retries that were spent. A retry is spent only if the next arrival is not paid: after a first attempt without a connection it is free, after a paid one without a connection it is paid already, and so is a retry that was claimed for a run in progress whose request turns out to be withheld (for calls it was lost). Unsent means that no connection could be established, and nothing else: any error after the first byte may have left is "lost". MaxSends bounds the attempts as before.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -68,24 +68,31 @@
 	// Sends is the number of replicas tried, Runs the number of those that may have run
 	// the request.
 	Sends, Runs int
+	// Arrivals is the number of replicas that may have received the request, Paid the number of
+	// retries that were spent for it. Each arrival beyond the first needs one.
+	Arrivals, Paid int
 	// Withheld is the number of times that the request was withheld.
 	Withheld int
 }
 
 // Step records an outcome and returns the decision. spendRetry spends a retry and
-// returns true if the budget allows one; it is called only when a retry is wanted.
+// returns true if the budget allows one; it is called only when a retry is wanted that is not paid
+// yet.
 func (h *History) Step(o Outcome, spendRetry func() bool) Decision {
 	if o == Withheld {
 		return h.stepWithheld()
 	}
 	h.Sends++
+	if o != Unsent {
+		h.Arrivals++
+	}
 	if o == Responded || o == Failed || o == Lost {
 		h.Runs++
 	}
 	if o == Responded {
 		return Deliver
 	}
-	if h.mayRetry() && spendRetry() {
+	if h.mayRetry() && h.payNext(spendRetry) {
 		return Retry
 	}
 	switch {
@@ -98,6 +105,19 @@
 	}
 }
 
+// payNext spends a retry for the next send unless none is needed: no replica has received the request
+// yet, or the last retry that was spent reached none.
+func (h *History) payNext(spendRetry func() bool) bool {
+	if h.Paid >= h.Arrivals {
+		return true
+	}
+	if !spendRetry() {
+		return false
+	}
+	h.Paid++
+	return true
+}
+
 // stepWithheld chooses again, unless that happened too often.
 func (h *History) stepWithheld() Decision {
 	h.Withheld++
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -49,6 +49,39 @@
 	})
 }
 
+// TestRetriesThatReachNoReplicaArePaid guards against retries that are spent for attempts that reached
+// no replica, and against attempts that reach one more without a retry. Runs in progress are given up
+// at random for a replacement that is paid before.
+func TestRetriesThatReachNoReplicaArePaid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := forward.History{Idempotent: true, MaxRuns: forward.MaxSends}
+		arrivals, paid := 0, 0
+		for {
+			if h.MayRetryLost() && paid <= arrivals && rapid.Bool().Draw(t, "replaced") {
+				h.Paid++
+				paid++
+			}
+			o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
+			if o != forward.Unsent && o != forward.Withheld {
+				arrivals++
+			}
+			require.LessOrEqual(t, arrivals-1, paid)
+			decision := h.Step(o, func() bool {
+				require.Less(t, paid, arrivals, "the next arrival is paid")
+				allowed := rapid.Bool().Draw(t, "allowed")
+				if allowed {
+					paid++
+				}
+				return allowed
+			})
+			if decision != forward.Retry {
+				return
+			}
+			require.LessOrEqual(t, arrivals, paid)
+		}
+	})
+}
+
 // TestWithheldRequestUsesNothingUp guards against a request that is charged for sends that did not
 // happen, and against one that is withheld forever.
 func TestWithheldRequestUsesNothingUp(t *testing.T) {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -50,10 +50,8 @@
 	// spacedIDs is true if the IDs of the events relayed so far are not consecutive.
 	spacedIDs bool
 	grant     *grant
-	// history records the outcomes of the runs. retryClaimed is true if the retry that follows
-	// the current run has been spent already.
-	history      forward.History
-	retryClaimed bool
+	// history records the outcomes of the runs.
+	history forward.History
 	// lastProgress is when the last event arrived, or when the request was sent if none has.
 	lastProgress time.Time
 	// lastSent is when the last event was sent to the client.
@@ -107,7 +105,7 @@
 			return
 		}
 		c.replica = s.grant.path()[0].ID
-		outcome, err := s.run(ctx, h.MayHaveRun() || s.headSent)
+		outcome, err := s.run(ctx, h.Arrivals > 0)
 		if outcome == forward.Lost {
 			s.recordLostRun(ctx, err)
 		}
@@ -116,7 +114,7 @@
 			s.endUnsent(ctx, h, err)
 			return
 		}
-		next := h.Step(outcome, func() bool { return s.awaitRetry(ctx) })
+		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitLimit()) })
 		if outcome == forward.Responded || (outcome == forward.Failed && next != forward.Retry) {
 			return
 		}
@@ -240,7 +238,7 @@
 }
 
 // run sends the request over the granted path and relays the events of the response. retry is set if
-// it may have run before.
+// a replica may have received it before.
 func (s *stream) run(ctx context.Context, retry bool) (forward.Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -59,11 +59,14 @@
 			}
 			return claimed.Load()
 		})
+		if claimed.Load() {
+			h.Paid++
+		}
 		if outcome == forward.Withheld && endsRequest(ctx, err) {
 			g.endUnsent(ctx, c, &h, err)
 			return
 		}
-		next := h.Step(outcome, func() bool { return claimed.Load() || g.mayRetry(ctx, c) })
+		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
@@ -101,8 +104,11 @@
 		return
 	}
 	reason := "deadline_" + c.deadlineSource
-	if isStopping(ctx) {
+	switch {
+	case isStopping(ctx):
 		reason = outcomeStopping
+	case errors.Is(err, errMayCrashReplica):
+		reason = outcomeCrashesReplicas
 	}
 	g.sendRefusal(c, http.StatusServiceUnavailable, reason, plainRetryAfter)
 }
@@ -216,7 +222,7 @@
 		if !pool.mayGet(time.Now(), replica) {
 			return errReplicaChanged
 		}
-		return g.retryDenied(c, h.MayHaveRun())
+		return g.retryDenied(c, h.Arrivals > 0)
 	}
 	request := g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, mayRun)
 	request.Fresh, request.Last = !h.Idempotent, !h.MayRetryLost()
