A retry that is spent and never sent is given back

What callers saw (LOST by way of the budget): retries denied by the budget while others had been spent for requests that were then not sent: no path or replica in time, the caller gone, the request withheld for good, a call that answered while its replacement was being paid. With one replica that rejects, each request took one retry out of the instance's share, though there was no second replica to send it to (TestPaidRetryWithoutASendIsLost, which failed before in all three cases: 3 left of 4).

core/forward knows what is needed: one retry for each arrival beyond the first, and one more while the request waits to be sent again. The rest goes back after each outcome and at the end of the request. A send whose bytes may have left counts as an arrival, so only what was certainly not sent comes back. A handler that panics gives nothing back.

While a retry is held, the budget refills beyond what it could hold otherwise, so a return without a bound breaks the limit: TestReturnedRetriesExceedTheLimit found 9 retries in a window with a limit of 8.9 after 32 histories. A retry that was held for more than half a window is lost; the test then passes 5,000 histories (go test ./core/retry -run Returned -rapid.checks=5000). The counter "returned" by service says how many come back.

go test -race ./core/retry ./core/forward ./node/gateway passes.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -118,6 +118,18 @@
 	return true
 }
 
+// Unused returns the number of retries that were spent and are not needed, and forgets them. more is
+// set if the request is to be sent once more.
+func (h *History) Unused(more bool) int {
+	needed := max(0, h.Arrivals-1)
+	if more {
+		needed = h.Arrivals
+	}
+	n := max(0, h.Paid-needed)
+	h.Paid -= n
+	return n
+}
+
 // stepWithheld chooses again, unless that happened too often.
 func (h *History) stepWithheld() Decision {
 	h.Withheld++
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -51,7 +51,7 @@
 
 // TestRetriesThatReachNoReplicaArePaid guards against retries that are spent for attempts that reached
 // no replica, and against attempts that reach one more without a retry. Runs in progress are given up
-// at random for a replacement that is paid before.
+// at random for a replacement that is paid before, and requests end while they wait for a replica.
 func TestRetriesThatReachNoReplicaArePaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := forward.History{Idempotent: true, MaxRuns: forward.MaxSends}
@@ -74,10 +74,21 @@
 				}
 				return allowed
 			})
+			needed := arrivals
 			if decision != forward.Retry {
+				needed = max(0, arrivals-1)
+			}
+			require.LessOrEqual(t, needed, paid)
+			paid -= h.Unused(decision == forward.Retry)
+			require.Equal(t, needed, paid)
+			if decision != forward.Retry {
+				return
+			}
+			if rapid.IntRange(0, 5).Draw(t, "ends while it waits") == 0 {
+				paid -= h.Unused(false)
+				require.Equal(t, max(0, arrivals-1), paid)
 				return
 			}
-			require.LessOrEqual(t, arrivals, paid)
 		}
 	})
 }
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -64,6 +64,20 @@
 	return true
 }
 
+// maxHeldFraction is the fraction of the window for which a retry may be held and still be given back.
+// While it is held, the budget refills beyond what it could hold otherwise.
+const maxHeldFraction = 0.5
+
+// Return gives back a retry that was spent at spentAt and reached no replica. One that was held for
+// long is lost.
+func (b *Budget) Return(now, spentAt time.Time) {
+	returned := 0.0
+	if now.Sub(spentAt).Seconds() <= maxHeldFraction*b.cfg.Window.Seconds() {
+		returned = 1
+	}
+	b.refill(now, returned)
+}
+
 // Available returns the number of retries that are available now.
 func (b *Budget) Available(now time.Time) float64 {
 	b.refill(now, 0)
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -71,23 +71,78 @@
 				}
 			}
 		}
-		within := func(list []time.Time, from, to time.Time) float64 {
-			n := 0.0
-			for _, at := range list {
-				if !at.Before(from) && !at.After(to) {
-					n++
-				}
+		requireWithinLimit(t, l, firsts, retries)
+	})
+}
+
+// requireWithinLimit requires that in no window there are more retries than the limit allows for the
+// first attempts in it, in the window before it or in the one half a window before it.
+func requireWithinLimit(t *rapid.T, l Limit, firsts, retries []time.Time) {
+	within := func(list []time.Time, from, to time.Time) float64 {
+		n := 0.0
+		for _, at := range list {
+			if !at.Before(from) && !at.After(to) {
+				n++
 			}
-			return n
 		}
-		for _, at := range retries {
-			end := at.Add(l.Window)
-			counted := max(within(firsts, at, end), within(firsts, at.Add(-l.Window/2), at.Add(l.Window/2)), within(firsts, at.Add(-l.Window), at))
-			require.LessOrEqual(t, within(retries, at, end), l.Ratio*counted+l.Slack+1e-6)
+		return n
+	}
+	for _, at := range retries {
+		end := at.Add(l.Window)
+		counted := max(within(firsts, at, end), within(firsts, at.Add(-l.Window/2), at.Add(l.Window/2)), within(firsts, at.Add(-l.Window), at))
+		require.LessOrEqual(t, within(retries, at, end), l.Ratio*counted+l.Slack+1e-6)
+	}
+}
+
+// TestReturnedRetriesExceedTheLimit guards against retries that are given back and spent again in a
+// window in which the budget has been refilled meanwhile.
+func TestReturnedRetriesExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Ratio: rapid.Float64Range(0, 0.3).Draw(t, "ratio"), Slack: rapid.Float64Range(0, 100).Draw(t, "slack"), Window: 10 * time.Second}
+		now := epoch
+		b := NewShare(l, now, true).newBudgetOf(1)
+		var firsts, retries, held []time.Time
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 12_000).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.SampledFrom([]int{0, 0, 0, 20}).Draw(t, "firsts") {
+				b.RecordFirst(now)
+				firsts = append(firsts, now)
+			}
+			event := rapid.SampledFrom([]string{"none", "use", "hold", "return and use"}).Draw(t, "event")
+			for event != "none" && b.TrySpend(now) {
+				if event == "hold" {
+					held = append(held, now)
+				} else {
+					retries = append(retries, now)
+				}
+			}
+			if event == "return and use" {
+				for _, at := range held {
+					b.Return(now, at)
+				}
+				held = nil
+				for b.TrySpend(now) {
+					retries = append(retries, now)
+				}
+			}
 		}
+		requireWithinLimit(t, l, firsts, retries)
 	})
 }
 
+// TestReturnedRetryIsLost guards against a retry that is given back soon and cannot be spent again.
+func TestReturnedRetryIsLost(t *testing.T) {
+	b := NewBudget(BudgetConfig{Burst: 2, Window: 10 * time.Second})
+	require.True(t, b.TrySpend(epoch))
+	require.True(t, b.TrySpend(epoch))
+	require.False(t, b.TrySpend(epoch))
+	b.Return(epoch.Add(5*time.Second), epoch)
+	require.True(t, b.TrySpend(epoch.Add(5*time.Second)))
+	require.False(t, b.TrySpend(epoch.Add(5*time.Second)))
+	b.Return(epoch.Add(6*time.Second), epoch)
+	require.False(t, b.TrySpend(epoch.Add(6*time.Second)))
+}
+
 // TestMissingInstancesKeepTheirShares guards against shares that grow at once when instances are
 // missing from the list, which may be alive.
 func TestMissingInstancesKeepTheirShares(t *testing.T) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -168,8 +168,10 @@
 	lostRuns uint32
 	// memory accounts for the memory of the buffered response.
 	memory *bounded.Reservation
-	// denialReason is why the last retry was denied, or "".
+	// denialReason is why the last retry was denied, or "". retrySpent is when the last one that was
+	// not denied was spent.
 	denialReason string
+	retrySpent   time.Time
 }
 
 // remaining returns the time until the deadline.
--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -32,11 +32,12 @@
 	mu       sync.Mutex
 	inFlight int
 	outcomes map[string]uint64
-	// denied counts denied retries by reason. firsts and retries count, by service, the first
-	// attempts and the retries that were spent.
-	denied  map[string]uint64
-	firsts  map[string]uint64
-	retries map[string]uint64
+	// denied counts denied retries by reason. firsts, retries and returned count, by service, the
+	// first attempts, the retries that were spent, and those of them that were given back.
+	denied   map[string]uint64
+	firsts   map[string]uint64
+	retries  map[string]uint64
+	returned map[string]uint64
 	// retryShare is this instance's share of the retry budget, computed for instances instances.
 	retryShare retry.BudgetConfig
 	instances  int
@@ -60,6 +61,7 @@
 		denied:          map[string]uint64{},
 		firsts:          map[string]uint64{},
 		retries:         map[string]uint64{},
+		returned:        map[string]uint64{},
 		evidence:        map[string]uint64{},
 		delays:          map[string]*hdrhistogram.Histogram{},
 		totalTimes:      map[string]*hdrhistogram.Histogram{},
@@ -116,6 +118,13 @@
 	m.retries[service]++
 }
 
+// CountReturned counts a spent retry that was given back to the budget of a service.
+func (m *Metrics) CountReturned(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.returned[service]++
+}
+
 // SetRetryShare records this instance's share of the retry budget and the number of instances for
 // which it was computed.
 func (m *Metrics) SetRetryShare(share retry.BudgetConfig, instances int) {
@@ -201,6 +210,7 @@
 		"denied":      m.denied,
 		"firsts":      m.firsts,
 		"retries":     m.retries,
+		"returned":    m.returned,
 		"instances":   m.instances,
 		"retry_share": map[string]float64{"burst": m.retryShare.Burst, "per_second": m.retryShare.MinPerSecond, "ratio": m.retryShare.Ratio},
 		"evidence":    m.evidence,
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -85,7 +85,13 @@
 		s.lastEventID = n
 	}
 	s.history = forward.History{Idempotent: c.route.Repeatable(), MaxRuns: c.route.MaxAttempts}
-	h := &s.history
+	s.serve(ctx)
+	g.returnUnused(c, &s.history, false)
+}
+
+// serve sends the request until its response has ended or it may not be sent again.
+func (s *stream) serve(ctx context.Context) {
+	g, c, h := s.g, s.call, &s.history
 	for {
 		if time.Now().Add(s.pool.paused(time.Now())).After(s.waitLimit()) {
 			s.endWithoutPath(ctx, h)
@@ -115,6 +121,7 @@
 			return
 		}
 		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitLimit()) })
+		g.returnUnused(c, h, next == forward.Retry)
 		if outcome == forward.Responded || (outcome == forward.Failed && next != forward.Retry) {
 			return
 		}
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -40,11 +40,18 @@
 	pool := g.plain(c.service.Name)
 	g.countFirst(c.service.Name)
 	h := forward.History{Idempotent: c.route.Kind == routing.Idempotent, MaxRuns: c.route.MaxAttempts}
+	g.sendUntilDone(ctx, c, pool, &h)
+	g.returnUnused(c, &h, false)
+}
+
+// sendUntilDone sends the request until there is a response for the client or it may not be sent
+// again.
+func (g *Gateway) sendUntilDone(ctx context.Context, c *call, pool *plainPool, h *forward.History) {
 	tried := map[string]bool{}
 	for {
 		replica, ok := pool.selectReplica(time.Now(), tried)
 		if !ok {
-			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
+			g.endWithoutReplica(ctx, c, pool, h, len(tried))
 			return
 		}
 		if !h.MayHaveRun() && g.refuseBlocked(c) {
@@ -53,7 +60,7 @@
 		tried[replica.ID] = true
 		c.replica = replica.ID
 		claimed := new(atomic.Bool)
-		outcome, response, err := g.sendPlain(ctx, c, pool, replica, &h, func() bool {
+		outcome, response, err := g.sendPlain(ctx, c, pool, replica, h, func() bool {
 			if _, ok := pool.selectReplica(time.Now(), tried); ok && g.retryDenial(ctx, c) == "" {
 				claimed.Store(true)
 			}
@@ -63,10 +70,11 @@
 			h.Paid++
 		}
 		if outcome == forward.Withheld && endsRequest(ctx, err) {
-			g.endUnsent(ctx, c, &h, err)
+			g.endUnsent(ctx, c, h, err)
 			return
 		}
 		next := h.Step(outcome, func() bool { return g.mayRetry(ctx, c) })
+		g.returnUnused(c, h, next == forward.Retry)
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
@@ -80,7 +88,7 @@
 		case forward.Deliver:
 			g.deliver(c, response)
 		case forward.Refuse:
-			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
+			g.endWithoutReplica(ctx, c, pool, h, len(tried))
 		case forward.GiveUp:
 			g.giveUp(ctx, c)
 		}
--- a/node/gateway/resend_test.go
+++ b/node/gateway/resend_test.go
@@ -45,6 +45,13 @@
 	_, _ = w.Write([]byte("id: 1\ndata: token\n\n")) // an error shows in the client's response
 }
 
+// rejects states that the request did not run.
+func rejects(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Not-Run", "yes")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // resendGateway serves the plain service "plain" and the model service "model" on replicas at
 // addresses; the first replica of both is preferred.
 type resendGateway struct {
@@ -143,3 +150,20 @@
 		})
 	}
 }
+
+// TestPaidRetryWithoutASendIsLost guards against retries that are spent for requests which then find
+// no other replica in time, and are missing for other requests.
+func TestPaidRetryWithoutASendIsLost(t *testing.T) {
+	const retries = 4
+	for path, service := range services {
+		t.Run(service+path, func(t *testing.T) {
+			limit := retry.Limit{Slack: 2 * retries, Window: time.Hour}
+			g := newResendGateway(t, limit, startReplica(t, rejects))
+			for range 2 * retries {
+				require.Equal(t, http.StatusServiceUnavailable, g.send(path, 100*time.Millisecond))
+				require.InDelta(t, retries, g.availableRetries(service), 0.5)
+			}
+			require.Contains(t, g.outcomes(), "rejected")
+		})
+	}
+}
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -41,6 +41,7 @@
 	case !g.retryAllowed(c.service.Name):
 		return deniedBudget
 	default:
+		c.retrySpent = time.Now()
 		return ""
 	}
 }
@@ -98,6 +99,15 @@
 	return true
 }
 
+// returnRetry gives a retry that was spent at spentAt and reached no replica back to a service's
+// budget.
+func (g *Gateway) returnRetry(service string, spentAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(service).Return(time.Now(), spentAt)
+	g.opts.Metrics.CountReturned(service)
+}
+
 // availableRetries returns the retries that are left in this instance's share of a service's budget.
 func (g *Gateway) availableRetries(service string) float64 {
 	g.mu.Lock()
--- a/node/gateway/streamretry.go
+++ b/node/gateway/streamretry.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "context"
+import (
+	"context"
+
+	"masticbank.example/core/forward"
+)
 
 // claimRetry spends the retry that is to replace the run in progress. It returns false if there is no
 // replacement now: silence alone does not end a run, which may go on. Whether a path is free is not
@@ -20,3 +24,11 @@
 	s.history.Paid++
 	return true
 }
+
+// returnUnused gives back the retries that were spent for a request and are not needed, as nothing was
+// sent for them. more is set if the request is to be sent once more.
+func (g *Gateway) returnUnused(c *call, h *forward.History, more bool) {
+	for range h.Unused(more) {
+		g.returnRetry(c.service.Name, c.retrySpent)
+	}
+}
