--- a/node/gateway/metrics.go
+++ b/node/gateway/metrics.go
@@ -32,11 +32,12 @@
 	mu       sync.Mutex
 	inFlight int
 	outcomes map[string]uint64
-	// denied counts denied retries by reason. firsts and retries count, by service, the first
-	// attempts and the retries that were spent.
-	denied  map[string]uint64
-	firsts  map[string]uint64
-	retries map[string]uint64
+	// denied counts denied retries by reason. firsts, retries and returned count, by service, the
+	// first attempts, the retries that were spent, and those of them that were given back.
+	denied   map[string]uint64
+	firsts   map[string]uint64
+	retries  map[string]uint64
+	returned map[string]uint64
 	// retryRequests counts the peers that were asked for retries; lent and borrowed are sums of
 	// retries, which may be fractions.
 	retryRequests  int
@@ -64,6 +65,7 @@
 		denied:          map[string]uint64{},
 		firsts:          map[string]uint64{},
 		retries:         map[string]uint64{},
+		returned:        map[string]uint64{},
 		evidence:        map[string]uint64{},
 		delays:          map[string]*hdrhistogram.Histogram{},
 		totalTimes:      map[string]*hdrhistogram.Histogram{},
@@ -120,6 +122,13 @@
 	m.retries[service]++
 }
 
+// CountReturned counts a spent retry that was given back to the budget of a service.
+func (m *Metrics) CountReturned(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.returned[service]++
+}
+
 // CountRetryRequests counts peers that were asked for retries.
 func (m *Metrics) CountRetryRequests(peers int) {
 	m.mu.Lock()
@@ -227,6 +236,7 @@
 		"firsts":      m.firsts,
 		"retries":     m.retries,
 		"loans":       map[string]float64{"lent": m.lent, "borrowed": m.borrowed, "asked": float64(m.retryRequests)},
+		"returned":    m.returned,
 		"instances":   m.instances,
 		"retry_share": map[string]float64{"burst": m.retryShare.Burst, "per_second": m.retryShare.MinPerSecond, "ratio": m.retryShare.Ratio},
 		"evidence":    m.evidence,
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -40,11 +40,18 @@
 	pool := g.plain(c.service.Name)
 	g.countFirst(c.service.Name)
 	h := forward.History{Idempotent: c.route.Kind == routing.Idempotent, MaxRuns: c.route.MaxAttempts}
+	g.sendUntilDone(ctx, c, pool, &h)
+	g.returnUnused(c, &h, false)
+}
+
+// sendUntilDone sends the request until there is a response for the client or it may not be sent
+// again.
+func (g *Gateway) sendUntilDone(ctx context.Context, c *call, pool *plainPool, h *forward.History) {
 	tried := map[string]bool{}
 	for {
 		replica, ok := pool.selectReplica(time.Now(), tried)
 		if !ok {
-			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
+			g.endWithoutReplica(ctx, c, pool, h, len(tried))
 			return
 		}
 		if !h.MayHaveRun() && g.refuseBlocked(c) {
@@ -53,17 +60,21 @@
 		tried[replica.ID] = true
 		c.replica = replica.ID
 		claimed := new(atomic.Bool)
-		outcome, response, err := g.sendPlain(ctx, c, pool, replica, &h, func() bool {
+		outcome, response, err := g.sendPlain(ctx, c, pool, replica, h, func() bool {
 			if _, ok := pool.selectReplica(time.Now(), tried); ok && g.retryDenial(ctx, c) == "" {
 				claimed.Store(true)
 			}
 			return claimed.Load()
 		})
+		if claimed.Load() {
+			h.Paid++
+		}
 		if outcome == forward.Withheld && endsRequest(ctx, err) {
-			g.endUnsent(ctx, c, &h, err)
+			g.endUnsent(ctx, c, h, err)
 			return
 		}
-		next := h.Step(outcome, func() bool { return claimed.Load() || g.awaitPlainRetry(ctx, c) })
+		next := h.Step(outcome, func() bool { return g.awaitPlainRetry(ctx, c) })
+		g.returnUnused(c, h, next == forward.Retry)
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
@@ -77,7 +88,7 @@
 		case forward.Deliver:
 			g.deliver(c, response)
 		case forward.Refuse:
-			g.endWithoutReplica(ctx, c, pool, &h, len(tried))
+			g.endWithoutReplica(ctx, c, pool, h, len(tried))
 		case forward.GiveUp:
 			g.giveUp(ctx, c)
 		}
@@ -101,8 +112,11 @@
 		return
 	}
 	reason := "deadline_" + c.deadlineSource
-	if isStopping(ctx) {
+	switch {
+	case isStopping(ctx):
 		reason = outcomeStopping
+	case errors.Is(err, errMayCrashReplica):
+		reason = outcomeCrashesReplicas
 	}
 	g.sendRefusal(c, http.StatusServiceUnavailable, reason, plainRetryAfter)
 }
@@ -216,7 +230,7 @@
 		if !pool.mayGet(time.Now(), replica) {
 			return errReplicaChanged
 		}
-		return g.retryDenied(c, h.MayHaveRun())
+		return g.retryDenied(c, h.Arrivals > 0)
 	}
 	request := g.newRequest(c, ForwardOptions{Replica: replica.ID, Rank: -1}, mayRun)
 	request.Fresh, request.Last = !h.Idempotent, !h.MayRetryLost()
--- a/node/gateway/streamretry.go
+++ b/node/gateway/streamretry.go
@@ -1,16 +1,10 @@
 package gateway
 
-import "context"
+import (
+	"context"
 
-// awaitRetry spends a retry, unless one was claimed already, and reports whether the request may be
-// sent again.
-func (s *stream) awaitRetry(ctx context.Context) bool {
-	if s.retryClaimed {
-		s.retryClaimed = false
-		return true
-	}
-	return s.g.awaitRetry(ctx, s.call, s.waitLimit())
-}
+	"masticbank.example/core/forward"
+)
 
 // claimRetry spends the retry that is to replace the run in progress. It returns false if there is no
 // replacement now: silence alone does not end a run, which may go on. Whether a path is free is not
@@ -24,6 +18,17 @@
 		return false
 	}
 	s.denialReason = s.g.retryDenial(ctx, s.call)
-	s.retryClaimed = s.denialReason == ""
-	return s.retryClaimed
+	if s.denialReason != "" {
+		return false
+	}
+	s.history.Paid++
+	return true
+}
+
+// returnUnused gives back the retries that were spent for a request and are not needed, as nothing was
+// sent for them. more is set if the request is to be sent once more.
+func (g *Gateway) returnUnused(c *call, h *forward.History, more bool) {
+	for range h.Unused(more) {
+		g.returnRetry(c.service.Name, c.retrySpent)
+	}
 }
