A run that is given up before its request was sent does not count as lost

Cause: a stream whose first replica is found silent by others is given up at once, also while its own connection to that replica is still awaited. The outcome was "lost" whatever the connection said: the request used up one of its runs (maxAttempts is 2 on the users' routes) and the retry that was paid for the next one, and was recorded as a run that its replica may have crashed of, though nothing had been sent.

The error of the exchange decides now: withheld or unsent if no byte of the request can have left, else lost as before. The retry is given back, as no arrival needs it. What remains: a stage found silent is recorded as a loss of the request before that is known (stallWatch.leave).

--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -328,7 +328,7 @@
 			if res.err == nil {
 				res.resp.Close()
 			}
-			return nil, &exchange.Error{Sent: true, Err: errStageUnresponsive}
+			return nil, givenUpError(res.err)
 		}
 	}
 }
--- a/node/gateway/resend_test.go
+++ b/node/gateway/resend_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"masticbank.example/core/forward"
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/retry"
 	"masticbank.example/core/roster"
@@ -167,3 +169,22 @@
 		})
 	}
 }
+
+// TestRunGivenUpBeforeItsSendIsLost guards against runs that are given up while their connection is
+// still awaited and count as lost, which uses up a run and a retry of the request.
+func TestRunGivenUpBeforeItsSendIsLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want forward.Outcome
+	}{
+		"connection awaited":  {&exchange.Error{Withheld: true, Timeout: true, Err: context.Canceled}, forward.Withheld},
+		"no connection":       {&exchange.Error{Timeout: true, Err: context.DeadlineExceeded}, forward.Unsent},
+		"response awaited":    {&exchange.Error{Sent: true, Timeout: true, Err: context.Canceled}, forward.Lost},
+		"response just begun": {nil, forward.Lost},
+		"unknown error":       {context.Canceled, forward.Lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, outcomeOf(givenUpError(c.err)))
+		})
+	}
+}
--- a/node/gateway/streamretry.go
+++ b/node/gateway/streamretry.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 
 	"masticbank.example/core/forward"
+	"masticbank.example/node/exchange"
 )
 
 // claimRetry spends the retry that is to replace the run in progress. It returns false if there is no
@@ -32,3 +34,14 @@
 		g.returnRetry(c.service.Name, c.retrySpent)
 	}
 }
+
+// givenUpError returns the error of a run that was given up while its response was awaited, which had
+// ended with err by then, or with a response if err is nil. A request that was still waiting for its
+// connection has reached no replica.
+func givenUpError(err error) error {
+	var ee *exchange.Error
+	if errors.As(err, &ee) && !ee.Sent {
+		return err
+	}
+	return &exchange.Error{Sent: true, Err: errStageUnresponsive}
+}
