The wait of a begun answer ends a second after its client's patience

A begun answer that waited for a path when the instance began to stop went on until its deadline, as the shorter limit of a stop was only asked when the wait began; and a client that never leaves held it that long in any case. One limit holds now: a second after the time at which clients give up by the protocol.

--- a/node/gateway/patience.go
+++ b/node/gateway/patience.go
@@ -6,23 +6,19 @@
 	"masticbank.example/core/waitlist"
 )
 
-// waitLimit is the latest time at which a path is still of use. A request without an event is refused
-// when the next one could not reach its client in time. An answer that has begun waits for as long as its
-// client does; while the instance shuts down, until a client would have left.
+// leavingSlack is how long after its patience has ended it is known that a client has left.
+const leavingSlack = time.Second
+
+// waitLimit is the latest time at which a path or a retry is still of use. A request without an event is
+// refused when the next one could not reach its client in time. An answer that has begun cannot be
+// refused, and waits until its client has left.
 func (s *stream) waitLimit() time.Time {
-	switch {
-	case !s.headSent:
+	if !s.headSent {
 		return s.patienceEnd()
-	case s.g.drain.Load() == nil:
-		return s.deadline
-	default:
-		return s.beforeDeadline(s.lastSent.Add(waitlist.Patience(s.route.LatencyObjective, s.route.EventGapObjective) + leavingSlack))
 	}
+	return s.beforeDeadline(s.lastSent.Add(waitlist.Patience(s.route.LatencyObjective, s.route.EventGapObjective) + leavingSlack))
 }
 
-// leavingSlack is how long after its patience has ended it is known that a client has left.
-const leavingSlack = 500 * time.Millisecond
-
 // patienceEnd is when the client would have waited too long since the request arrived, or since the
 // last event, and would leave before another event could reach it.
 func (s *stream) patienceEnd() time.Time {
