Tests of the entry instance: the first processes start a new system

The processes that an environment starts first are the system's first ones; those added or started again later are not. No check changes.

--- a/cmd/internal/entry/crash_test.go
+++ b/cmd/internal/entry/crash_test.go
@@ -54,6 +54,7 @@
 	for range instances {
 		f.addInstance()
 	}
+	f.started = true
 	f.eventually(func() bool {
 		for _, i := range f.instances {
 			if i.InstanceCount() < instances {
@@ -106,7 +107,7 @@
 	ip := "127.0.0." + strconv.Itoa(len(f.instances)+1)
 	settings := &platform.Settings{
 		Instance: "edge-" + ip, Zone: "z", IP: ip, CallersAddress: ip + ":0", ReadyAddress: ip + ":0",
-		PeerPort: f.peerPort, MaxDescriptors: 4100, MemoryMB: 1024,
+		PeerPort: f.peerPort, MaxDescriptors: 4100, MemoryMB: 1024, FirstStart: !f.started,
 		Store: platform.StoreSettings{Address: f.store.Address()},
 		Bounds: platform.Bounds{
 			Shutdown: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 200, RetryWindow: 10 * time.Second,
--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -26,6 +26,8 @@
 
 // environment is the system under test: a store, replicas and one instance.
 type environment struct {
+	// started is set once the system has started for the first time.
+	started   bool
 	t         *testing.T
 	store     *platformtest.Store
 	instance  *entry.Instance
@@ -115,6 +117,7 @@
 	if env.configure != nil {
 		env.configure(settings)
 	}
+	settings.FirstStart, env.started = !env.started, true
 	i, err := entry.Start(entry.Options{
 		Settings:    settings,
 		Logger:      zap.NewNop(),
