--- a/node/gateway/loans_test.go
+++ b/node/gateway/loans_test.go
@@ -71,6 +71,16 @@
 	})
 }
 
+// TestLateRejectionGetsNoLoan guards against streams that end because their replica rejected them late: what is left
+// of the time for which their client waits is enough for a loan.
+func TestLateRejectionGetsNoLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := newLendingGateways(4, 8)
+		spendAll(all[0])
+		require.True(t, all[0].awaitRetry(t.Context(), newWaitingCall("a", time.Minute), time.Now().Add(budgetPollInterval/2)))
+	})
+}
+
 // TestLoansExceedTheBudgetOfAllInstances guards against loans that create retries: all instances together spend
 // the slack's burst and no more, although one of them needs them all.
 func TestLoansExceedTheBudgetOfAllInstances(t *testing.T) {
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -73,17 +73,20 @@
 // budgetPollInterval is the time between two checks whether the budget allows a retry.
 const budgetPollInterval = 100 * time.Millisecond
 
+// retryReserve is the part of the time to wait for a retry that is left for finding its replica.
+const retryReserve = 10 * time.Millisecond
+
 // awaitRetry is like mayRetry, but while only the budget denies the retry it waits until
 // the given time: each new request of the service adds to the budget, and peers lend retries.
 func (g *Gateway) awaitRetry(ctx context.Context, c *call, end time.Time) bool {
 	defer g.endBorrowing(c)
 	c.denialReason = deniedBudget
-	for time.Now().Add(budgetPollInterval).Before(end) {
+	for end = end.Add(-retryReserve); time.Now().Before(end); {
 		arrived := g.loanArrived(c.service.Name)
 		if c.denialReason = g.retryDenial(ctx, c); c.denialReason != deniedBudget {
 			break
 		}
-		t := time.NewTimer(g.untilNextCheck(c.service.Name))
+		t := time.NewTimer(min(g.untilNextCheck(c.service.Name), time.Until(end)))
 		select {
 		case <-t.C:
 		case <-arrived:
