A retry that was held for long is spent again before it is used

One that was held for more than half a window, as with a frozen process, is spent again right before it is used; what is given back had that bound already.

TestRetriesOfAllInstancesExceedTheLimit now keeps lists that are too short for up to eight tenths of a window, as it set the true number at the same moment before; it fails if a smaller number counts at once.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -91,15 +91,20 @@
 	return true
 }
 
-// maxHeldFraction is the fraction of the window for which a retry may be held and still be given back.
-// While it is held, the budget refills beyond what it could hold otherwise.
+// maxHeldFraction is the fraction of the window for which a retry may be held and still be used or given
+// back. While it is held, the budget refills beyond what it could hold otherwise.
 const maxHeldFraction = 0.5
 
+// Expired reports whether a retry that was spent at spentAt has been held for too long to be used.
+func (b *Budget) Expired(now, spentAt time.Time) bool {
+	return now.Sub(spentAt).Seconds() > maxHeldFraction*b.cfg.Window.Seconds()
+}
+
 // Return gives back a retry that was spent at spentAt and reached no replica. One that was held for
 // long is lost.
 func (b *Budget) Return(now, spentAt time.Time) {
 	returned := 0.0
-	if now.Sub(spentAt).Seconds() <= maxHeldFraction*b.cfg.Window.Seconds() {
+	if !b.Expired(now, spentAt) {
 		returned = 1
 	}
 	b.refill(now, returned)
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -44,8 +44,15 @@
 			all[i].setInstances(now, instances)
 		}
 		var firsts, retries []time.Time
+		var shortSince time.Time
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			if !shortSince.IsZero() && now.Sub(shortSince) > l.Window-2*time.Second {
+				shortSince = time.Time{}
+				for _, s := range all {
+					s.setInstances(now, instances)
+				}
+			}
 			some := all[:rapid.IntRange(1, instances).Draw(t, "some")]
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
@@ -54,9 +61,11 @@
 					some[i].setInstances(now, instances)
 				}
 			case 1:
+				if shortSince.IsZero() {
+					shortSince = now
+				}
 				for _, s := range some {
 					s.setInstances(now, rapid.IntRange(1, instances).Draw(t, "listed"))
-					s.setInstances(now, instances)
 				}
 			case 2:
 				for _, s := range some {
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -110,6 +110,11 @@
 			s.grant.release()
 			return
 		}
+		if h.Arrivals > 0 && !g.renewRetry(ctx, c) {
+			s.grant.release()
+			s.endWithoutPath(ctx, h)
+			return
+		}
 		c.replica = s.grant.path()[0].ID
 		outcome, err := s.run(ctx, h.Arrivals > 0)
 		if outcome == forward.Lost {
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -57,6 +57,10 @@
 		if !h.MayHaveRun() && g.refuseBlocked(c) {
 			return
 		}
+		if h.Arrivals > 0 && !g.renewRetry(ctx, c) {
+			g.endWithoutReplica(ctx, c, pool, h, len(tried))
+			return
+		}
 		tried[replica.ID] = true
 		c.replica = replica.ID
 		claimed := new(atomic.Bool)
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -118,6 +118,15 @@
 	return true
 }
 
+// renewRetry reports whether a retry of the request that was spent before may be sent now. One that was
+// spent long ago, as the request waited for a replica, is spent again: the budget has refilled since.
+func (g *Gateway) renewRetry(ctx context.Context, c *call) bool {
+	g.mu.Lock()
+	expired := g.budget(c.service.Name).Expired(time.Now(), c.retrySpent)
+	g.mu.Unlock()
+	return !expired || g.mayRetry(ctx, c)
+}
+
 // returnRetry gives a retry that was spent at spentAt and reached no replica back to a service's
 // budget.
 func (g *Gateway) returnRetry(service string, spentAt time.Time) {
