Line `connection ended`: who closed a connection with a request on it

Callers saw connections closed without an answer, and nothing told who had closed them: the cause in `request ended` is the same, EOF, for a client that leaves and for an event of another connection.

Each close by the server now has an error of its own, which nbio hands to the close callback, so that the one who was first is named; nbio's own errors tell the poller (EOF, reset) from a failed write. Surplus connections that are closed at once never had a request and are not reported.

No decision of the server changes. A read that returned nothing is followed by a look whether the client has closed; that is one call for each connection that its client closes. If the close arrives together with the last bytes, that look does not happen, and `client_ended` stays false unless another one saw it.

Tests: who is named for an abort, a client that leaves under a request or in the middle of one, a message that cannot be parsed; that usual ends are not reported; the limit.

--- a/cmd/internal/entry/listeners.go
+++ b/cmd/internal/entry/listeners.go
@@ -28,6 +28,7 @@
 		IdleTimeout:       idleTimeout,
 		ClosedCheckPeriod: disconnectCheckInterval,
 		OnDelay:           i.reportDelay,
+		OnConnectionEnd:   i.reportConnectionEnd,
 		Handler:           i.gateway,
 		ServerErrorBody:   malformedBody,
 	})
@@ -58,6 +59,11 @@
 	i.log.Warn("request refused before its end", zap.Error(reason), zap.Int("requests", i.metrics.InFlight()))
 }
 
+// reportConnectionEnd logs who closed a connection with a request on it or right after one.
+func (i *Instance) reportConnectionEnd(e httpserver.ConnectionEnd) {
+	i.log.Info("connection ended", e.Fields()...)
+}
+
 // startAuxiliary starts a server with low limits for a listener that is not for clients.
 func (i *Instance) startAuxiliary(address string, h http.Handler) (*httpserver.Server, error) {
 	return httpserver.Start(httpserver.Options{
--- a/node/app/app.go
+++ b/node/app/app.go
@@ -177,6 +177,7 @@
 		IdleTimeout:     l.IdleTimeout,
 		Handler:         api.New(api.Options{Router: a.router, Logger: a.logger, MaxBodyBytes: l.MaxBodyBytes, Ready: a.state.ready}),
 		ServerErrorBody: api.ServerErrorBody,
+		OnConnectionEnd: func(e httpserver.ConnectionEnd) { a.logger.Info("connection ended", e.Fields()...) },
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/node/httpserver/idle.go
+++ b/node/httpserver/idle.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -8,36 +9,35 @@
 
 // connState is what the server knows of an open connection.
 type connState struct {
-	// served is true once a request has arrived on the connection.
-	served bool
+	// requests is the number of requests whose handler has been called.
+	requests int
 	// receiving is true after data has arrived that belongs to no handled request yet.
 	receiving bool
 	// reading is true while the poller reads from the connection and parses what it has read.
 	reading bool
+	// hasRead is true once that read has returned bytes.
+	hasRead bool
 	// readAt is when data was last read.
 	readAt time.Time
 	// buffered is the number of bytes that belong to no handled request yet.
 	buffered int
 	// idleSince is when the connection was opened or its last request was handled.
 	idleSince time.Time
+	openedAt  time.Time
+	// endedAt is when the connection was found closed while a request was handled, in which case
+	// endedInRequest is true.
+	endedAt        time.Time
+	endedInRequest bool
+	// clientEnded is true once the client is seen to have closed the connection.
+	clientEnded atomic.Bool
 }
 
 // opened records a new connection.
 func (s *Server) opened(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.connections[c] = &connState{idleSince: time.Now()}
-}
-
-// closed forgets a connection.
-func (s *Server) closed(c *nbio.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st := s.connections[c]; st != nil {
-		s.buffered -= st.buffered
-		delete(s.connections, c)
-	}
-	s.rejected.Delete(c)
+	now := time.Now()
+	s.connections[c] = &connState{idleSince: now, openedAt: now}
 }
 
 // received records that n bytes have arrived on a connection. It returns false if they must not be
@@ -49,7 +49,7 @@
 	if st == nil {
 		return true
 	}
-	st.receiving, st.readAt = true, time.Now()
+	st.receiving, st.hasRead, st.readAt = true, true, time.Now()
 	if limit := s.opts.MaxBufferedBytes; limit > 0 && s.buffered+n > limit && st.buffered+n > freeBufferedBytes {
 		return false
 	}
@@ -60,15 +60,26 @@
 
 // beginRead records that the poller is about to read from a connection, endRead that what it has read
 // is parsed, so that a whole request is in the connection's job queue.
-func (s *Server) beginRead(c *nbio.Conn) { s.setReading(c, true) }
-
-func (s *Server) endRead(c *nbio.Conn) { s.setReading(c, false) }
-
-func (s *Server) setReading(c *nbio.Conn, reading bool) {
+func (s *Server) beginRead(c *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st := s.connections[c]; st != nil {
-		st.reading = reading
+		st.reading, st.hasRead = true, false
+	}
+}
+
+func (s *Server) endRead(c *nbio.Conn) {
+	s.mu.Lock()
+	st := s.connections[c]
+	if st == nil {
+		s.mu.Unlock()
+		return
+	}
+	st.reading = false
+	hasRead := st.hasRead
+	s.mu.Unlock()
+	if !hasRead && peek(c) == peerEnded {
+		st.clientEnded.Store(true) // the poller closes the connection now
 	}
 }
 
@@ -76,19 +87,19 @@
 // progress, being received or answered. Clients notice that before they use the connection again. A
 // request that arrives at the same time is not read, so its client may send it again.
 func (s *Server) closeIdleConnections() {
-	s.closeUnused(func(st *connState) bool { return st.served && !st.receiving })
+	s.closeUnused(errDrained, func(st *connState) bool { return st.requests > 0 && !st.receiving })
 }
 
 // closeExpiredConnections closes the connections that have been idle for the idle timeout, or have
 // not received a whole request in that time.
 func (s *Server) closeExpiredConnections(now time.Time) {
-	s.closeUnused(func(st *connState) bool { return now.Sub(st.idleSince) >= s.opts.IdleTimeout })
+	s.closeUnused(errIdle, func(st *connState) bool { return now.Sub(st.idleSince) >= s.opts.IdleTimeout })
 }
 
 // closeUnused closes the connections selected by f on which no request is being read, handled or
 // answered. A connection is looked at once more before it is closed: bytes that had arrived by then
 // are either unread or known from the connection's state.
-func (s *Server) closeUnused(f func(*connState) bool) {
+func (s *Server) closeUnused(cause error, f func(*connState) bool) {
 	s.mu.Lock()
 	var unused []*nbio.Conn
 	for c := range s.connections {
@@ -99,7 +110,7 @@
 	s.mu.Unlock()
 	for _, c := range unused {
 		if peek(c) == peerSilent && s.unused(c, f) {
-			_ = c.Close() // it can only fail if the client was faster
+			_ = c.CloseWithError(cause) // it can only fail if the client was faster
 		}
 	}
 }
--- a/node/httpserver/request.go
+++ b/node/httpserver/request.go
@@ -21,12 +21,13 @@
 	// readAt is when the end of the request was read from its connection.
 	readAt time.Time
 	conn   *nbio.Conn // nil if unknown
+	state  *connState // of conn; nil if unknown
 	// buffered is the number of bytes of the request.
 	buffered int
 	// cancel ends the request's context. The cause says why the connection was closed.
 	cancel context.CancelCauseFunc
-	// left is true once the client is known to have closed the connection, or is given up.
-	left atomic.Bool
+	// left is set, to the cause, once the client is known to have closed the connection, or is given up.
+	left atomic.Pointer[error]
 }
 
 // newContext returns the request's context and sets the function that ends it.
@@ -57,10 +58,19 @@
 // clientLeft reports whether the client has closed its connection, and if so ends the request's
 // context.
 func (i *requestInfo) clientLeft() bool {
-	if i.left.Load() {
+	if i.left.Load() != nil {
 		return true
 	}
-	if i.conn == nil || !closedByClient(i.conn) {
+	if i.conn == nil {
+		return false
+	}
+	switch peek(i.conn) {
+	case peerEnded:
+		if i.state != nil {
+			i.state.clientEnded.Store(true)
+		}
+	case peerClosed:
+	default:
 		return false
 	}
 	i.end(errClientLeft)
@@ -69,7 +79,7 @@
 
 // end ends the request's context, and its connection after the handler has returned.
 func (i *requestInfo) end(cause error) {
-	i.left.Store(true)
+	i.left.CompareAndSwap(nil, &cause)
 	i.cancel(cause)
 }
 
@@ -89,7 +99,7 @@
 		time.Sleep(pause)
 		pause = min(2*pause, maxClosedPoll)
 	}
-	_ = i.conn.Close()
+	_ = i.conn.CloseWithError(*i.left.Load())
 }
 
 // The time between two looks whether the poller has closed a connection doubles from minClosedPoll
@@ -99,22 +109,22 @@
 	maxClosedPoll = 40 * time.Millisecond
 )
 
-// errClientLeft is the error of a write to a client that has closed its connection.
-var errClientLeft = errors.New("client has closed the connection")
-
 // closeUnlessLeft closes a connection, outside the poller, unless its client has closed it already.
 // The poller may then hold an event for its descriptor, which would hit a new connection that gets
 // the same one; it closes the connection when it comes to the event. Writes that fail close a
 // connection too, so whoever writes looks first as well.
 func closeUnlessLeft(c *nbio.Conn, cause error) {
-	if !closedByClient(c) {
+	if !hasLeft(c) {
 		_ = c.CloseWithError(cause) // it can only fail if the client was faster
 	}
 }
 
-// closedByClient reports whether the client has closed the connection or reset it. Unread bytes
-// belong to a further request, so the client is there.
-func closedByClient(c *nbio.Conn) bool { return peek(c) == peerClosed }
+// hasLeft reports whether the client has closed the connection or reset it, or it is closed. Unread
+// bytes belong to a further request, so the client is there.
+func hasLeft(c *nbio.Conn) bool {
+	state := peek(c)
+	return state == peerEnded || state == peerClosed
+}
 
 // peerState is what the system knows of the other end of a connection.
 type peerState int
@@ -122,7 +132,8 @@
 const (
 	peerSilent peerState = iota // there is nothing to read
 	peerSent                    // there are unread bytes
-	peerClosed                  // the connection is closed or reset
+	peerEnded                   // the client has closed or reset the connection
+	peerClosed                  // the connection is closed here
 )
 
 // peek asks the system about the other end of a connection.
@@ -135,7 +146,7 @@
 		case err == nil && n > 0:
 			state = peerSent
 		case err == nil, errors.Is(err, syscall.ECONNRESET):
-			state = peerClosed
+			state = peerEnded
 		}
 	})
 	if !open {
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -73,6 +73,10 @@
 	// OnRefused, if set, is called with the reason when a request is refused before its end. It
 	// must not block.
 	OnRefused func(error)
+	// OnConnectionEnd, if set, is called when a connection has ended with a request in progress, or
+	// was closed here within a second after its last request. It is called for at most
+	// maxEndsReported connections a second, and must not block.
+	OnConnectionEnd func(ConnectionEnd)
 	// ServerErrorBody returns the body of a response that the server writes by itself:
 	// to a message that cannot be parsed, or to a request during shutdown. It must be
 	// safe for concurrent use.
@@ -87,6 +91,7 @@
 	inFlight atomic.Int64
 	mu       sync.Mutex
 	closing  bool
+	stopping bool // all connections are being closed
 	// draining is set while responses ask clients to close their connections.
 	draining atomic.Bool
 	// connections holds the open connections.
@@ -106,8 +111,13 @@
 	// orders these two events; the counter makes the order visible to the race
 	// detector.
 	openedCount atomic.Uint64
-	stopWatch   context.CancelFunc
-	watchDone   chan struct{}
+	// endsReported counts the ends of connections reported since endPeriod, endsOmitted those not
+	// reported since the last one that was.
+	endsReported, endsOmitted int
+	endPeriod                 time.Time
+	checkDelay                atomic.Int64 // of the last periodic check, in nanoseconds
+	stopWatch                 context.CancelFunc
+	watchDone                 chan struct{}
 }
 
 // Start starts a server, which runs until Shutdown.
@@ -133,7 +143,7 @@
 		s.openedCount.Add(1)
 		s.opened(unwrap(c))
 	})
-	s.engine.OnClose(func(c net.Conn, _ error) { s.closed(unwrap(c)) })
+	s.engine.OnClose(func(c net.Conn, err error) { s.closed(unwrap(c), err) })
 	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
 		s.beginRead(c)
 		return s.engine.PollerBufferPtr(c)
@@ -179,6 +189,9 @@
 	}
 	s.stopWatch()
 	<-s.watchDone
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
 	s.engine.Stop()
 	return err
 }
@@ -195,10 +208,6 @@
 	}
 }
 
-var errOutOfMemory = errors.New("no memory is left for the bodies of requests")
-
-var errAborted = errors.New("response cannot be completed")
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if !s.beginRequest() {
 		s.refuseDuringShutdown(w)
@@ -241,7 +250,7 @@
 		time.AfterFunc(closeGracePeriod, func() { closeIdle(conn) })
 		return
 	}
-	closeUnlessLeft(conn, nil)
+	closeUnlessLeft(conn, errAnnouncedClose)
 }
 
 // beginRequest registers a request with Shutdown. It returns false if the server is
@@ -294,8 +303,9 @@
 	defer s.mu.Unlock()
 	s.requests[c] = info.cancel
 	if st := s.connections[c]; st != nil {
-		info.readAt, info.buffered, st.buffered = st.readAt, st.buffered, 0
-		st.served, st.receiving = true, false
+		info.state, info.readAt, info.buffered, st.buffered = st, st.readAt, st.buffered, 0
+		st.receiving = false
+		st.requests++
 	}
 }
 
@@ -307,6 +317,9 @@
 	s.buffered -= info.buffered
 	delete(s.requests, c)
 	s.unflushed[c] = struct{}{}
+	if closed, _ := c.IsClosed(); closed {
+		s.noteEndLocked(c)
+	}
 	if st := s.connections[c]; st != nil {
 		st.idleSince = time.Now()
 	}
@@ -338,24 +351,24 @@
 // connection after rejectGracePeriod. The requests before it on the connection are answered
 // first.
 func (s *Server) reject(c *nbio.Conn, cause error) {
-	status := http.StatusBadRequest
+	status, reason := http.StatusBadRequest, errMalformed(cause)
 	switch {
 	case errors.Is(cause, nbhttp.ErrTooLong):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(cause, errOutOfMemory):
-		status = http.StatusServiceUnavailable
+		status, reason = http.StatusServiceUnavailable, cause
 		if s.opts.OnRefused != nil {
 			s.opts.OnRefused(cause)
 		}
 	}
 	s.rejected.Store(c, struct{}{})
 	c.Execute(func() {
-		if !closedByClient(c) {
+		if !hasLeft(c) {
 			// If the write fails, it closes the connection.
 			_, _ = c.Write(rawResponse(status, s.opts.ServerErrorBody(status)))
 		}
 		time.AfterFunc(rejectGracePeriod, func() {
-			closeUnlessLeft(c, cause)
+			closeUnlessLeft(c, reason)
 		})
 	})
 }
--- a/node/httpserver/watch.go
+++ b/node/httpserver/watch.go
@@ -64,7 +64,9 @@
 // reportDelay reports a check that runs late after the last one, and returns its time.
 func (s *Server) reportDelay(last time.Time) time.Time {
 	now := time.Now()
-	if delay := now.Sub(last) - s.opts.ClosedCheckPeriod; delay > reportedDelay && s.opts.OnDelay != nil {
+	delay := now.Sub(last) - s.opts.ClosedCheckPeriod
+	s.checkDelay.Store(int64(max(delay, 0)))
+	if delay > reportedDelay && s.opts.OnDelay != nil {
 		s.opts.OnDelay(delay)
 	}
 	return now
@@ -76,6 +78,7 @@
 	for c, cancel := range s.requests {
 		if closed, cause := c.IsClosed(); closed {
 			cancel(cause)
+			s.noteEndLocked(c)
 			delete(s.requests, c)
 		}
 	}
--- a/node/httpserver/writer.go
+++ b/node/httpserver/writer.go
@@ -25,9 +25,6 @@
 	maxWritePoll = 20 * time.Millisecond
 )
 
-// errClientStalled is the error of a write to a client that has read nothing for maxWriteStall.
-var errClientStalled = errors.New("client does not read the response")
-
 // maxUnchunkedBytes limits a response of unknown length to a client that does not know chunks. It
 // is buffered until its end.
 const maxUnchunkedBytes = 1 << 20
