Look at an unused connection and close it in one step

Callers saw, beside a planned stop or on a connection that had been idle, a request that was passed on to a replica while its connection was closed without an answer.

Cause: the idle check, the drain and the timer after `Connection: close` looked whether a connection was unused and closed it afterwards. A process that stands still between the two lets the poller read and pass on a request meanwhile. The timer looked at the job queue only.

The look and the close now hold the lock that the poller passes before each read (beginRead). Requests come from reads only, so one that arrives after the look is not read, and its client may send it again. The timer uses the same function. Closing under the lock is safe, as nbio runs its close callback in another goroutine. Abort and the close after a message that cannot be parsed need none of this: the first ends a request by decision, and after the second no request is read.

--- a/node/httpserver/idle.go
+++ b/node/httpserver/idle.go
@@ -97,8 +97,7 @@
 }
 
 // closeUnused closes the connections selected by f on which no request is being read, handled or
-// answered. A connection is looked at once more before it is closed: bytes that had arrived by then
-// are either unread or known from the connection's state.
+// answered.
 func (s *Server) closeUnused(cause error, f func(*connState) bool) {
 	s.mu.Lock()
 	var unused []*nbio.Conn
@@ -109,20 +108,27 @@
 	}
 	s.mu.Unlock()
 	for _, c := range unused {
-		if peek(c) == peerSilent && s.unused(c, f) {
-			_ = c.CloseWithError(cause) // it can only fail if the client was faster
-		}
+		s.closeIfUnused(c, cause, f)
 	}
 }
 
-// unused reports whether f selects a connection on which no request is being read, handled or
-// answered.
-func (s *Server) unused(c *nbio.Conn, f func(*connState) bool) bool {
+// closeIfUnused closes a connection if f selects it and no request on it is being read, handled or
+// answered. Bytes that had arrived at the last look are either unread or known from the connection's
+// state. The poller cannot read between the look and the close, as it has to pass beginRead.
+func (s *Server) closeIfUnused(c *nbio.Conn, cause error, f func(*connState) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unusedLocked(c, f)
+	if !s.unusedLocked(c, f) || peek(c) != peerSilent {
+		return
+	}
+	if s.beforeClose != nil {
+		s.beforeClose()
+	}
+	_ = c.CloseWithError(cause) // it can only fail if the client was faster
 }
 
+// unusedLocked reports whether f selects a connection on which no request is being read, handled or
+// answered.
 func (s *Server) unusedLocked(c *nbio.Conn, f func(*connState) bool) bool {
 	st := s.connections[c]
 	if st == nil || st.reading {
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -116,8 +116,11 @@
 	endsReported, endsOmitted int
 	endPeriod                 time.Time
 	checkDelay                atomic.Int64 // of the last periodic check, in nanoseconds
-	stopWatch                 context.CancelFunc
-	watchDone                 chan struct{}
+	// beforeClose, if set, is called between the last look at an unused connection and its close.
+	// It is for tests.
+	beforeClose func()
+	stopWatch   context.CancelFunc
+	watchDone   chan struct{}
 }
 
 // Start starts a server, which runs until Shutdown.
@@ -224,7 +227,7 @@
 		if s.draining.Load() {
 			r.Close = true
 		}
-		deferClose(w, r, conn)
+		s.deferClose(w, r, conn)
 		s.track(conn, info)
 		defer s.untrack(conn, info)
 	}
@@ -235,22 +238,22 @@
 // deferClose handles requests with "Connection: close" of HTTP/1.1 clients. It lets the
 // client close the connection and closes it only after closeGracePeriod. nbhttp would
 // close it with the response, at the same time as the client (see closeUnlessLeft).
-func deferClose(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) {
+func (s *Server) deferClose(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) {
 	if !r.Close || !r.ProtoAtLeast(1, 1) {
 		return
 	}
 	r.Close = false
 	w.Header().Set("Connection", "close")
-	time.AfterFunc(closeGracePeriod, func() { closeIdle(conn) })
+	time.AfterFunc(closeGracePeriod, func() { s.closeAnnounced(conn) })
 }
 
-// closeIdle closes a connection as soon as it has no response left to write.
-func closeIdle(conn *nbio.Conn) {
-	if conn.ExecuteLen() > 0 {
-		time.AfterFunc(closeGracePeriod, func() { closeIdle(conn) })
-		return
+// closeAnnounced closes a connection whose response has announced that, unless another request on it
+// is in progress, for which it waits.
+func (s *Server) closeAnnounced(conn *nbio.Conn) {
+	s.closeIfUnused(conn, errAnnouncedClose, func(*connState) bool { return true })
+	if closed, _ := conn.IsClosed(); !closed {
+		time.AfterFunc(closeGracePeriod, func() { s.closeAnnounced(conn) })
 	}
-	closeUnlessLeft(conn, errAnnouncedClose)
 }
 
 // beginRequest registers a request with Shutdown. It returns false if the server is
