Pollers add new connections themselves

Callers saw a new connection closed without an answer, while its request was already passed on.

Cause: nbio's poller finds the connection of an event by its descriptor. A connection that is closed by another goroutine, or by a failed write, frees its descriptor while the poller may hold an event for it; the acceptor gave the descriptor to a new connection, to which the event "closed by the client" was applied. The look before each close of ours made that rare, and a failed write closes by itself.

The server now accepts connections itself and hands each to the thread of its poller, which adds it when it handles an event that was raised after the accept. That batch of events was fetched after the former holder of the descriptor had been closed, so it has no event of it, whoever closed. Connections that are accepted while the event is under way wait for a further one. The event is a byte on a socket pair, one write and one read for each batch of accepts. Connections that wait count against MaxConnections; Shutdown closes them.

--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -86,6 +86,7 @@
 // Server is a running HTTP server. It is safe for concurrent use.
 type Server struct {
 	engine   *nbhttp.Engine
+	acceptor *acceptor
 	opts     Options
 	active   sync.WaitGroup
 	inFlight atomic.Int64
@@ -106,11 +107,6 @@
 	// rejected is the set of connections that sent a message that cannot be parsed;
 	// the keys are of type *nbio.Conn.
 	rejected sync.Map
-	// openedCount counts connections. The accepting goroutine increments it before the
-	// polling goroutine gets the connection and loads the counter. The kernel already
-	// orders these two events; the counter makes the order visible to the race
-	// detector.
-	openedCount atomic.Uint64
 	// endsReported counts the ends of connections reported since endPeriod, endsOmitted those not
 	// reported since the last one that was.
 	endsReported, endsOmitted int
@@ -131,8 +127,6 @@
 	}
 	s := &Server{opts: o, connections: map[*nbio.Conn]*connState{}, requests: map[*nbio.Conn]context.CancelCauseFunc{}, unflushed: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:                 "tcp",
-		Addrs:                   []string{o.Address},
 		MaxLoad:                 o.MaxConnections,
 		MessageHandlerPoolSize:  o.MaxRequests,
 		ReadLimit:               o.MaxBodyBytes + maxHeaderBytes,
@@ -142,10 +136,7 @@
 		Handler:                 http.HandlerFunc(s.serve),
 		SupportServerOnly:       true,
 	})
-	s.engine.OnOpen(func(c net.Conn) {
-		s.openedCount.Add(1)
-		s.opened(unwrap(c))
-	})
+	s.engine.OnOpen(func(c net.Conn) { s.opened(unwrap(c)) })
 	s.engine.OnClose(func(c net.Conn, err error) { s.closed(unwrap(c), err) })
 	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
 		s.beginRead(c)
@@ -154,8 +145,14 @@
 	s.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { s.endRead(c) })
 	s.engine.OnData(s.onData)
 	if err := s.engine.Start(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var err error
+	if s.acceptor, err = startAcceptor(s.engine, o.Address, s.online); err != nil {
+		s.engine.Stop()
 		return nil, trace.Wrap(err, "listening on %s", o.Address)
 	}
+	go s.acceptor.run()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopWatch = cancel
 	go s.watchConnections(ctx)
@@ -164,7 +161,14 @@
 
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string {
-	return s.engine.Addrs[0]
+	return s.acceptor.listener.Addr().String()
+}
+
+// online returns the number of open connections.
+func (s *Server) online() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
 }
 
 // InFlight returns the number of requests being handled.
@@ -195,6 +199,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
+	s.acceptor.close()
 	s.engine.Stop()
 	return err
 }
@@ -331,7 +336,9 @@
 // onData parses received data. A message that cannot be parsed gets an error response
 // before its connection is closed.
 func (s *Server) onData(c *nbio.Conn, data []byte) {
-	s.openedCount.Load()
+	if s.acceptor.handle(c) {
+		return
+	}
 	if _, ok := s.rejected.Load(c); ok {
 		return
 	}
--- a/node/httpserver/stale_test.go
+++ b/node/httpserver/stale_test.go
@@ -94,8 +94,14 @@
 
 // TestStaleEventClosesANewConnection guards against requests that end without an answer: the event
 // that a client has left its connection is applied to another one, which got the same descriptor
-// because a write had failed and closed the first one meanwhile.
+// because the first one had been closed outside the poller meanwhile.
 func TestStaleEventClosesANewConnection(t *testing.T) {
+	for name, closedElsewhere := range map[string]bool{"by a failed write": false, "by any other goroutine": true} {
+		t.Run(name, func(t *testing.T) { testStaleEvent(t, closedElsewhere) })
+	}
+}
+
+func testStaleEvent(t *testing.T, closedElsewhere bool) {
 	const clients = 64
 	write := make(chan struct{})
 	var begun, ended sync.WaitGroup
@@ -115,35 +121,35 @@
 	})
 	defer func() { require.NoError(t, s.Shutdown(context.Background())) }()
 	held := holdPollers(t, s)
+	others := s.openConnections()
 	var leaving []net.Conn
 	for range clients {
-		c, err := net.Dial("tcp", s.Addr())
-		require.NoError(t, err)
-		_, err = io.WriteString(c, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")
-		require.NoError(t, err)
-		leaving = append(leaving, c)
+		leaving = append(leaving, dialAndSend(t, s, "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n"))
 	}
 	begun.Wait()
+	streams := s.openConnections()
 	held.hold(t)
 	held.await()
 	held.hold(t) // the batch that contains the closes is held up as well
+	acceptForEachPoller(t, s)
 	for _, c := range leaving {
 		require.NoError(t, c.(*net.TCPConn).SetLinger(0))
 		require.NoError(t, c.Close())
 	}
 	held.goOn()
 	held.await()
+	for c := range streams {
+		if closedElsewhere && !others[c] {
+			_ = c.Close()
+		}
+	}
 	close(write)
 	ended.Wait()
 	var arriving []net.Conn
 	for range clients {
-		c, err := net.Dial("tcp", s.Addr())
-		require.NoError(t, err)
-		defer c.Close()
-		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-		require.NoError(t, err)
-		arriving = append(arriving, c)
+		arriving = append(arriving, dialAndSend(t, s, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
 	}
+	require.Eventually(t, func() bool { return s.acceptor.waiting() > clients }, 10*time.Second, time.Millisecond)
 	held.goOn()
 	unanswered := 0
 	for _, c := range arriving {
@@ -157,3 +163,21 @@
 	}
 	require.Zero(t, unanswered, "requests without an answer")
 }
+
+// acceptForEachPoller makes the server accept connections until each poller has a further one to add,
+// which it does in the batch that is fetched next.
+func acceptForEachPoller(t *testing.T, s *Server) {
+	for _, p := range s.acceptor.pollers {
+		require.Eventually(t, func() bool {
+			c, err := net.Dial("tcp", s.Addr())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+			spare, err := os.Open(os.DevNull) // see holdPollers
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = spare.Close() })
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.signaled > 0
+		}, 10*time.Second, time.Millisecond)
+	}
+}
