--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -86,6 +86,7 @@
 // Server is a running HTTP server. It is safe for concurrent use.
 type Server struct {
 	engine   *nbhttp.Engine
+	acceptor *acceptor
 	opts     Options
 	active   sync.WaitGroup
 	inFlight atomic.Int64
@@ -106,18 +107,16 @@
 	// rejected is the set of connections that sent a message that cannot be parsed;
 	// the keys are of type *nbio.Conn.
 	rejected sync.Map
-	// openedCount counts connections. The accepting goroutine increments it before the
-	// polling goroutine gets the connection and loads the counter. The kernel already
-	// orders these two events; the counter makes the order visible to the race
-	// detector.
-	openedCount atomic.Uint64
 	// endsReported counts the ends of connections reported since endPeriod, endsOmitted those not
 	// reported since the last one that was.
 	endsReported, endsOmitted int
 	endPeriod                 time.Time
 	checkDelay                atomic.Int64 // of the last periodic check, in nanoseconds
-	stopWatch                 context.CancelFunc
-	watchDone                 chan struct{}
+	// beforeClose, if set, is called between the last look at an unused connection and its close.
+	// It is for tests.
+	beforeClose func()
+	stopWatch   context.CancelFunc
+	watchDone   chan struct{}
 }
 
 // Start starts a server, which runs until Shutdown.
@@ -128,8 +127,6 @@
 	}
 	s := &Server{opts: o, connections: map[*nbio.Conn]*connState{}, requests: map[*nbio.Conn]context.CancelCauseFunc{}, unflushed: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Network:                 "tcp",
-		Addrs:                   []string{o.Address},
 		MaxLoad:                 o.MaxConnections,
 		MessageHandlerPoolSize:  o.MaxRequests,
 		ReadLimit:               o.MaxBodyBytes + maxHeaderBytes,
@@ -139,10 +136,7 @@
 		Handler:                 http.HandlerFunc(s.serve),
 		SupportServerOnly:       true,
 	})
-	s.engine.OnOpen(func(c net.Conn) {
-		s.openedCount.Add(1)
-		s.opened(unwrap(c))
-	})
+	s.engine.OnOpen(func(c net.Conn) { s.opened(unwrap(c)) })
 	s.engine.OnClose(func(c net.Conn, err error) { s.closed(unwrap(c), err) })
 	s.engine.OnReadBufferAlloc(func(c *nbio.Conn) *[]byte {
 		s.beginRead(c)
@@ -151,8 +145,14 @@
 	s.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { s.endRead(c) })
 	s.engine.OnData(s.onData)
 	if err := s.engine.Start(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var err error
+	if s.acceptor, err = startAcceptor(s.engine, o.Address, s.online); err != nil {
+		s.engine.Stop()
 		return nil, trace.Wrap(err, "listening on %s", o.Address)
 	}
+	go s.acceptor.run()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopWatch = cancel
 	go s.watchConnections(ctx)
@@ -161,7 +161,14 @@
 
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string {
-	return s.engine.Addrs[0]
+	return s.acceptor.listener.Addr().String()
+}
+
+// online returns the number of open connections.
+func (s *Server) online() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.connections)
 }
 
 // InFlight returns the number of requests being handled.
@@ -192,6 +199,7 @@
 	s.mu.Lock()
 	s.stopping = true
 	s.mu.Unlock()
+	s.acceptor.close()
 	s.engine.Stop()
 	return err
 }
@@ -224,7 +232,7 @@
 		if s.draining.Load() {
 			r.Close = true
 		}
-		deferClose(w, r, conn)
+		s.deferClose(w, r, conn)
 		s.track(conn, info)
 		defer s.untrack(conn, info)
 	}
@@ -235,22 +243,22 @@
 // deferClose handles requests with "Connection: close" of HTTP/1.1 clients. It lets the
 // client close the connection and closes it only after closeGracePeriod. nbhttp would
 // close it with the response, at the same time as the client (see closeUnlessLeft).
-func deferClose(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) {
+func (s *Server) deferClose(w http.ResponseWriter, r *http.Request, conn *nbio.Conn) {
 	if !r.Close || !r.ProtoAtLeast(1, 1) {
 		return
 	}
 	r.Close = false
 	w.Header().Set("Connection", "close")
-	time.AfterFunc(closeGracePeriod, func() { closeIdle(conn) })
+	time.AfterFunc(closeGracePeriod, func() { s.closeAnnounced(conn) })
 }
 
-// closeIdle closes a connection as soon as it has no response left to write.
-func closeIdle(conn *nbio.Conn) {
-	if conn.ExecuteLen() > 0 {
-		time.AfterFunc(closeGracePeriod, func() { closeIdle(conn) })
-		return
+// closeAnnounced closes a connection whose response has announced that, unless another request on it
+// is in progress, for which it waits.
+func (s *Server) closeAnnounced(conn *nbio.Conn) {
+	s.closeIfUnused(conn, errAnnouncedClose, func(*connState) bool { return true })
+	if closed, _ := conn.IsClosed(); !closed {
+		time.AfterFunc(closeGracePeriod, func() { s.closeAnnounced(conn) })
 	}
-	closeUnlessLeft(conn, errAnnouncedClose)
 }
 
 // beginRequest registers a request with Shutdown. It returns false if the server is
@@ -328,7 +336,9 @@
 // onData parses received data. A message that cannot be parsed gets an error response
 // before its connection is closed.
 func (s *Server) onData(c *nbio.Conn, data []byte) {
-	s.openedCount.Load()
+	if s.acceptor.handle(c) {
+		return
+	}
 	if _, ok := s.rejected.Load(c); ok {
 		return
 	}
