A request is not sent on a connection that its replica closed meanwhile

Callers of routes that are not idempotent would get 502 "answer_lost" for a request that no replica has read, if the process stood still, or the checks before the send took long, after the connection was taken from the pool: the look at it and the send were two steps, and a request that is written to a closed connection counts as sent.

The connection is looked at once more right before the send, also one that has carried no request yet, and another one is used if it is closed; the checks are made again for that one. It costs one recvfrom for a request on a connection from the pool.

--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -38,7 +38,8 @@
 	Header http.Header
 	Body   []byte
 	// BeforeSend, if set, is called after all waits, right before the request is encoded and
-	// sent. It may replace Header. If it returns an error, the request is not sent.
+	// sent. It may replace Header. If it returns an error, the request is not sent. It is called
+	// again if the replica has closed the connection meanwhile, so that another one is used.
 	BeforeSend func() error
 	// Fresh requires a new or very recently used connection. It is set for requests that
 	// must not be retried.
@@ -121,17 +122,9 @@
 	if err := caller.Check(ctx); err != nil {
 		return nil, &Error{Withheld: true, Timeout: true, Err: err}
 	}
-	cn, err := c.acquire(ctx, address, r)
+	cn, data, err := c.ready(ctx, address, r)
 	if err != nil {
-		return nil, &Error{Withheld: errors.Is(ctx.Err(), context.Canceled), Timeout: timedOut(ctx, err), Err: err}
-	}
-	data, err := prepare(ctx, r)
-	if err == nil {
-		err = cn.setUnackedTimeout(c.unackedTimeout(r))
-	}
-	if err != nil {
-		c.addIdle(cn)
-		return nil, &Error{Withheld: true, Timeout: timedOut(ctx, err), Err: err}
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := c.roundTrip(cn, r, data)
@@ -144,6 +137,30 @@
 	return resp, nil
 }
 
+// ready returns a connection for a request, and the request's encoding. The error is an *Error. The
+// steps after the connection was taken from the pool take time, in which its replica may close it, so
+// it is looked at once more: a request on it would count as sent.
+func (c *Client) ready(ctx context.Context, address string, r *Request) (*conn, []byte, error) {
+	for {
+		cn, err := c.acquire(ctx, address, r)
+		if err != nil {
+			return nil, nil, &Error{Withheld: errors.Is(ctx.Err(), context.Canceled), Timeout: timedOut(ctx, err), Err: err}
+		}
+		data, err := prepare(ctx, r)
+		if err == nil {
+			err = cn.setUnackedTimeout(c.unackedTimeout(r))
+		}
+		if err != nil {
+			c.addIdle(cn)
+			return nil, nil, &Error{Withheld: true, Timeout: timedOut(ctx, err), Err: err}
+		}
+		if !cn.pooled || isReusable(cn) {
+			return cn, data, nil
+		}
+		c.discard(cn)
+	}
+}
+
 // unackedTimeout returns the time after which a connection with unacknowledged data of the request is
 // closed.
 func (c *Client) unackedTimeout(r *Request) time.Duration {
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -35,6 +35,8 @@
 	// announcedIdleTimeout is the idle timeout that the replica announced, or 0.
 	announcedIdleTimeout time.Duration
 	reused               bool
+	// pooled is true if the connection was idle in the pool, also without an earlier request.
+	pooled bool
 	// unackedTimeout is the time that was last set with setUnackedTimeout.
 	unackedTimeout time.Duration
 	carried        carried
@@ -79,6 +81,7 @@
 // addIdle adds a connection to the pool, or closes it if the pool or its list of carried requests is
 // full. If nothing was sent on it, its idle time goes on.
 func (c *Client) addIdle(cn *conn) {
+	cn.pooled = true
 	c.mu.Lock()
 	list := c.idle[cn.address]
 	if len(list) < c.opts.IdlePerAddress && !cn.carried.full() {
