An equal configuration does not raise the capacity of replicas at once

After a change of the layout, callers beside any new version of the configuration, also one that changes nothing ("idle"), would be sent to replicas that have no room yet and be rejected there, at the expense of the retry budget: a replica that gives up layers keeps their memory for up to 6 s, so a higher capacity is pending that long, but SetModel, which every version calls, applied it at once.

A capacity is now replaced only where the model's parameters change it.

--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -88,12 +88,16 @@
 // Model returns the model's parameters.
 func (f *Fleet) Model() *Model { return f.model }
 
-// SetModel replaces the model's parameters and recomputes the capacity of all replicas.
+// SetModel replaces the model's parameters. Where they change the capacity of a replica, the new one
+// applies at once; otherwise a higher capacity that is pending stays pending.
 func (f *Fleet) SetModel(m *Model) {
-	f.model = m
 	for _, r := range f.replicas {
-		r.cacheCapacity = m.CacheCapacity(r.Kind, r.To-r.From)
+		capacity := m.CacheCapacity(r.Kind, r.To-r.From)
+		if capacity != f.model.CacheCapacity(r.Kind, r.To-r.From) {
+			r.cacheCapacity, r.nextCapacityAt = capacity, time.Time{}
+		}
 	}
+	f.model = m
 	f.rebuildIndex()
 }
 
