Reports of an earlier process of a replica are forgotten when it restarts

Callers would be sent over layers that a replica held before it restarted, and be rejected there: the reported layers take precedence over the listed ones for 1.5 s, and only the list that shows the new process left them out. The next one, as with any new version of the configuration, brought them back, with the step time and cache usage of the earlier process.

TestLayersOfAnEarlierProcessReturn failed before: layers 0 to 4 instead of 0 to 2 after the second list.

--- a/core/pipeline/observed.go
+++ b/core/pipeline/observed.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// forgetReports removes what an earlier process of the replica reported.
+func (m *member) forgetReports() {
+	m.observed, m.observedAt, m.layersReportedAt, m.stepTimeRatio = Report{}, time.Time{}, time.Time{}, 1
+}
+
 // Layers returns the layers of a replica's last report that contained them, if it is recent.
 func (f *Fleet) Layers(now time.Time, id string) (from, to int, ok bool) {
 	m := f.replicas[id]
--- a/core/pipeline/pipeline.go
+++ b/core/pipeline/pipeline.go
@@ -137,7 +137,10 @@
 			m = &member{load: load{stepTimeRatio: 1}}
 			f.replicas[r.ID] = m
 		}
-		if from, to, ok := f.Layers(now, r.ID); ok && !newProcess {
+		if newProcess {
+			m.forgetReports()
+		}
+		if from, to, ok := f.Layers(now, r.ID); ok {
 			r.From, r.To = from, to
 		}
 		m.Replica = r
