A route is in force only once the replicas of its service are known

Beside a configuration that moves or adds a route, callers would get 503 "no_replica" for a service that has replicas: the table of routes was replaced first, and the lists of replicas were set after it. In between, as long as the process stood still there, requests found an empty list, or, if the service had been in an earlier version, the list of that time.

Configure now takes the usable replicas and sets them before the routes.

--- a/node/control/control.go
+++ b/node/control/control.go
@@ -278,8 +278,7 @@
 	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version), zap.String("source", source),
 		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))
 	c.version, c.content = cfg.Version, p.Content
-	c.opts.Gateway.Configure(routing.NewTable(cfg))
-	c.opts.Gateway.SetReplicas(c.roster.Available)
+	c.opts.Gateway.Configure(routing.NewTable(cfg), c.roster.Available)
 	c.configLoaded.Store(true)
 	if c.Ready() {
 		c.opts.Gateway.MarkReady()
--- a/node/gateway/resend_test.go
+++ b/node/gateway/resend_test.go
@@ -86,8 +86,7 @@
 			{Name: "model", Host: "h", PathPrefix: "/model/", Kind: routing.Streaming, Resumable: true, MaxAttempts: 3, Targets: to("model")},
 		},
 		Services: []routing.Service{{Name: "plain"}, {Name: "model", Model: &model}},
-	}))
-	g.SetReplicas(func(service string) []roster.Entry {
+	}), func(service string) []roster.Entry {
 		var out []roster.Entry
 		for i, address := range addresses {
 			e := roster.Entry{ID: strconv.Itoa(i), Service: service, Address: address, Zone: "z", StartTime: 1}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -12,8 +12,9 @@
 	"masticbank.example/core/routing"
 )
 
-// Configure puts a configuration in force. Versions must be ascending.
-func (g *Gateway) Configure(t *routing.Table) {
+// Configure puts a configuration in force, with the usable replicas of each service. Versions must be
+// ascending.
+func (g *Gateway) Configure(t *routing.Table, usable func(service string) []roster.Entry) {
 	g.mu.Lock()
 	for _, s := range t.Services() {
 		if s.Model == nil {
@@ -24,6 +25,8 @@
 		}
 	}
 	g.mu.Unlock()
+	// A route must not lead to a service before its replicas are known.
+	g.setReplicas(t, usable)
 	g.routes.Store(t)
 }
 
@@ -42,10 +45,13 @@
 
 // SetReplicas replaces the list of usable replicas of each service.
 func (g *Gateway) SetReplicas(usable func(service string) []roster.Entry) {
-	t := g.routes.Load()
-	if t == nil {
-		return
+	if t := g.routes.Load(); t != nil {
+		g.setReplicas(t, usable)
 	}
+}
+
+// setReplicas replaces the list of usable replicas of each service of a configuration.
+func (g *Gateway) setReplicas(t *routing.Table, usable func(service string) []roster.Entry) {
 	for i := range t.Services() {
 		s := &t.Services()[i]
 		entries := usable(s.Name)
--- a/node/gateway/survey_test.go
+++ b/node/gateway/survey_test.go
@@ -55,8 +55,7 @@
 		var wg sync.WaitGroup
 		for range instances {
 			g := New(Options{Client: exchange.New(exchange.Options{}), Logger: zap.NewNop(), Metrics: NewMetrics(), Control: reports})
-			g.Configure(routing.NewTable(&routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Model: model}}}))
-			g.SetReplicas(func(string) []roster.Entry {
+			g.Configure(routing.NewTable(&routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Model: model}}}), func(string) []roster.Entry {
 				var out []roster.Entry
 				for i := range replicas {
 					out = append(out, roster.Entry{
