The replicas of a removed service are still kept up to date

A request in progress whose service is missing in a newer configuration would be sent once more to replicas that have shut down or left since (DRAIN), as only the lists of services in the newest version were replaced. A service that came back began with its old list.

All services that this instance knows get their list.

TestReplicaThatLeftARemovedServiceGetsARetry failed before: the replica that had left ran the request.

--- a/node/gateway/configure_test.go
+++ b/node/gateway/configure_test.go
@@ -32,12 +32,32 @@
 	g := newResendGateway(t, retry.Limit{Window: 10 * time.Second}, address)
 	during := 0
 	g.Configure(movedRoute(), func(service string) []roster.Entry {
-		if service != "next" {
-			return nil
+		if service == "next" {
+			during = g.send("/plain/1", 10*time.Second)
 		}
-		during = g.send("/plain/1", 10*time.Second)
 		return []roster.Entry{{ID: "n", Service: service, Address: address, Zone: "z", StartTime: 1}}
 	})
 	require.Equal(t, http.StatusOK, during)
 	require.Equal(t, http.StatusOK, g.send("/plain/1", 10*time.Second))
 }
+
+// TestReplicaThatLeftARemovedServiceGetsARetry guards against requests in progress that are sent to
+// replicas which have left since the configuration has no such service any more.
+func TestReplicaThatLeftARemovedServiceGetsARetry(t *testing.T) {
+	var g *resendGateway
+	left := 0
+	none := func(string) []roster.Entry { return nil }
+	first := startReplica(t, func(w http.ResponseWriter, r *http.Request) {
+		g.Configure(movedRoute(), none)
+		g.SetReplicas(none)
+		rejects(w, r)
+	})
+	second := startReplica(t, func(w http.ResponseWriter, r *http.Request) {
+		left++
+		answers(w, r)
+	})
+	g = newResendGateway(t, retry.Limit{Slack: 100, Window: 10 * time.Second}, first, second)
+	require.Equal(t, http.StatusServiceUnavailable, g.send("/plain/1", 10*time.Second))
+	require.Zero(t, left)
+	require.Equal(t, []string{"rejected"}, g.outcomes())
+}
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -50,16 +51,25 @@
 	}
 }
 
-// setReplicas replaces the list of usable replicas of each service of a configuration.
+// setReplicas replaces the list of usable replicas of each service of a configuration, and of the
+// services of earlier ones, which requests in progress still use.
 func (g *Gateway) setReplicas(t *routing.Table, usable func(service string) []roster.Entry) {
 	for i := range t.Services() {
 		s := &t.Services()[i]
-		entries := usable(s.Name)
 		if s.Model != nil {
-			g.model(s).setReplicas(entries)
-			continue
+			g.model(s)
+		} else {
+			g.plain(s.Name)
 		}
-		g.plain(s.Name).setReplicas(entries)
+	}
+	g.mu.Lock()
+	models, plains := maps.Clone(g.models), maps.Clone(g.plains)
+	g.mu.Unlock()
+	for name, p := range models {
+		p.setReplicas(usable(name))
+	}
+	for name, p := range plains {
+		p.setReplicas(usable(name))
 	}
 }
 
