A check of a path is not acted on after the stream has left the path

Callers of streams would see a further pause, and their retry be spent: a process that stood still for 0.4 s between a change of the path and the result of a check that had begun before it took that result for one about the new path, and moved the stream again or ended its run on the healthy path.

The result is ignored if the stream has left a replica since the check began, as it already was after an event; the next check follows within 130 ms.

TestLateFindingEndsARunOnItsNewPath failed before for both kinds of results: the run was ended.

--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -93,7 +93,8 @@
 func (w *stallWatch) apply(ctx context.Context, f finding) (lost bool) {
 	s := w.s
 	w.checking = false
-	if ctx.Err() != nil || s.lastProgress.After(f.startedAt) {
+	// An event, or another path, since the check began makes its result outdated.
+	if ctx.Err() != nil || s.lastProgress.After(f.startedAt) || s.leftAt.After(f.startedAt) {
 		return false
 	}
 	for _, id := range f.failed {
