The reason why a retry is denied is written by one goroutine only

The check right before a send runs in the goroutine that waits for the connection, while the one that watches the run may decide on a retry: both wrote the call's reason, a string, and a log line that reads half of each could end the process, and with it all its connections. The write before the send had no reader: the error says the same.

--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -61,12 +61,12 @@
 // errMayCrashReplica means that a retry is denied because of what became known since it was allowed.
 var errMayCrashReplica = errors.New("the request may crash another replica")
 
-// retryDenied returns an error if the request is a retry that crash evidence denies by now.
+// retryDenied returns an error if the request is a retry that crash evidence denies by now. It is called
+// by the goroutine that sends, while another one decides on the run and writes the call's denialReason.
 func (g *Gateway) retryDenied(c *call, retry bool) error {
 	if !retry || g.crashes.mayRetry(c) {
 		return nil
 	}
-	c.denialReason = deniedCrashes
 	g.opts.Metrics.RetryDenied(deniedCrashes)
 	return errMayCrashReplica
 }
--- a/node/gateway/watch_test.go
+++ b/node/gateway/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +67,16 @@
 		})
 	}
 }
+
+// TestReasonOfADeniedRetryIsWrittenByTwoGoroutines guards against a data race: the check right before the
+// send runs in another goroutine than the decisions on the run.
+func TestReasonOfADeniedRetryIsWrittenByTwoGoroutines(t *testing.T) {
+	s := newWatchedStream(nil)
+	defer s.grant.release()
+	s.fingerprint = lossOf(0).Crashes[0].Fingerprint
+	s.g.MergeEvidence(lossOf(0))
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.g.retryDenied(s.call, true) })
+	wg.Go(func() { _ = s.claimRetry(t.Context()) })
+	wg.Wait()
+}
