The end of a session does not delete a later record of its peer

An instance could lose a peer with a session from its list: that peer got no more loads, updates of replicas and retries from it, until the list of members was set again. If the peer was removed from the list between the end of its session and the notification of that end, its record was deleted, and the notification then deleted, by name, the record of the session that had followed; or it told of a lost peer after the next session of it was announced. No client's request depends on one session.

The record stays until the end of each session is notified.

--- a/node/peer/remote.go
+++ b/node/peer/remote.go
@@ -23,6 +23,8 @@
 	// openSessions holds the sessions that have not ended yet. All except
 	// session are being closed.
 	openSessions []*session
+	// ending counts the sessions that have ended and whose end is not notified yet.
+	ending int
 	// lastSession is the ID of the last session that ended here.
 	lastSession uint64
 	// latestProcess is the process number of the last registered session. It
@@ -79,9 +81,10 @@
 }
 
 // deleteIfUnused deletes the record of a peer that is not wanted and has no
-// open session. The caller must hold n.mu.
+// open or ending session: the end of one would be taken for that of a later
+// record of the peer. The caller must hold n.mu.
 func (n *Node) deleteIfUnused(r *remote) {
-	if !r.wanted && len(r.openSessions) == 0 {
+	if !r.wanted && len(r.openSessions) == 0 && r.ending == 0 {
 		delete(n.remotes, r.id)
 	}
 }
@@ -145,9 +148,11 @@
 }
 
 // unregister removes s from the record of its peer after it has ended.
+// notifyDown must follow.
 func (n *Node) unregister(r *remote, s *session) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	r.ending++
 	r.lastSession = s.id
 	r.endedTotals.add(s.counters())
 	r.openSessions = slices.DeleteFunc(r.openSessions, func(other *session) bool { return other == s })
@@ -184,5 +189,6 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	r.ending--
 	n.deleteIfUnused(r)
 }
