A request is judged by one configuration

Callers could get 413 for a body that the configuration which admitted their request allows: the limit was looked up once more after the body was read, in the table in force by then.

The limit is kept with the route and the version that the log names.

TestRequestIsJudgedByTwoConfigurations failed before: 413 where 200 is due.

--- a/node/gateway/configure_test.go
+++ b/node/gateway/configure_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -61,3 +63,26 @@
 	require.Zero(t, left)
 	require.Equal(t, []string{"rejected"}, g.outcomes())
 }
+
+// TestRequestIsJudgedByTwoConfigurations guards against requests that one configuration admits and
+// another one, which comes into force meanwhile, refuses by its limits.
+func TestRequestIsJudgedByTwoConfigurations(t *testing.T) {
+	address := startReplica(t, answers)
+	g := newResendGateway(t, retry.Limit{Window: 10 * time.Second}, address)
+	r := httptest.NewRequest(http.MethodPost, "/plain/1", readerFunc(func(p []byte) (int, error) {
+		g.Configure(routing.NewTable(&routing.Config{Version: 2, Limits: routing.Limits{BodyBytes: 1}}), func(string) []roster.Entry {
+			return []roster.Entry{{ID: "0", Service: "plain", Address: address, Zone: "z", StartTime: 1}}
+		})
+		return copy(p, "body"), io.EOF
+	}))
+	r.Host = "h"
+	r.Header.Set("Id", t.Name())
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code)
+}
+
+// readerFunc is an io.Reader made of its Read method.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -162,9 +162,12 @@
 	deadline time.Time
 	// deadlineSource names which of the two applies: "caller" (the client's) or "route".
 	deadlineSource string
-	version        int64
-	sends          int
-	replica        string
+	// version is that of the configuration by which the request is judged, bodyLimit its limit on the
+	// body in bytes, or 0.
+	version   int64
+	bodyLimit int
+	sends     int
+	replica   string
 	// fingerprint identifies the content of the request; it is the same for later attempts
 	// of the client.
 	fingerprint poison.Fingerprint
@@ -205,7 +208,7 @@
 		g.sendRefusal(c, http.StatusBadRequest, "body", 0)
 		return
 	}
-	if limit := g.routes.Load().Limits().BodyBytes; limit > 0 && len(body) > limit {
+	if c.bodyLimit > 0 && len(body) > c.bodyLimit {
 		g.sendRefusal(c, http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return
 	}
@@ -266,7 +269,7 @@
 		g.sendRefusal(c, http.StatusServiceUnavailable, "no_configuration", noConfigRetryAfter)
 		return false
 	}
-	c.version = table.Version()
+	c.version, c.bodyLimit = table.Version(), table.Limits().BodyBytes
 	host, path := hostAndPath(c.http)
 	c.route = table.Route(host, path)
 	if c.route == nil {
