A pause does not apply to a later process of the replica that asked for it

Callers would find fewer usable replicas for up to a minute: the pause that a response of a stage asks for was recorded for the process that is listed when the response is read, by the replica's name or, for the stage that rejected, by its address. If the process stood still and the replica had restarted, or another one had its address, that one was blocked.

The pause is recorded for the stages of the path by which the request was sent.

TestPauseOfAnEarlierProcessBlocksTheNext failed before: the restarted replica was blocked.

--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -276,7 +276,7 @@
 		g := p.acquireAvoiding("c")
 		defer g.release()
 		require.True(t, g.mayGet(time.Now()))
-		p.pause("b", time.Second)
+		p.pause(g.path()[1], time.Second)
 		require.False(t, g.mayGet(time.Now()))
 		time.Sleep(2 * time.Second)
 		require.True(t, g.mayGet(time.Now()))
--- a/node/gateway/pause.go
+++ b/node/gateway/pause.go
@@ -29,9 +29,10 @@
 	if info.Pause <= 0 {
 		return
 	}
-	s.g.logPause(s.ID, first.ID, info.Pause, s.pool.pause(first.ID, info.Pause))
-	if stage := s.pool.idAt(info.FailingStage); stage != "" && stage != first.ID {
-		s.g.logPause(s.ID, stage, info.Pause, s.pool.pause(stage, info.Pause))
+	for _, stage := range s.grant.path() {
+		if stage.ID == first.ID || stage.Address == info.FailingStage {
+			s.g.logPause(s.ID, stage.ID, info.Pause, s.pool.pause(stage, info.Pause))
+		}
 	}
 }
 
@@ -47,13 +48,17 @@
 		zap.Duration("asked", requested), zap.Duration("for", time.Until(until)))
 }
 
-// pause keeps new paths away from a stage that asked for a pause, and returns its end.
-func (p *modelPool) pause(id string, d time.Duration) time.Time {
+// pause keeps new paths away from a stage that asked for a pause, and returns its end. It does not
+// apply to a later process of the replica.
+func (p *modelPool) pause(stage pipeline.Stage, d time.Duration) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	end := p.pauses.Add(now, id, p.startTimes[id], d, rand.Float64())
-	p.fleet.Block(id, end)
+	if p.startTimes[stage.ID] > stage.StartTime {
+		return now
+	}
+	end := p.pauses.Add(now, stage.ID, stage.StartTime, d, rand.Float64())
+	p.fleet.Block(stage.ID, end)
 	return end
 }
 
