A late report of an earlier process does not change the layers of a replica

Callers would be sent over layers that a replica does not hold, and be rejected there: a report that was read after the list had shown a new process was recorded for that one, with the layers, step time and cache usage of the earlier process, and was published to the other instances. The report names its process, which nothing compared.

TestReportOfAnEarlierProcessChangesTheLayers failed before: layers 0 to 2 instead of 0 to 1. Reports that another instance sends on do not name the process; they are not compared.

--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -366,7 +366,7 @@
 	s.report, s.err = p.control.Report(context.WithoutCancel(ctx), r)
 	close(s.done)
 	if s.err == nil {
-		p.observe(r.ID, s.report.toPipeline())
+		p.observe(r.ID, s.report)
 	}
 	return s.report, s.err
 }
@@ -377,9 +377,14 @@
 	}
 }
 
-// observe records the state that a replica reported.
-func (p *modelPool) observe(id string, o pipeline.Report) {
+// observe records the state that a replica reported, and returns whether it is that of the listed
+// process: a report may be read late.
+func (p *modelPool) observe(id string, r Report) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet.Observe(time.Now(), id, o)
+	if r.StartTime != 0 && r.StartTime < p.startTimes[id] {
+		return false
+	}
+	p.fleet.Observe(time.Now(), id, r.toPipeline())
+	return true
 }
--- a/node/gateway/probe.go
+++ b/node/gateway/probe.go
@@ -129,7 +129,7 @@
 	s.ok = err == nil
 	close(s.done)
 	if s.ok {
-		p.observe(r.ID, report.toPipeline())
+		p.observe(r.ID, report)
 	}
 	return s.ok
 }
--- a/node/gateway/pause_test.go
+++ b/node/gateway/restart_test.go
@@ -40,3 +40,18 @@
 		require.False(t, s.pool.fleet.Blocked("c", time.Now()))
 	})
 }
+
+// TestReportOfAnEarlierProcessChangesTheLayers guards against paths over layers that a replica held before
+// it restarted, because a report of that time is read late.
+func TestReportOfAnEarlierProcessChangesTheLayers(t *testing.T) {
+	p := newPool()
+	p.setReplicas([]roster.Entry{
+		{ID: "a", Service: "s", Address: "a", Zone: "z", Kind: "k", StartTime: 2, Layers: &roster.Layers{From: 0, To: 1}},
+	})
+	p.observe("a", Report{StartTime: 1, HasLayers: true, From: 0, To: 2})
+	require.Equal(t, 1, p.state("a").To)
+	p.observe("a", Report{StartTime: 2, HasLayers: true, From: 0, To: 3})
+	require.Equal(t, 3, p.state("a").To)
+	p.observe("a", Report{HasLayers: true, From: 0, To: 2})
+	require.Equal(t, 2, p.state("a").To, "a report that states no process counts")
+}
--- a/node/gateway/survey.go
+++ b/node/gateway/survey.go
@@ -101,11 +101,12 @@
 				if report.Leaving {
 					g.reportLeaving(r)
 				}
-				o := report.toPipeline()
-				p.observe(r.ID, o)
+				if !p.observe(r.ID, report) {
+					return
+				}
 				mu.Lock()
 				defer mu.Unlock()
-				out[r.ID] = o
+				out[r.ID] = report.toPipeline()
 			})
 		}
 	}
