A test that the end of a request does not reach the next one on its connection

No change of behavior. A request's context may end while its connection goes back to the pool; the deadline that this sets must not meet the next request.

--- a/node/exchange/reuse_test.go
+++ b/node/exchange/reuse_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -67,3 +69,26 @@
 	require.NoError(t, err)
 	require.Equal(t, "hello", readBody(t, resp))
 }
+
+// TestLateCancellationEndsTheNextRequest guards against the end of a request's context that sets the
+// deadline of its connection once the next request is on it.
+func TestLateCancellationEndsTheNextRequest(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }))
+	t.Cleanup(s.Close)
+	address := s.Listener.Addr().String()
+	c := newClient(t)
+	for range 2000 {
+		ctx, cancel := context.WithCancel(context.Background())
+		resp, err := c.Do(ctx, address, getRequest("/cancelled"))
+		require.NoError(t, err)
+		data, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "hello", string(data))
+		go cancel()
+		resp.Close()
+		resp, err = c.Do(context.Background(), address, getRequest("/next"))
+		require.NoError(t, err)
+		require.Equal(t, "hello", readBody(t, resp))
+		<-ctx.Done()
+	}
+}
