--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -12,8 +13,9 @@
 	"masticbank.example/core/routing"
 )
 
-// Configure puts a configuration in force. Versions must be ascending.
-func (g *Gateway) Configure(t *routing.Table) {
+// Configure puts a configuration in force, with the usable replicas of each service. Versions must be
+// ascending.
+func (g *Gateway) Configure(t *routing.Table, usable func(service string) []roster.Entry) {
 	g.mu.Lock()
 	for _, s := range t.Services() {
 		if s.Model == nil {
@@ -24,6 +26,8 @@
 		}
 	}
 	g.mu.Unlock()
+	// A route must not lead to a service before its replicas are known.
+	g.setReplicas(t, usable)
 	g.routes.Store(t)
 }
 
@@ -42,18 +46,30 @@
 
 // SetReplicas replaces the list of usable replicas of each service.
 func (g *Gateway) SetReplicas(usable func(service string) []roster.Entry) {
-	t := g.routes.Load()
-	if t == nil {
-		return
+	if t := g.routes.Load(); t != nil {
+		g.setReplicas(t, usable)
 	}
+}
+
+// setReplicas replaces the list of usable replicas of each service of a configuration, and of the
+// services of earlier ones, which requests in progress still use.
+func (g *Gateway) setReplicas(t *routing.Table, usable func(service string) []roster.Entry) {
 	for i := range t.Services() {
 		s := &t.Services()[i]
-		entries := usable(s.Name)
 		if s.Model != nil {
-			g.model(s).setReplicas(entries)
-			continue
+			g.model(s)
+		} else {
+			g.plain(s.Name)
 		}
-		g.plain(s.Name).setReplicas(entries)
+	}
+	g.mu.Lock()
+	models, plains := maps.Clone(g.models), maps.Clone(g.plains)
+	g.mu.Unlock()
+	for name, p := range models {
+		p.setReplicas(usable(name))
+	}
+	for name, p := range plains {
+		p.setReplicas(usable(name))
 	}
 }
 
