The stop test counts runs once both requests have reached the replica

TestLateRequestsAreCutByAStop failed beside load by the counts of line 56: it waited until the instance had two requests in progress and took the number of the replica's runs then. The instance counts a request before it is sent, so one or both reached the replica after that. In each of the five failures seen the replica had run the request of the beginning and the two early ones, in all three, and no late one; the test had counted one or two.

The test now waits until the replica has run both. It still demands that the late request adds no run, and now that the early ones have added exactly two; that they are due 502 holds only once they have been sent.

--- a/cmd/internal/entry/stop_test.go
+++ b/cmd/internal/entry/stop_test.go
@@ -44,10 +44,10 @@
 			got <- fmt.Sprint(path, ": ", resp.StatusCode)
 		}()
 	}
+	runs := len(a.Runs()) + 2
 	send("POST", "/order/early")
 	send("GET", "/look/early")
-	env.eventually(func() bool { return env.instance.InFlight() == 2 }, "in progress")
-	runs := len(a.Runs())
+	env.eventually(func() bool { return len(a.Runs()) == runs }, "in progress at the replica")
 	stopped := make(chan error, 1)
 	go func() { stopped <- env.instance.Stop() }()
 	time.Sleep(late)
