--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -64,17 +64,6 @@
 	// replica can take over, and a replica may be silent for a second or so.
 	replicaUnackedTimeoutLast = 2500 * time.Millisecond
 
-	// drainNotice is how long new requests may still arrive after SIGTERM. The platform
-	// checks readiness every second and stops routing after the second failed check.
-	drainNotice = 3 * time.Second
-	// stopMargin is the part of the grace period that is left unused before the platform
-	// kills the process.
-	stopMargin = 500 * time.Millisecond
-	// answerMargin is how long after the end of the wait for them the requests in progress are
-	// ended. Their answers are sent within the rest of stopMargin.
-	answerMargin = stopMargin / 4
-	// drainPollInterval is how often Stop checks whether requests are still in progress.
-	drainPollInterval = 50 * time.Millisecond
 	// memoryLimitFraction is the fraction of the instance's memory that is set as the
 	// garbage collector's memory limit. The rest is for thread stacks and kernel memory.
 	memoryLimitFraction = 0.7
@@ -287,46 +276,6 @@
 	}
 }
 
-// Stop shuts the instance down gracefully: it reports not ready, serves until no more
-// new requests are expected and those in progress have completed, and ends the instance
-// within the platform's grace period. Later calls return the result of the first.
-func (i *Instance) Stop() error {
-	i.stop.Do(func() { i.stopErr = i.stopOnce() })
-	return i.stopErr
-}
-
-func (i *Instance) stopOnce() error {
-	start := time.Now()
-	s := i.settings.Load()
-	end := start.Add(s.Bounds.Shutdown - stopMargin)
-	i.log.Info("stopping", zap.Int("in_flight", i.metrics.InFlight()), zap.Duration("within", s.Bounds.Shutdown))
-	i.leaving.Store(true)
-	i.control.ReleaseLeadership()
-	i.clientServer.Drain()
-	notice := start.Add(i.opts.DrainNotice)
-	i.gateway.Drain(notice, end)
-	i.waitIdle(notice, end)
-	defer time.AfterFunc(time.Until(end.Add(answerMargin)), i.gateway.EndRequests).Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), end.Add(stopMargin/2))
-	defer cancel()
-	err := trace.NewAggregate(i.clientServer.Shutdown(ctx), i.close(ctx))
-	i.log.Info("stopped", zap.Duration("took", time.Since(start)), zap.Int("in_flight", i.metrics.InFlight()), zap.Error(err))
-	return trace.Wrap(err)
-}
-
-// close stops everything except the listener for clients.
-func (i *Instance) close(ctx context.Context) error {
-	i.cancel()
-	errs := []error{i.group.Wait(), i.mesh.Close(ctx), i.readyServer.Shutdown(ctx)}
-	if i.metricsServer != nil {
-		errs = append(errs, i.metricsServer.Shutdown(ctx))
-	}
-	i.client.Close()
-	i.replicas.Close()
-	i.store.Close()
-	return trace.NewAggregate(errs...)
-}
-
 // ClientAddr returns the address that clients connect to.
 func (i *Instance) ClientAddr() string { return i.clientServer.Addr() }
 
@@ -345,15 +294,3 @@
 
 // ReadyAddr returns the address for readiness checks.
 func (i *Instance) ReadyAddr() string { return i.readyServer.Addr() }
-
-// waitIdle waits until notice has passed and no request is in progress, but at most until
-// end.
-func (i *Instance) waitIdle(notice, end time.Time) {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if now.After(end) || (now.After(notice) && i.metrics.InFlight() == 0) {
-			return
-		}
-	}
-}
