A path is found beside any number of detours

A request on such replicas would wait for a path until its patience is over, though one replica holds all layers.

Cause: a search may yield a path that leaves a replica and returns to it, which engines refuse. It was repeated without the replica that begins the detour, at most three times; with four such replicas, or if the replica left out is needed elsewhere, no path was returned.

Change: then the cheapest path found is used, with each detour replaced by the replica that it leaves. That one holds the layers of the detour, as the layers of a replica are consecutive. No search is added. Nothing changes where a path was found before: a path without detours is returned at the same point of the same searches, and only the two returns of "no path" after a path with detours differ.

Evidence: TestManyDetoursHideTheDirectPath fails without the change at four detours, and passes with it.

--- a/core/pipeline/choose.go
+++ b/core/pipeline/choose.go
@@ -52,49 +52,33 @@
 // there is none. It runs a shortest-path search over the states (layer, replica), where changing
 // the replica adds the cost of a transfer. The running time is proportional to the number of
 // layers times the number of replicas that hold each.
+//
+// A search may find a path with detours. Then it is repeated without the replica that begins the
+// first one, and if that yields no path, the cheapest path found is used without its detours.
 func (f *Fleet) Choose(now time.Time, d Demand, c Constraint) (Choice, bool) {
+	var direct Choice
+	found := false
 	for range maxSearches {
 		s := &search{fleet: f, now: now, demand: d, constraint: c}
 		choice, ok := s.run()
 		if !ok {
-			return Choice{}, false
+			break
 		}
 		detour := detourStart(choice.Path)
 		if detour == "" {
 			return choice, true
 		}
+		if candidate := s.withoutDetours(choice.Path); !found || candidate.Cost < direct.Cost {
+			direct, found = candidate, true
+		}
 		c.Avoid = withMember(c.Avoid, detour)
 	}
-	return Choice{}, false
+	return direct, found
 }
 
 // maxSearches is the maximum number of searches for one choice.
 const maxSearches = 4
 
-// withMember returns a copy of the set with the ID added.
-func withMember(set map[string]bool, id string) map[string]bool {
-	out := make(map[string]bool, len(set)+1)
-	for k := range set {
-		out[k] = true
-	}
-	out[id] = true
-	return out
-}
-
-// detourStart returns the first replica of a detour, that is, of a part of the path that leaves a
-// replica and returns to it later. It returns "" if there is none. Engines refuse paths with
-// detours.
-func detourStart(p Path) string {
-	seen := make(map[string]int, len(p))
-	for i, stage := range p {
-		if at, ok := seen[stage.ID]; ok {
-			return p[at+1].ID
-		}
-		seen[stage.ID] = i
-	}
-	return ""
-}
-
 type search struct {
 	fleet      *Fleet
 	now        time.Time
