A run on a restarted replica is not taken for a crash of the process before

Callers' requests that crash replicas could crash a fourth one: two crashes counted as one incident.

Cause: a run was recorded for the process in the list. A copy that reaches a replica after its restart, before the list shows it, was recorded for the old process, unless the end of that one was known already; then the old process's end, seen by the list, explained both runs. Likewise a run for the process after a known end had a start that is never listed, so that a later start in the list proved nothing for it.

Change: the list tells the start of the next process with the end of the one before. A run that was sent after that start waits for the end of the next process, and a run on an unlisted process gets its listed start.

TestUnannouncedEnds asks for the start of the next process too.

--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -58,8 +58,7 @@
 	retention time.Duration
 	lostRuns  []LostRun
 	lostAt    []time.Time
-	// ended maps processes to the time at which their end was detected.
-	ended map[Process]time.Time
+	ended     map[Process]end
 	// tracked holds the crashes by fingerprint.
 	tracked map[Fingerprint]*crashHistory
 	// explainedBy maps crashed processes to a blocked fingerprint that caused the crash. It and the
@@ -81,7 +80,7 @@
 func NewLedger(retention time.Duration) *Ledger {
 	return &Ledger{
 		retention:   retention,
-		ended:       map[Process]time.Time{},
+		ended:       map[Process]end{},
 		tracked:     map[Fingerprint]*crashHistory{},
 		explainedBy: map[Process]Fingerprint{},
 		successes:   newSuccesses(),
@@ -114,74 +113,6 @@
 	return nil
 }
 
-// Process returns the process that a run was sent to, provided that the replica accepted
-// the run. If the listed process is known to have ended before the run, the run went to a
-// later process that is not listed yet.
-func (l *Ledger) Process(listed Process, sentAt time.Time) Process {
-	for {
-		at, ok := l.ended[listed]
-		if !ok || !at.Before(sentAt) {
-			return listed
-		}
-		listed.StartTime++
-	}
-}
-
-// recentEnd returns when the end of a process was detected, and whether that lies within
-// matchWindow.
-func (l *Ledger) recentEnd(now time.Time, r Process) (time.Time, bool) {
-	at, ok := l.ended[r]
-	return at, ok && now.Sub(at) <= matchWindow
-}
-
-// RecordEnd records that a replica process ended unexpectedly. It returns the crashes that
-// this proves. Runs that are reported lost later are matched as well.
-func (l *Ledger) RecordEnd(now time.Time, r Process) []Crash {
-	return l.recordEnd(now, r, now)
-}
-
-func (l *Ledger) recordEnd(now time.Time, r Process, at time.Time) []Crash {
-	l.expireLostRuns(now)
-	if _, known := l.ended[r]; known {
-		return nil
-	}
-	if len(l.ended) >= maxEnded {
-		l.evictOldestEnds()
-	}
-	l.ended[r] = at
-	return l.RecordRemoval(now, r)
-}
-
-// RecordRemoval records that a replica process is no longer listed. This proves crashes
-// only for runs that were lost before, since a replica that shuts down is removed from the
-// list first.
-func (l *Ledger) RecordRemoval(now time.Time, r Process) []Crash {
-	l.expireLostRuns(now)
-	var out []Crash
-	for i := 0; i < len(l.lostRuns); {
-		run := l.lostRuns[i]
-		if !slices.Contains(run.Processes, r) {
-			i++
-			continue
-		}
-		l.removeLostRun(i)
-		out = append(out, l.recordCrash(now, run, r)...)
-	}
-	return out
-}
-
-// evictOldestEnds evicts maxEnded/evictionDivisor processes, those that ended first.
-func (l *Ledger) evictOldestEnds() {
-	all := make([]Process, 0, len(l.ended))
-	for r := range l.ended {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b Process) int { return l.ended[a].Compare(l.ended[b]) })
-	for _, r := range all[:maxEnded/evictionDivisor] {
-		delete(l.ended, r)
-	}
-}
-
 func (l *Ledger) removeLostRun(i int) {
 	l.lostRuns = slices.Delete(l.lostRuns, i, i+1)
 	l.lostAt = slices.Delete(l.lostAt, i, i+1)
@@ -332,8 +263,8 @@
 // ends and clearances. It scans all entries and should be called periodically.
 func (l *Ledger) Expire(now time.Time) {
 	l.expireLostRuns(now)
-	for r, at := range l.ended {
-		if now.Sub(at) > matchWindow {
+	for r, e := range l.ended {
+		if now.Sub(e.at) > matchWindow {
 			delete(l.ended, r)
 		}
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -100,6 +100,8 @@
 	// Restarted is true if a later process of the replica, or another replica at its
 	// address, is listed, false if the entry was removed.
 	Restarted bool
+	// NextStart is the start time of the replica's later process; 0 if none is listed.
+	NextStart int64
 }
 
 // DrainEnded returns the processes whose end was detected since the last call.
@@ -207,7 +209,7 @@
 		r.byAddress[e.Address] = e.ID
 	}
 	if restarted && !previous.leaving {
-		r.ended = append(r.ended, EndedProcess{ID: e.ID, StartTime: previous.StartTime, Restarted: true})
+		r.ended = append(r.ended, EndedProcess{ID: e.ID, StartTime: previous.StartTime, Restarted: true, NextStart: e.StartTime})
 	}
 	old.Entry = e
 	old.expiredAt = time.Time{}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -185,7 +185,7 @@
 	r.Put(entry("after", "d", 2, roster.Ready))
 	r.Put(entry("leaves-and-restarts", "e", 2, roster.Ready))
 	require.Equal(t, []roster.EndedProcess{
-		{ID: "restarts", StartTime: 1, Restarted: true},
+		{ID: "restarts", StartTime: 1, Restarted: true, NextStart: 2},
 		{ID: "replaced", StartTime: 1, Restarted: true},
 		{ID: "expires", StartTime: 1},
 	}, r.DrainEnded())
--- a/node/control/follow.go
+++ b/node/control/follow.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"masticbank.example/core/poison"
 	"masticbank.example/core/roster"
 )
 
@@ -378,6 +377,6 @@
 	defer c.mu.Unlock()
 	c.opts.Gateway.SetReplicas(c.roster.Available)
 	for _, e := range c.roster.DrainEnded() {
-		c.opts.Gateway.ReplicaEnded(poison.Process{Replica: e.ID, StartTime: e.StartTime}, e.Restarted)
+		c.opts.Gateway.ReplicaEnded(e)
 	}
 }
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -169,6 +169,14 @@
 	k.logCrashes(k.ledger.RecordEnd(time.Now(), r), evidence)
 }
 
+// recordRestart records that a replica process ended and a later one, which started at nextStart, is
+// listed.
+func (k *crashGuard) recordRestart(r poison.Process, nextStart int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.logCrashes(k.ledger.RecordRestart(time.Now(), r, nextStart), endRestarted)
+}
+
 // logCrashes logs each crash, and each request that is blocked because of it, and has them published.
 // The lock is held.
 func (k *crashGuard) logCrashes(crashes []poison.Crash, evidence string) {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -171,14 +171,16 @@
 func (g *Gateway) EvidenceDigest() uint64 { return g.crashes.digest() }
 
 // ReplicaEnded records that a process of a replica ended without an orderly shutdown.
-// restarted is true if a later process of the replica is listed, false if the replica is
-// no longer listed.
-func (g *Gateway) ReplicaEnded(r poison.Process, restarted bool) {
-	evidence := endRemoved
-	if restarted {
-		evidence = endRestarted
+func (g *Gateway) ReplicaEnded(e roster.EndedProcess) {
+	r := poison.Process{Replica: e.ID, StartTime: e.StartTime}
+	switch {
+	case e.NextStart != 0:
+		g.crashes.recordRestart(r, e.NextStart)
+	case e.Restarted:
+		g.crashes.recordEnd(r, endRestarted)
+	default:
+		g.crashes.recordEnd(r, endRemoved)
 	}
-	g.crashes.recordEnd(r, evidence)
 }
 
 // Loads returns the load that this instance causes, by service and replica.
