Refused connections count for the process that got the run

Cause: a check of a replica names the process that was listed when it was scheduled. If the list shows the next process before the connections are refused, the refusals were recorded for the old one, whose end is known, and the run on the next one had no evidence until that one's restart was listed.

Change: the process is looked up when the check ends, by the time at which the run was sent.

Evidence: TestRefusalsAreTakenForTheOldProcess gave no incident of 1 before, and passes now.

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -60,10 +60,12 @@
 	lastResponse sync.Map
 }
 
-// check is a replica process whose connections are to be checked.
+// check is a replica process whose connections are to be checked, as a run that was sent to it at sentAt
+// was lost.
 type check struct {
 	poison.Process
 	address string
+	sentAt  time.Time
 }
 
 func newCrashGuard(client *exchange.Client, metrics *Metrics, log *zap.Logger) *crashGuard {
@@ -245,7 +247,7 @@
 }
 
 // scheduleCheck schedules a check whether a replica still accepts connections.
-func (k *crashGuard) scheduleCheck(r poison.Process, address string) {
+func (k *crashGuard) scheduleCheck(r poison.Process, address string, sentAt time.Time) {
 	now := time.Now()
 	k.mu.Lock()
 	if now.Sub(k.checkedAt[r]) < checkInterval {
@@ -255,7 +257,7 @@
 	k.checkedAt[r] = now
 	k.mu.Unlock()
 	select {
-	case k.queue <- check{r, address}:
+	case k.queue <- check{r, address, sentAt}:
 	default:
 		k.log.Warn("replica not checked: too many checks are queued", zap.String("replica", r.Replica))
 	}
@@ -304,10 +306,16 @@
 		return
 	}
 	if k.client.Refused(ctx, c.address) {
-		k.recordEnd(c.Process, endRefused)
+		k.recordRefusals(c)
 	}
 }
 
+// recordRefusals records the end of the process that the run of a check was sent to. That is known
+// better now if the list has shown a later process since.
+func (k *crashGuard) recordRefusals(c check) {
+	k.recordEnd(k.process(c.Process, c.sentAt), endRefused)
+}
+
 // pending returns the evidence that was not published yet. It also returns all known
 // crashes of each request in it that has crashed more than one replica.
 func (k *crashGuard) pending() (poison.Evidence, []poison.Crash) {
--- a/node/gateway/crashes_test.go
+++ b/node/gateway/crashes_test.go
@@ -59,3 +59,18 @@
 	require.False(t, k.mayRetry(c))
 	require.Equal(t, 2, k.ledger.BlockedCount(), "the request and its part")
 }
+
+// TestRefusalsAreTakenForTheOldProcess guards against losing a crash where the list shows the process
+// that got the run only after a check of the earlier one was scheduled: the refused connections are of
+// the process that got the run.
+func TestRefusalsAreTakenForTheOldProcess(t *testing.T) {
+	k := newCrashGuard(nil, NewMetrics(), zap.NewNop())
+	c := &call{fingerprint: poison.FingerprintOf("m", "1")}
+	now := time.Now()
+	old := poison.Process{Replica: "r", StartTime: now.Add(-time.Minute).UnixMilli()}
+	k.recordLostRun(c, []poison.Process{old}, now, false)
+	k.recordRestart(old, now.Add(-time.Second).UnixMilli())
+	require.Zero(t, k.incidents(c), "the run was sent after the next process had started")
+	k.recordRefusals(check{Process: old, sentAt: now})
+	require.Equal(t, 1, k.incidents(c))
+}
--- a/node/gateway/lostrun.go
+++ b/node/gateway/lostrun.go
@@ -24,7 +24,7 @@
 		processes[0] = received
 	}
 	s.g.crashes.recordLostRun(s.call, processes, s.runAt, s.progressed())
-	s.g.crashes.scheduleCheck(received, first.Address)
+	s.g.crashes.scheduleCheck(received, first.Address, s.runAt)
 }
 
 // progressTime is how long events must have arrived for a run to count as evidence that its
@@ -47,7 +47,7 @@
 	for _, stage := range s.grant.path() {
 		if stage.ID == id {
 			s.g.crashes.recordLostRun(s.call, s.pool.listedProcesses(pipeline.Path{stage}), s.runAt, s.progressed())
-			s.g.crashes.scheduleCheck(poison.Process{Replica: stage.ID, StartTime: stage.StartTime}, stage.Address)
+			s.g.crashes.scheduleCheck(poison.Process{Replica: stage.ID, StartTime: stage.StartTime}, stage.Address, s.runAt)
 		}
 	}
 }
