Logs name the limit that ended a request

A request that ended because of its number of sends or runs had an empty denied in attempt failed, so that such a stream couldn't be told from one whose time was over. denied is now sends, runs, withheld or path then, and attempt failed has the arrivals. request ended of a broken stream has denied, runs, arrivals, the time left and the time since its last event. stage rejected a request names the first replica of the path beside the stage that rejected.

TestRequestEndsWithoutTheNameOfItsLimit failed before in its four cases.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -143,14 +143,38 @@
 	}
 }
 
-func (h *History) mayRetry() bool {
-	if h.Sends >= MaxSends {
-		return false
-	}
-	if h.Runs == 0 {
-		return true
+func (h *History) mayRetry() bool { return h.Limit() == NoLimit }
+
+// Limit is what bounds the sends of one request, besides the retry budget and its deadline.
+type Limit int
+
+// Limits of a request.
+const (
+	// NoLimit means that the request may be sent again.
+	NoLimit Limit = iota
+	// SendLimit means that MaxSends replicas were tried.
+	SendLimit
+	// RunLimit means that the request may have run on as many replicas as it may.
+	RunLimit
+	// WithheldLimit means that the request was withheld MaxWithheld times.
+	WithheldLimit
+)
+
+// String returns the name used in logs.
+func (l Limit) String() string { return [...]string{"", "sends", "runs", "withheld"}[l] }
+
+// Limit returns the limit that the request has reached, if any.
+func (h *History) Limit() Limit {
+	switch {
+	case h.Withheld >= MaxWithheld:
+		return WithheldLimit
+	case h.Sends >= MaxSends:
+		return SendLimit
+	case h.Runs > 0 && (!h.Idempotent || h.Runs >= h.MaxRuns):
+		return RunLimit
+	default:
+		return NoLimit
 	}
-	return h.Idempotent && h.Runs < h.MaxRuns
 }
 
 // MayRetryLost reports whether the request may be sent again if the send in progress is lost.
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -125,7 +125,11 @@
 			s.endUnsent(ctx, h, err)
 			return
 		}
+		if outcome != forward.Withheld {
+			c.denialReason = ""
+		}
 		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitLimit()) })
+		g.recordLimit(ctx, c, h, next)
 		g.returnUnused(c, h, next == forward.Retry)
 		if outcome == forward.Responded || (outcome == forward.Failed && next != forward.Retry) {
 			return
@@ -136,7 +140,7 @@
 			zap.Duration("expected_first_event", s.grant.choice.FirstToken), zap.Duration("run_took", time.Since(s.runAt)),
 			zap.Duration("silent", time.Since(s.lastProgress)), zap.Duration("left", c.remaining(time.Now())),
 			zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason),
-			zap.Int("runs", h.Runs), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
+			zap.Int("runs", h.Runs), zap.Int("sends", h.Sends), zap.Int("arrivals", h.Arrivals), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
 		if next == forward.Retry {
 			s.delay = delayOf(outcome)
 			continue
@@ -188,6 +192,9 @@
 
 // endWithoutPath sends the error response when no path was granted in time.
 func (s *stream) endWithoutPath(ctx context.Context, h *forward.History) {
+	if s.denialReason == "" {
+		s.denialReason = deniedPath
+	}
 	if h.MayHaveRun() || s.headSent {
 		s.endIncomplete(ctx, forward.GiveUp)
 		return
@@ -226,7 +233,9 @@
 		case callerLeft(ctx):
 			reason = "caller_left"
 		}
-		s.g.logEnd(s.call, statusClientClosed, reason, zap.Int64("last_event", s.lastEventID), zap.Int("events", s.relayed))
+		s.g.logEnd(s.call, statusClientClosed, reason, zap.Int64("last_event", s.lastEventID), zap.Int("events", s.relayed),
+			zap.String("denied", s.denialReason), zap.Int("runs", s.history.Runs), zap.Int("arrivals", s.history.Arrivals),
+			zap.Duration("left", s.remaining(time.Now())), zap.Duration("since_event", time.Since(s.lastSent)))
 	case next == forward.Refuse:
 		s.g.sendRefusal(s.call, http.StatusServiceUnavailable, "rejected_everywhere", modelRetryAfter)
 	default:
@@ -349,7 +358,7 @@
 	s.excluded[id] = true
 	state := s.pool.state(id)
 	s.g.log.Info("stage rejected a request", zap.String("request", s.ID), zap.String("part", id),
-		zap.Bool("first", id == first.ID), zap.Int("from", state.From), zap.Int("to", state.To),
+		zap.String("replica", first.ID), zap.Bool("first", id == first.ID), zap.Int("from", state.From), zap.Int("to", state.To),
 		zap.Duration("after", time.Since(s.lastProgress)), zap.Int("status", status), zap.Duration("list_age", s.g.listAge()),
 		zap.Float64("room", state.CacheCapacity), zap.Float64("own", state.Own.Reserved), zap.Float64("foreign", state.Remote.Reserved))
 	immediate := time.Since(s.lastProgress) < immediateRejection && !state.RejectsForMemory()
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -77,14 +77,18 @@
 			g.endUnsent(ctx, c, h, err)
 			return
 		}
+		if outcome != forward.Withheld {
+			c.denialReason = ""
+		}
 		next := h.Step(outcome, func() bool { return g.awaitPlainRetry(ctx, c) })
+		g.recordLimit(ctx, c, h, next)
 		g.returnUnused(c, h, next == forward.Retry)
 		if outcome != forward.Responded {
 			g.log.Info("attempt failed", zap.String("request", c.ID), zap.String("replica", replica.ID),
 				zap.Stringer("outcome", outcome), zap.Stringer("next", next), zap.Int("sends", h.Sends),
 				zap.Duration("left", c.remaining(time.Now())),
 				zap.Stringer("fingerprint", c.fingerprint), zap.String("denied", c.denialReason),
-				zap.Int("runs", h.Runs), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
+				zap.Int("runs", h.Runs), zap.Int("arrivals", h.Arrivals), zap.Float64("available", g.availableRetries(c.service.Name)), zap.Int("incidents", g.crashes.incidents(c)), zap.Error(err))
 		}
 		switch next {
 		case forward.Retry:
--- a/node/gateway/retries.go
+++ b/node/gateway/retries.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"masticbank.example/core/forward"
 	"masticbank.example/core/pipeline"
 	"masticbank.example/core/retry"
 	"masticbank.example/node/caller"
@@ -18,8 +19,23 @@
 	deniedDeadline = "deadline"
 	deniedCrashes  = "crashes"
 	deniedBudget   = "budget"
+	// deniedPath means that no path was free in time for a retry that was allowed.
+	deniedPath = "path"
 )
 
+// recordLimit records which limit has ended a request, if one has. The end of its time comes first.
+func (g *Gateway) recordLimit(ctx context.Context, c *call, h *forward.History, next forward.Decision) {
+	limit := h.Limit()
+	if limit == forward.NoLimit || (next != forward.GiveUp && next != forward.Refuse) {
+		return
+	}
+	c.denialReason = limit.String()
+	if caller.Check(ctx) != nil {
+		c.denialReason = deniedDeadline
+	}
+	g.opts.Metrics.RetryDenied(c.denialReason)
+}
+
 // mayRetry reports whether a request may be sent again; if so, it spends one retry of the
 // budget.
 func (g *Gateway) mayRetry(ctx context.Context, c *call) bool {
