Rejections don't end an answer that has begun

Callers saw a stream closed in the middle, beside a change of the configuration, up to two seconds before they would have left and with time and retries left (LOST). Cause: after four sends (MaxSends) a request ends, and three of them may be rejections, which are no runs. A stream that has lost its replica while others are full or leave meets them within a second or two.

An answer that has begun can't be refused, so MaxSends counts for it no more. The retry budget bounds its sends, each of which is paid, and so does its client's patience.

TestRejectionsEndABegunAnswer (core/forward, node/gateway) failed before.

--- a/core/forward/forward.go
+++ b/core/forward/forward.go
@@ -51,8 +51,8 @@
 	return [...]string{"deliver", "retry", "refuse", "give_up"}[d]
 }
 
-// MaxSends is the maximum number of replicas that one request is sent to, including
-// those that rejected it, because each retry counts against the retry budget.
+// MaxSends is the maximum number of replicas that one request is sent to before its answer has begun,
+// including those that rejected it, because each retry counts against the retry budget.
 const MaxSends = 4
 
 // MaxWithheld is the maximum number of times that one request is withheld before it ends. Each
@@ -73,6 +73,9 @@
 	Arrivals, Paid int
 	// Withheld is the number of times that the request was withheld.
 	Withheld int
+	// Begun marks a request whose client has a part of the answer, which cannot be refused any more. Its
+	// sends are bounded by the retry budget and by the time for which its client waits.
+	Begun bool
 }
 
 // Step records an outcome and returns the decision. spendRetry spends a retry and
@@ -168,7 +171,7 @@
 	switch {
 	case h.Withheld >= MaxWithheld:
 		return WithheldLimit
-	case h.Sends >= MaxSends:
+	case h.Sends >= MaxSends && !h.Begun:
 		return SendLimit
 	case h.Runs > 0 && (!h.Idempotent || h.Runs >= h.MaxRuns):
 		return RunLimit
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -54,7 +54,7 @@
 // at random for a replacement that is paid before, and requests end while they wait for a replica.
 func TestRetriesThatReachNoReplicaArePaid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := forward.History{Idempotent: true, MaxRuns: forward.MaxSends}
+		h := forward.History{Idempotent: true, MaxRuns: forward.MaxSends, Begun: rapid.Bool().Draw(t, "begun")}
 		arrivals, paid := 0, 0
 		for {
 			if h.MayRetryLost() && paid <= arrivals && rapid.Bool().Draw(t, "replaced") {
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+// TestRejectionsEndABegunAnswer guards against answers that are closed in the middle, while their client
+// waits and retries are left, because replicas rejected the rest.
+func TestRejectionsEndABegunAnswer(t *testing.T) {
+	h := forward.History{Idempotent: true, MaxRuns: 2, Begun: true}
+	require.Equal(t, forward.Retry, h.Step(forward.Lost, alwaysAllowed))
+	for range 3 * forward.MaxSends {
+		require.Equal(t, forward.Retry, h.Step(forward.Rejected, alwaysAllowed))
+		require.True(t, h.MayRetryLost() == (h.Runs+1 < h.MaxRuns))
+	}
+	require.Equal(t, h.Arrivals, h.Paid, "each arrival but the first is paid, and the next one")
+	require.Equal(t, forward.GiveUp, h.Step(forward.Rejected, neverAllowed))
+	h = forward.History{Idempotent: true, MaxRuns: 2, Runs: 1, Begun: true}
+	require.Equal(t, forward.GiveUp, h.Step(forward.Lost, alwaysAllowed))
+}
--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -72,6 +72,8 @@
 	// runAt is when the current run began, runFirstEvent when its first event arrived.
 	runAt         time.Time
 	runFirstEvent time.Time
+	// rejections counts the rejections of a begun answer in a row.
+	rejections int
 	// progressRecorded is true once an attempt's progress has cleared the parts of its prompt.
 	progressRecorded bool
 }
@@ -128,7 +130,10 @@
 		if outcome != forward.Withheld {
 			c.denialReason = ""
 		}
-		next := h.Step(outcome, func() bool { return g.awaitRetry(ctx, c, s.waitLimit()) })
+		next := h.Step(outcome, func() bool {
+			s.awaitResend(ctx, outcome)
+			return g.awaitRetry(ctx, c, s.waitLimit())
+		})
 		g.recordLimit(ctx, c, h, next)
 		g.returnUnused(c, h, next == forward.Retry)
 		if outcome == forward.Responded || (outcome == forward.Failed && next != forward.Retry) {
--- a/node/gateway/relay.go
+++ b/node/gateway/relay.go
@@ -158,7 +158,7 @@
 	if s.headSent {
 		return
 	}
-	s.headSent = true
+	s.headSent, s.history.Begun = true, true
 	h := s.writer.Header()
 	for k, v := range s.g.opts.Codec.ToClient(resp.Header) {
 		h[k] = v
