A planned stop ends within its grace period, whatever doesn't

Operators saw an instance in the soak that did not exit within its grace period, once at a load average of 30. What held it is not known: its log was not kept.

Cause, by construction: closing the instance waited without limit for its tasks, for the pollers and connections of its servers, and for the tasks of its sessions. What had a limit followed one after the other: 325 ms for the requests, 250 ms for a task in a call, 200 ms for the last log lines, where 500 ms are left.

One limit is kept for all of it, 50 ms after that of the answers; then Stop returns, says so in its error, and the process ends. The log gets 100 ms at the end instead of 200 ms; that counts only if its output is blocked.

TestStuckComponentHoldsAStop (the settings file is a pipe from which a read doesn't return) failed before after 20 s, and passes in 7 of 7 runs beside load.

--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -37,6 +37,8 @@
 	requests  int
 	// configure, if set, changes the settings before the start.
 	configure func(*platform.Settings)
+	// settingsPath is the file from which the instance reloads its settings.
+	settingsPath string
 }
 
 func newEnvironment(t *testing.T) *environment {
@@ -119,9 +121,10 @@
 	}
 	settings.FirstStart, env.started = !env.started, true
 	i, err := entry.Start(entry.Options{
-		Settings:    settings,
-		Logger:      zap.NewNop(),
-		DrainNotice: 50 * time.Millisecond,
+		SettingsPath: env.settingsPath,
+		Settings:     settings,
+		Logger:       zap.NewNop(),
+		DrainNotice:  50 * time.Millisecond,
 	})
 	require.NoError(env.t, err)
 	return i
--- a/cmd/internal/entry/stop.go
+++ b/cmd/internal/entry/stop.go
@@ -21,6 +21,9 @@
 	answerMargin = stopMargin / 4
 	// answerTime is how long the answers of requests that were ended may take.
 	answerTime = 2 * stopMargin / 5
+	// closeTime is how long everything else may take to end after that. The rest of stopMargin is
+	// for the last log lines.
+	closeTime = stopMargin / 10
 	// drainPollInterval is how often Stop checks whether requests are still in progress.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -44,30 +47,50 @@
 	notice := start.Add(i.opts.DrainNotice)
 	i.gateway.Drain(notice, end)
 	i.waitIdle(notice, end)
-	ctx, cancel := endRequests(end.Add(answerMargin), i.gateway.EndRequests)
+	answers, all, cancel := endRequests(end.Add(answerMargin), i.gateway.EndRequests)
 	defer cancel()
-	err := trace.NewAggregate(i.clientServer.Shutdown(ctx), i.close(ctx))
+	err := within(all, func() error {
+		return trace.NewAggregate(i.clientServer.Shutdown(answers), i.close(answers))
+	})
 	i.log.Info("stopped", zap.Duration("took", time.Since(start)), zap.Int("in_flight", i.metrics.InFlight()), zap.Error(err))
 	return trace.Wrap(err)
 }
 
-// errAnswersLate is the cause with which the wait for the answers of ended requests ends.
-var errAnswersLate = errors.New("answers were not sent in time")
+var (
+	errAnswersLate = errors.New("answers were not sent in time")
+	errStillOpen   = errors.New("components did not end in time")
+)
 
-// endRequests calls end, which ends the requests in progress, at the given time. The returned context
-// ends answerTime after that, counted from the call: a process that was held up has had none of the
-// time until then.
-func endRequests(at time.Time, end func()) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(context.Background())
+// endRequests calls end, which ends the requests in progress, at the given time. The context answers
+// ends answerTime after that, and all ends closeTime later. Both count from the call: a process that
+// was held up has had none of the time until then.
+func endRequests(at time.Time, end func()) (answers, all context.Context, cancel context.CancelFunc) {
+	all, cancelAll := context.WithCancelCause(context.Background())
+	answers, cancelAnswers := context.WithCancelCause(all)
 	go func() {
-		if !sleep(ctx, time.Until(at)) {
+		if !sleep(all, time.Until(at)) {
 			return
 		}
 		end()
-		sleep(ctx, answerTime)
-		cancel(errAnswersLate)
+		sleep(all, answerTime)
+		cancelAnswers(errAnswersLate)
+		sleep(all, closeTime)
+		cancelAll(errStillOpen)
 	}()
-	return ctx, func() { cancel(nil) }
+	return answers, all, func() { cancelAll(nil) }
+}
+
+// within returns the result of f, or the cause of ctx if that ends first. The process then ends
+// without what f still waits for.
+func within(ctx context.Context, f func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- f() }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 
 // sleep waits for d and returns true, or returns false when ctx ends.
--- a/cmd/internal/entry/stop_test.go
+++ b/cmd/internal/entry/stop_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,3 +65,26 @@
 	require.ElementsMatch(t, []string{"/order/early: 502", "/look/early: 502", "/look/late: 502"}, rest)
 	require.NoError(t, <-stopped)
 }
+
+// TestStuckComponentHoldsAStop guards against a stop that waits without limit for a component, here for
+// a read of the settings file from a volume that does not respond.
+func TestStuckComponentHoldsAStop(t *testing.T) {
+	env := newEnvironment(t)
+	env.configure = func(s *platform.Settings) { s.Bounds.Shutdown = time.Second }
+	env.settingsPath = filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, syscall.Mkfifo(env.settingsPath, 0o600))
+	env.instance = env.launchInstance()
+	// Opening a pipe for writing waits until it is open for reading. The read ends with the close.
+	volume, err := os.OpenFile(env.settingsPath, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	stopped := make(chan error, 1)
+	go func() { stopped <- env.instance.Stop() }()
+	select {
+	case err := <-stopped:
+		require.ErrorContains(t, err, "did not end in time")
+	case <-time.After(waitTimeout):
+		t.Error("the stop waits for the component")
+	}
+	require.NoError(t, os.Remove(env.settingsPath)) // no further read waits
+	require.NoError(t, volume.Close())
+}
--- a/node/logsink/logsink.go
+++ b/node/logsink/logsink.go
@@ -16,8 +16,8 @@
 const (
 	// maxQueuedLines is the maximum number of queued lines.
 	maxQueuedLines = 4096
-	// flushTimeout is the maximum time that Close waits for the output.
-	flushTimeout = 200 * time.Millisecond
+	// FlushTimeout is the maximum time that Close waits for the output.
+	FlushTimeout = 100 * time.Millisecond
 )
 
 // Sink is a zapcore.WriteSyncer with a queue in front of the output. It is safe for
@@ -54,10 +54,10 @@
 // Dropped returns the number of lines dropped so far.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
-// Close writes the queued lines. It returns after flushTimeout if the output blocks.
+// Close writes the queued lines. It returns after FlushTimeout if the output blocks.
 func (s *Sink) Close() {
 	s.closeOnce.Do(func() { close(s.stop) })
-	t := time.NewTimer(flushTimeout)
+	t := time.NewTimer(FlushTimeout)
 	defer t.Stop()
 	select {
 	case <-s.done:
