A copy waits for a late check of the last crash

Cause: after two crashes and a lost run that may be the third, copies were refused for one second, whether the check of the replica had ended or not.

Change: they are refused until the check has ended as well, for at most the 10 s within which the end of a process is matched with a lost run. A check that finds no queue is not awaited.

--- a/core/poison/admit.go
+++ b/core/poison/admit.go
@@ -59,7 +59,7 @@
 func (l *Ledger) refuseUnproven(now time.Time, f Fingerprint, r *crashHistory) *Refusal {
 	var until time.Time
 	unproven := l.countUnproven(func(i int) bool {
-		at := l.lostAt[i].Add(proofTimeout)
+		at := l.provableUntil(now, i)
 		if !l.lostRuns[i].concerns(f) || !now.Before(at) {
 			return false
 		}
--- a/core/poison/ledger.go
+++ b/core/poison/ledger.go
@@ -18,9 +18,9 @@
 	// matchWindow bounds the time between the loss of a run and the detection that a
 	// replica process ended. A dead replica stays listed for some seconds.
 	matchWindow = 10 * time.Second
-	// proofTimeout is how long copies are refused while it is undecided whether a lost run
+	// proofTimeout is how long copies are refused at least while it is undecided whether a lost run
 	// was the crash that blocks the request. Refused connections reveal an ended process
-	// within 0.2 s.
+	// within 0.2 s; a check that takes longer is awaited, for at most matchWindow.
 	proofTimeout = time.Second
 	// clearedDuration is how long a success disproves crashes that follow it.
 	clearedDuration = time.Minute
@@ -59,6 +59,8 @@
 	lostRuns  []LostRun
 	lostAt    []time.Time
 	ended     map[Process]end
+	// checks counts the checks in progress by replica.
+	checks map[string]int
 	// tracked holds the crashes by fingerprint.
 	tracked map[Fingerprint]*crashHistory
 	// explainedBy maps crashed processes to a blocked fingerprint that caused the crash. It and the
@@ -81,6 +83,7 @@
 	return &Ledger{
 		retention:   retention,
 		ended:       map[Process]end{},
+		checks:      map[string]int{},
 		tracked:     map[Fingerprint]*crashHistory{},
 		explainedBy: map[Process]Fingerprint{},
 		successes:   newSuccesses(),
--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -255,14 +255,22 @@
 		return
 	}
 	k.checkedAt[r] = now
+	k.ledger.BeginCheck(r.Replica)
 	k.mu.Unlock()
 	select {
 	case k.queue <- check{r, address, sentAt}:
 	default:
+		k.endCheck(r.Replica)
 		k.log.Warn("replica not checked: too many checks are queued", zap.String("replica", r.Replica))
 	}
 }
 
+func (k *crashGuard) endCheck(replica string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ledger.EndCheck(replica)
+}
+
 // markResponsive records that a replica responded.
 func (k *crashGuard) markResponsive(replica string) {
 	if k.activeChecks.Load() > 0 {
@@ -293,6 +301,7 @@
 func (k *crashGuard) runCheck(ctx context.Context, c check) {
 	k.activeChecks.Add(1)
 	defer k.activeChecks.Add(-1)
+	defer k.endCheck(c.Replica)
 	started := time.Now()
 	if !k.client.Refused(ctx, c.address) {
 		return
--- a/node/gateway/crashes_test.go
+++ b/node/gateway/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -74,3 +75,24 @@
 	k.recordRefusals(check{Process: old, sentAt: now})
 	require.Equal(t, 1, k.incidents(c))
 }
+
+// TestQueuedCheckIsNotAwaited guards against admitting a copy before the check of the last lost run has
+// begun, as many are queued.
+func TestQueuedCheckIsNotAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newCrashGuard(nil, NewMetrics(), zap.NewNop())
+		c := &call{fingerprint: poison.FingerprintOf("m", "1")}
+		for run := range 2 {
+			k.merge(poison.Evidence{Crashes: []poison.Crash{{
+				Fingerprint: c.fingerprint, Run: poison.Run{Attempt: uint64(run)}, Process: poison.Process{Replica: strconv.Itoa(run)}, At: time.Now(),
+			}}})
+		}
+		third := poison.Process{Replica: "third"}
+		k.recordLostRun(c, []poison.Process{third}, time.Now(), false)
+		k.scheduleCheck(third, "", time.Now())
+		time.Sleep(3 * time.Second)
+		require.NotNil(t, k.admit(c))
+		k.endCheck(third.Replica)
+		require.Nil(t, k.admit(c))
+	})
+}
