Refused connections count for a process that was not listed yet

Cause: a check of a replica named the process after the listed one by its earliest start. When the list showed the real start before the connections were refused, the run had that one, and the refusals proved nothing. The trace: the list 0.14 s and the refusals 0.20 s after the lost run, no crash recorded until the next restart 2 s later.

Change: a check keeps the listed process, and finds the one that got the run when it ends.

--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -60,8 +60,8 @@
 	lastResponse sync.Map
 }
 
-// check is a replica process whose connections are to be checked, as a run that was sent to it at sentAt
-// was lost.
+// check is a replica whose connections are to be checked, as a run that was sent to it at sentAt, while
+// the process was listed, was lost.
 type check struct {
 	poison.Process
 	address string
@@ -246,10 +246,11 @@
 	return k.ledger.Process(listed, sentAt)
 }
 
-// scheduleCheck schedules a check whether a replica still accepts connections.
-func (k *crashGuard) scheduleCheck(r poison.Process, address string, sentAt time.Time) {
+// scheduleCheck schedules a check whether the replica that got a run still accepts connections.
+func (k *crashGuard) scheduleCheck(listed poison.Process, address string, sentAt time.Time) {
 	now := time.Now()
 	k.mu.Lock()
+	r := k.ledger.Process(listed, sentAt)
 	if now.Sub(k.checkedAt[r]) < checkInterval {
 		k.mu.Unlock()
 		return
@@ -258,7 +259,7 @@
 	k.ledger.BeginCheck(r.Replica)
 	k.mu.Unlock()
 	select {
-	case k.queue <- check{r, address, sentAt}:
+	case k.queue <- check{listed, address, sentAt}:
 	default:
 		k.endCheck(r.Replica)
 		k.log.Warn("replica not checked: too many checks are queued", zap.String("replica", r.Replica))
--- a/node/gateway/crashes_test.go
+++ b/node/gateway/crashes_test.go
@@ -76,6 +76,25 @@
 	require.Equal(t, 1, k.incidents(c))
 }
 
+// TestRefusalsOfAnUnlistedProcessAreLost guards against the same where the end of the listed process was
+// known, so that the run was recorded for a process that was not listed yet.
+func TestRefusalsOfAnUnlistedProcessAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := newCrashGuard(nil, NewMetrics(), zap.NewNop())
+		c := &call{fingerprint: poison.FingerprintOf("m", "1")}
+		listed := poison.Process{Replica: "r", StartTime: time.Now().Add(-time.Minute).UnixMilli()}
+		k.recordLostRun(c, []poison.Process{listed}, time.Now(), false)
+		k.recordEnd(listed, endRefused)
+		time.Sleep(time.Second)
+		next, sentAt := time.Now().UnixMilli(), time.Now()
+		k.recordLostRun(c, []poison.Process{k.process(listed, sentAt)}, sentAt, false)
+		k.scheduleCheck(listed, "", sentAt)
+		k.recordRestart(listed, next)
+		k.recordRefusals(<-k.queue)
+		require.Equal(t, 2, k.incidents(c))
+	})
+}
+
 // TestQueuedCheckIsNotAwaited guards against admitting a copy before the check of the last lost run has
 // begun, as many are queued.
 func TestQueuedCheckIsNotAwaited(t *testing.T) {
--- a/node/gateway/lostrun.go
+++ b/node/gateway/lostrun.go
@@ -19,12 +19,12 @@
 	}
 	first := s.grant.path()[0]
 	processes := s.pool.listedProcesses(s.grant.path())
-	received := s.g.crashes.process(poison.Process{Replica: first.ID, StartTime: first.StartTime}, s.runAt)
+	listed := poison.Process{Replica: first.ID, StartTime: first.StartTime}
 	if len(processes) > 0 && processes[0].Replica == first.ID {
-		processes[0] = received
+		processes[0] = s.g.crashes.process(listed, s.runAt)
 	}
 	s.g.crashes.recordLostRun(s.call, processes, s.runAt, s.progressed())
-	s.g.crashes.scheduleCheck(received, first.Address, s.runAt)
+	s.g.crashes.scheduleCheck(listed, first.Address, s.runAt)
 }
 
 // progressTime is how long events must have arrived for a run to count as evidence that its
--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -179,9 +179,9 @@
 	case outcome == forward.Responded && response.status < http.StatusMultipleChoices:
 		g.crashes.recordSuccess(c)
 	case outcome == forward.Lost && mayBeCrash(err) && !errors.Is(c.http.Context().Err(), context.Canceled) && g.stopping.Err() == nil && pool.listed(replica):
-		r := g.crashes.process(poison.Process{Replica: replica.ID, StartTime: replica.StartTime}, sent)
-		g.crashes.recordLostRun(c, []poison.Process{r}, sent, false)
-		g.crashes.scheduleCheck(r, replica.Address, sent)
+		listed := poison.Process{Replica: replica.ID, StartTime: replica.StartTime}
+		g.crashes.recordLostRun(c, []poison.Process{g.crashes.process(listed, sent)}, sent, false)
+		g.crashes.scheduleCheck(listed, replica.Address, sent)
 	}
 	pool.recordOutcome(time.Now(), replica.ID, outcome, time.Since(now))
 	return outcome, response, err
