--- a/node/gateway/crashes.go
+++ b/node/gateway/crashes.go
@@ -60,8 +60,8 @@
 	lastResponse sync.Map
 }
 
-// check is a replica process whose connections are to be checked, as a run that was sent to it at sentAt
-// was lost.
+// check is a replica whose connections are to be checked, as a run that was sent to it at sentAt, while
+// the process was listed, was lost.
 type check struct {
 	poison.Process
 	address string
@@ -246,23 +246,32 @@
 	return k.ledger.Process(listed, sentAt)
 }
 
-// scheduleCheck schedules a check whether a replica still accepts connections.
-func (k *crashGuard) scheduleCheck(r poison.Process, address string, sentAt time.Time) {
+// scheduleCheck schedules a check whether the replica that got a run still accepts connections.
+func (k *crashGuard) scheduleCheck(listed poison.Process, address string, sentAt time.Time) {
 	now := time.Now()
 	k.mu.Lock()
+	r := k.ledger.Process(listed, sentAt)
 	if now.Sub(k.checkedAt[r]) < checkInterval {
 		k.mu.Unlock()
 		return
 	}
 	k.checkedAt[r] = now
+	k.ledger.BeginCheck(r.Replica)
 	k.mu.Unlock()
 	select {
-	case k.queue <- check{r, address, sentAt}:
+	case k.queue <- check{listed, address, sentAt}:
 	default:
+		k.endCheck(r.Replica)
 		k.log.Warn("replica not checked: too many checks are queued", zap.String("replica", r.Replica))
 	}
 }
 
+func (k *crashGuard) endCheck(replica string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ledger.EndCheck(replica)
+}
+
 // markResponsive records that a replica responded.
 func (k *crashGuard) markResponsive(replica string) {
 	if k.activeChecks.Load() > 0 {
@@ -293,6 +302,7 @@
 func (k *crashGuard) runCheck(ctx context.Context, c check) {
 	k.activeChecks.Add(1)
 	defer k.activeChecks.Add(-1)
+	defer k.endCheck(c.Replica)
 	started := time.Now()
 	if !k.client.Refused(ctx, c.address) {
 		return
