A connection is not closed while the end of a response is unsent

Callers that read slowly saw the connection closed in the middle of an answer that the handler had written whole, during a planned stop, at the idle timeout or 2 s after an answer with `Connection: close`.

Cause: nbio keeps what the system does not take, and drops it when it closes the connection. The server took a response as sent when the job that wrote it had ended. nbio does not tell what it keeps, so the bytes given to it are now counted against those that the system took (OnWrittenSize). A connection with unsent bytes counts as in use; if its client has taken nothing for 10 s, as for a write that waits, it no longer does. The idle timeout starts when the end is sent.

Not covered: nbhttp closes connections of HTTP/1.0 clients itself with the end of the response, and a connection is closed a second after the answer to a message that cannot be parsed.

--- a/node/httpserver/accept.go
+++ b/node/httpserver/accept.go
@@ -197,7 +197,7 @@
 	}
 	n := p.signaled
 	for _, c := range p.waiting[:n] {
-		p.engine.AddConnNonTLSNonBlocking(&nbhttp.Conn{Conn: c}, nil, func() {})
+		addConn(p.engine, c)
 	}
 	p.waiting = append(p.waiting[:0], p.waiting[n:]...)
 	p.signaled = 0
--- a/node/httpserver/idle.go
+++ b/node/httpserver/idle.go
@@ -24,6 +24,10 @@
 	// idleSince is when the connection was opened or its last request was handled.
 	idleSince time.Time
 	openedAt  time.Time
+	// unsent is the number of bytes of responses that nbio kept at the last look after a handler had
+	// returned, unsentSince when it changed.
+	unsent      int64
+	unsentSince time.Time
 	// endedAt is when the connection was found closed while a request was handled, in which case
 	// endedInRequest is true.
 	endedAt        time.Time
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -144,6 +144,7 @@
 	})
 	s.engine.OnReadBufferFree(func(c *nbio.Conn, _ *[]byte) { s.endRead(c) })
 	s.engine.OnData(s.onData)
+	s.engine.OnWrittenSize(countSent)
 	if err := s.engine.Start(); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -298,6 +299,8 @@
 	switch c := c.(type) {
 	case *nbio.Conn:
 		return c
+	case *countingConn:
+		return c.Conn
 	case *nbhttp.Conn:
 		return unwrap(c.Conn)
 	default:
@@ -342,25 +345,24 @@
 	if _, ok := s.rejected.Load(c); ok {
 		return
 	}
-	if !s.received(c, len(data)) {
-		s.reject(c, errOutOfMemory)
-		return
-	}
-	parser, ok := c.Session().(nbhttp.ParserCloser)
+	sess, ok := c.Session().(*session)
 	if !ok {
 		return
 	}
-	err := parser.Parse(data)
-	if err == nil {
+	if !s.received(c, len(data)) {
+		s.reject(sess, errOutOfMemory)
 		return
 	}
-	s.reject(c, err)
+	if err := sess.Parse(data); err != nil {
+		s.reject(sess, err)
+	}
 }
 
 // reject writes the error response to a message that cannot be parsed or kept and closes the
 // connection after rejectGracePeriod. The requests before it on the connection are answered
 // first.
-func (s *Server) reject(c *nbio.Conn, cause error) {
+func (s *Server) reject(sess *session, cause error) {
+	c := sess.conn
 	status, reason := http.StatusBadRequest, errMalformed(cause)
 	switch {
 	case errors.Is(cause, nbhttp.ErrTooLong):
@@ -375,7 +377,7 @@
 	c.Execute(func() {
 		if !hasLeft(c) {
 			// If the write fails, it closes the connection.
-			_, _ = c.Write(rawResponse(status, s.opts.ServerErrorBody(status)))
+			_, _ = sess.Write(rawResponse(status, s.opts.ServerErrorBody(status)))
 		}
 		time.AfterFunc(rejectGracePeriod, func() {
 			closeUnlessLeft(c, reason)
--- a/node/httpserver/watch.go
+++ b/node/httpserver/watch.go
@@ -20,13 +20,13 @@
 }
 
 // removeFlushed removes the connections whose responses are completely written from
-// unflushed and returns the number of the remaining ones. nbhttp writes the end of a
-// response in the job that ran the handler, so a connection without jobs is done.
+// unflushed and returns the number of the remaining ones.
 func (s *Server) removeFlushed() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for c := range s.unflushed {
-		if closed, _ := c.IsClosed(); closed || c.ExecuteLen() == 0 {
+		if s.flushedLocked(c, now) {
 			delete(s.unflushed, c)
 		}
 	}
