A client that closes its sending direction counts as gone

No change of logic. The end of a client's bytes is the only sign that it has closed its connection, and work for it has to end within half a second, so a client that closes one direction only cannot be told apart.

--- a/node/httpserver/request_test.go
+++ b/node/httpserver/request_test.go
@@ -55,3 +55,28 @@
 	require.Len(t, reported, 1)
 	require.GreaterOrEqual(t, reported[0], time.Hour-time.Second)
 }
+
+// TestWorkGoesOnForAClientThatHasClosed guards against work for a client that has closed its
+// connection, of which the end of its bytes is the only sign: a client that closes one direction only
+// counts as gone.
+func TestWorkGoesOnForAClientThatHasClosed(t *testing.T) {
+	const limit = 500 * time.Millisecond // in which work for it must end
+	entered, ended := make(chan struct{}), make(chan struct{})
+	s := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(ended)
+	})
+	defer func() { require.NoError(t, s.Shutdown(context.Background())) }()
+	c := dialAndSend(t, s, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-entered
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		require.Fail(t, "the request goes on")
+	}
+	data, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Empty(t, data)
+}
