SIGTERM doesn't wait for a reload of the settings

A process that read its settings after a SIGHUP handled SIGTERM after that read: with a volume that doesn't respond it was killed at the end of its grace period, with all requests in progress. Both signals also shared a queue of four, in which further SIGHUPs could take the place of the SIGTERM meanwhile.

Reloads now run beside the wait for SIGTERM, from a queue of their own; one that is pending covers all later ones, as the file is read afterwards.

--- a/cmd/masticbank/platform.go
+++ b/cmd/masticbank/platform.go
@@ -33,8 +33,9 @@
 	}
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	i, err := entry.Start(entry.Options{
 		SettingsPath: path,
 		Settings:     set,
@@ -45,12 +46,12 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	go func() {
+		for range reloads {
+			i.Reload("SIGHUP")
 		}
-		i.Reload("SIGHUP")
-	}
+	}()
+	<-stops
 	return trace.Wrap(i.Stop())
 }
 
