A server ends if it is stopped right after its start

Operators saw an instance that neither served nor ended if its address was in use: the engine was started first, and stopped when the listener failed. A poller that is stopped before it begins forgets the stop, and the engine waits for it. A server that had started was open to the same for some microseconds.

The listener is opened before the engine, and Start returns once each poller has handled a byte. The lock that pollers pass before they read orders that with the acceptor.

--- a/node/httpserver/accept.go
+++ b/node/httpserver/accept.go
@@ -47,11 +47,15 @@
 	// under way was sent; none is under way if signaled is 0.
 	waiting  []*nbio.Conn
 	signaled int
+	// began is closed when the poller has handled its first byte.
+	began     chan struct{}
+	beganOnce sync.Once
 }
 
-// startAcceptor listens on an address. The engine must be started and have no listener of its own.
-func startAcceptor(engine *nbhttp.Engine, address string, online func() int) (*acceptor, error) {
-	a := &acceptor{done: make(chan struct{}), online: online, limit: engine.MaxLoad}
+// startAcceptor prepares the pollers of an engine for the connections of a listener. The engine must be
+// started and have no listener of its own.
+func startAcceptor(engine *nbhttp.Engine, listener net.Listener, online func() int) (*acceptor, error) {
+	a := &acceptor{listener: listener, done: make(chan struct{}), online: online, limit: engine.MaxLoad}
 	for i := range engine.NPoller {
 		p, err := newPollerConnections(engine, i)
 		if err != nil {
@@ -60,14 +64,21 @@
 		}
 		a.pollers = append(a.pollers, p)
 	}
-	var err error
-	if a.listener, err = net.Listen("tcp", address); err != nil {
-		a.closePollers()
-		return nil, trace.Wrap(err)
-	}
 	return a, nil
 }
 
+// awaitPollers waits until all pollers run. One that is stopped before it begins forgets the stop.
+func (a *acceptor) awaitPollers() {
+	for _, p := range a.pollers {
+		p.mu.Lock()
+		p.signalLocked()
+		p.mu.Unlock()
+	}
+	for _, p := range a.pollers {
+		<-p.began
+	}
+}
+
 // run accepts connections until close.
 func (a *acceptor) run() {
 	defer close(a.done)
@@ -140,7 +151,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "creating a socket pair")
 	}
-	p := &newConnections{engine: engine, sender: fds[1]}
+	p := &newConnections{engine: engine, sender: fds[1], began: make(chan struct{})}
 	file := os.NewFile(uintptr(fds[0]), "new connections")
 	defer func() { _ = file.Close() }()
 	for p.receiver == nil {
@@ -191,6 +202,7 @@
 // addToPoller adds the connections that had been accepted when the byte was sent. Those accepted
 // later may have the descriptor of an event in the present batch, and wait for a further byte.
 func (p *newConnections) addToPoller() {
+	p.beganOnce.Do(func() { close(p.began) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- a/node/httpserver/accept_test.go
+++ b/node/httpserver/accept_test.go
@@ -50,3 +50,25 @@
 	_, err = net.Dial("tcp", s.Addr())
 	require.Error(t, err)
 }
+
+// TestStartWaitsForeverWithoutItsAddress guards against a server that neither starts nor fails if its
+// address is in use.
+func TestStartWaitsForeverWithoutItsAddress(t *testing.T) {
+	s := start(t, func(http.ResponseWriter, *http.Request) {})
+	defer func() { require.NoError(t, s.Shutdown(context.Background())) }()
+	opts := s.opts
+	opts.Address = s.Addr()
+	for range 10 {
+		failed := make(chan error, 1)
+		go func() {
+			_, err := Start(opts)
+			failed <- err
+		}()
+		select {
+		case err := <-failed:
+			require.Error(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "neither started nor failed")
+		}
+	}
+}
--- a/node/httpserver/review_test.go
+++ b/node/httpserver/review_test.go
@@ -48,28 +48,6 @@
 	require.NoError(t, <-stopped)
 }
 
-// TestStartWaitsForeverWithoutItsAddress guards against a server that neither starts nor fails if its
-// address is in use.
-func TestStartWaitsForeverWithoutItsAddress(t *testing.T) {
-	s := start(t, func(http.ResponseWriter, *http.Request) {})
-	defer func() { require.NoError(t, s.Shutdown(context.Background())) }()
-	opts := s.opts
-	opts.Address = s.Addr()
-	for range 10 {
-		failed := make(chan error, 1)
-		go func() {
-			_, err := Start(opts)
-			failed <- err
-		}()
-		select {
-		case err := <-failed:
-			require.Error(t, err)
-		case <-time.After(10 * time.Second):
-			require.Fail(t, "neither started nor failed")
-		}
-	}
-}
-
 // TestStopCutsARequestThatWaitsForItsHandler guards against a request that was read whole and is closed
 // without an answer by a stop, because all handlers were taken.
 func TestStopCutsARequestThatWaitsForItsHandler(t *testing.T) {
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -125,6 +125,11 @@
 	if o.ClosedCheckPeriod <= 0 {
 		o.ClosedCheckPeriod = defaultCheckPeriod
 	}
+	// The address comes first: an engine that is stopped right after its start may not end.
+	listener, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listening on %s", o.Address)
+	}
 	s := &Server{opts: o, connections: map[*nbio.Conn]*connState{}, requests: map[*nbio.Conn]context.CancelCauseFunc{}, unflushed: map[*nbio.Conn]struct{}{}, watchDone: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		MaxLoad:                 o.MaxConnections,
@@ -146,13 +151,19 @@
 	s.engine.OnData(s.onData)
 	s.engine.OnWrittenSize(countSent)
 	if err := s.engine.Start(); err != nil {
+		_ = listener.Close()
 		return nil, trace.Wrap(err)
 	}
-	var err error
-	if s.acceptor, err = startAcceptor(s.engine, o.Address, s.online); err != nil {
+	a, err := startAcceptor(s.engine, listener, s.online)
+	if err != nil {
+		_ = listener.Close()
 		s.engine.Stop()
-		return nil, trace.Wrap(err, "listening on %s", o.Address)
+		return nil, trace.Wrap(err, "preparing the pollers")
 	}
+	s.mu.Lock() // pollers pass it before they read
+	s.acceptor = a
+	s.mu.Unlock()
+	s.acceptor.awaitPollers()
 	go s.acceptor.run()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopWatch = cancel
