A failed connection of an earlier process does not block the listed one

Callers would find one first replica fewer for a second: an attempt that found no connection blocked the replica by its ID. If the replica had restarted meanwhile, so that its new process was listed, that one got no paths.

The block applies to the process of the path's stage, unless a later one is listed. A process whose start is not known counts as before. The stream still avoids the replica.

--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -349,7 +349,7 @@
 	s.excluded[first.ID] = true
 	var ee *exchange.Error
 	if errors.As(err, &ee) && !ee.Sent && !errors.Is(err, context.Canceled) {
-		s.pool.block(first.ID, unreachableBlock, "no connection")
+		s.pool.blockProcess(first, unreachableBlock, "no connection")
 	}
 }
 
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -297,6 +297,24 @@
 func (p *modelPool) block(id string, d time.Duration, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addBlock(id, d, reason)
+}
+
+// blockProcess blocks the replica of a stage unless a later process of it is listed.
+func (p *modelPool) blockProcess(stage pipeline.Stage, d time.Duration, reason string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !startedLater(p.startTimes[stage.ID], stage.StartTime) {
+		p.addBlock(stage.ID, d, reason)
+	}
+}
+
+// startedLater reports whether the listed process of a replica is later than the one that started at
+// the given time, 0 if that is not known.
+func startedLater(listed, start int64) bool { return start != 0 && listed > start }
+
+// addBlock blocks a replica. The lock is held.
+func (p *modelPool) addBlock(id string, d time.Duration, reason string) {
 	now := time.Now()
 	if !p.fleet.Blocked(id, now) {
 		p.log.Info("replica blocked", zap.String("replica", id), zap.String("why", reason), zap.Duration("for", d))
