Outcomes of an earlier process of a plain replica do not count for the listed one

Callers would find one replica fewer for up to 3 s, or one that is ejected for its failures: the outcome of a request, and the load that its response reports, counted by the ID of the replica. If it had restarted meanwhile, a lost or unsent request to its earlier process ejected the new one, and a late response ended an ejection. A request that was sent to its earlier address was also taken off its count of requests.

Outcomes and load are ignored if a later process is listed. The count, which stays over a restart with the same address, is kept for the address. A process whose start is not known counts as before.

--- a/node/gateway/plain.go
+++ b/node/gateway/plain.go
@@ -176,7 +176,7 @@
 		defer cancel(nil)
 		defer stop()
 	}
-	pool.recordSend(replica.ID)
+	pool.recordSend(replica)
 	sent := time.Now()
 	outcome, response, err := g.exchangePlain(ctx, c, replica, h, pool)
 	switch {
@@ -187,7 +187,7 @@
 		g.crashes.recordLostRun(c, []poison.Process{g.crashes.process(listed, sent)}, sent, false)
 		g.crashes.scheduleCheck(listed, replica.Address, sent)
 	}
-	pool.recordOutcome(time.Now(), replica.ID, outcome, time.Since(now))
+	pool.recordOutcome(time.Now(), replica, outcome, time.Since(now))
 	return outcome, response, err
 }
 
@@ -253,7 +253,7 @@
 		resp.Discard()
 		return forward.Lost, nil, errResponseMismatch
 	}
-	pool.recordLoad(replica.ID, info)
+	pool.recordLoad(replica, info)
 	g.reportIfLeaving(replica, info)
 	if info.Pause > 0 {
 		g.logPause(c.ID, replica.ID, info.Pause, pool.pause(replica, info.Pause))
--- a/node/gateway/plainpool.go
+++ b/node/gateway/plainpool.go
@@ -170,22 +170,29 @@
 }
 
 // recordSend records that a request is sent to the replica.
-func (p *plainPool) recordSend(id string) {
+func (p *plainPool) recordSend(to Replica) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.replicas[id]; r != nil {
+	if r := p.replicas[to.ID]; r != nil && r.counts(to) {
 		r.inFlight++
 	}
 }
 
-// recordLoad records the load that a replica reports with a response.
-func (p *plainPool) recordLoad(id string, info Response) {
+// counts reports whether requests to a process of the replica are in its count. It is kept over a restart
+// with the same address.
+func (r *plainReplica) counts(to Replica) bool {
+	return r.Address == to.Address || !startedLater(r.StartTime, to.StartTime)
+}
+
+// recordLoad records the load that a replica reports with a response, unless a later process of it is
+// listed.
+func (p *plainPool) recordLoad(from Replica, info Response) {
 	if !info.HasLoad {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.replicas[id]; r != nil {
+	if r := p.replicas[from.ID]; r != nil && !startedLater(r.StartTime, from.StartTime) {
 		r.reportedLoad, r.reportedAt = info.Running+info.Waiting, time.Now()
 	}
 }
@@ -193,15 +200,24 @@
 // meanWeight is the weight of a new response in the moving average.
 const meanWeight = 0.1
 
-// recordOutcome records the outcome of a request.
-func (p *plainPool) recordOutcome(now time.Time, id string, o forward.Outcome, took time.Duration) {
+// recordOutcome records the outcome of a request to a replica. It says nothing about a later process.
+func (p *plainPool) recordOutcome(now time.Time, to Replica, o forward.Outcome, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.replicas[id]
+	r := p.replicas[to.ID]
 	if r == nil {
 		return
 	}
-	r.inFlight = max(0, r.inFlight-1)
+	if r.counts(to) {
+		r.inFlight = max(0, r.inFlight-1)
+	}
+	if !startedLater(r.StartTime, to.StartTime) {
+		r.recordHealth(now, o, took)
+	}
+}
+
+// recordHealth records what the outcome of a request says about its replica.
+func (r *plainReplica) recordHealth(now time.Time, o forward.Outcome, took time.Duration) {
 	switch o {
 	case forward.Responded, forward.Failed:
 		r.failures = 0
