A stall on an earlier process of a stage does not block the listed one

Callers would find one replica fewer for 4 s, 2 s on other instances: a stall or unanswered probes that were found on a stage counted for its replica by ID. If that had restarted meanwhile, its new process got no paths, the streams on it were moved away, and other instances were told.

They count for the process of the path's stage, unless a later one is listed. The stream still leaves the stage. What other instances tell does not name the process and counts as before.

--- a/node/gateway/formerstage_test.go
+++ b/node/gateway/formerstage_test.go
@@ -112,3 +112,25 @@
 	require.False(t, p.fleet.Blocked("b", time.Now()))
 	require.True(t, s.excluded["b"])
 }
+
+// TestStallOfAnEarlierProcessBlocksTheNext guards against a replica that gets no paths, and whose streams
+// leave it, because its process before did not respond.
+func TestStallOfAnEarlierProcessBlocksTheNext(t *testing.T) {
+	for name, f := range map[string]finding{
+		"stall":  {report: Report{Stalled: map[string]string{"": "b"}}},
+		"probes": {failed: []string{"b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool()
+			s := p.streamOnB(t)
+			s.g.opts.OnUnresponsive = func(id string) { t.Error("told to other instances:", id) }
+			p.restart("b")
+			w := &stallWatch{s: s, timer: time.NewTimer(time.Hour)}
+			s.leftAt = time.Now().Add(-time.Nanosecond) // leave waits for evidence before it acts
+			f.startedAt = time.Now()
+			w.apply(t.Context(), f)
+			require.False(t, p.fleet.Blocked("b", time.Now()))
+			require.Empty(t, p.failedUntil)
+		})
+	}
+}
--- a/node/gateway/modelpool_test.go
+++ b/node/gateway/modelpool_test.go
@@ -240,7 +240,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		recent.recordEvent(time.Now())
-		p.markFailed("b", unresponsiveBlock)
+		p.markFailed(pipeline.Stage{ID: "b"}, unresponsiveBlock)
 		require.Len(t, through.wake, 1)
 		require.Empty(t, avoiding.wake)
 		require.Equal(t, []string{"b"}, p.failedOn(through))
@@ -262,8 +262,8 @@
 			call: &call{}, pool: p, excluded: map[string]bool{},
 		}
 		p.recordRejection(pipeline.Stage{ID: "b"}, true)
-		s.markUnresponsive("b", "no response to probes")
-		s.markUnresponsive("b", "no response to probes")
+		s.markUnresponsive(pipeline.Stage{ID: "b"}, "no response to probes")
+		s.markUnresponsive(pipeline.Stage{ID: "b"}, "no response to probes")
 		require.Equal(t, []string{"b"}, reported, "reported once")
 	})
 }
--- a/node/gateway/probe.go
+++ b/node/gateway/probe.go
@@ -135,15 +135,18 @@
 }
 
 // markFailed records that a replica is unresponsive, and wakes the streams that pass through it. It
-// reports whether this is new.
-func (p *modelPool) markFailed(id string, d time.Duration) bool {
+// reports whether this is new. It does not apply to a later process.
+func (p *modelPool) markFailed(stage pipeline.Stage, d time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if startedLater(p.startTimes[stage.ID], stage.StartTime) {
+		return false
+	}
 	now := time.Now()
-	isNew := !now.Before(p.failedUntil[id])
-	p.failedUntil[id] = now.Add(d)
+	isNew := !now.Before(p.failedUntil[stage.ID])
+	p.failedUntil[stage.ID] = now.Add(d)
 	for g := range p.grants {
-		if !g.choice.Path.Uses(id) {
+		if !g.choice.Path.Uses(stage.ID) {
 			continue
 		}
 		select {
--- a/node/gateway/state.go
+++ b/node/gateway/state.go
@@ -266,7 +266,7 @@
 		p.mu.Unlock()
 		if known {
 			p.block(replica, reportedBlock, "unresponsive for another instance")
-			p.markFailed(replica, reportedBlock)
+			p.markFailed(pipeline.Stage{ID: replica}, reportedBlock)
 		}
 	}
 }
--- a/node/gateway/watch.go
+++ b/node/gateway/watch.go
@@ -97,8 +97,10 @@
 	if ctx.Err() != nil || s.lastProgress.After(f.startedAt) || s.leftAt.After(f.startedAt) {
 		return false
 	}
-	for _, id := range f.failed {
-		s.markUnresponsive(id, "no response to probes")
+	for _, stage := range s.grant.path() {
+		if slices.Contains(f.failed, stage.ID) {
+			s.markUnresponsive(stage, "no response to probes")
+		}
 	}
 	if len(f.failed) > 0 {
 		return w.leave(ctx, f.failed)
@@ -108,7 +110,7 @@
 		if w.unanswered++; w.unanswered < maxUnansweredReports {
 			return false
 		}
-		s.markUnresponsive(first.ID, "no response to report requests")
+		s.markUnresponsive(first, "no response to report requests")
 		return w.giveUp(ctx)
 	}
 	w.unanswered = 0
@@ -121,7 +123,7 @@
 	}
 	stage, ok := s.grant.path().At(address)
 	if ok {
-		s.markUnresponsive(stage.ID, "requests stall on it")
+		s.markUnresponsive(stage, "requests stall on it")
 	}
 	return w.leave(ctx, []string{stage.ID})
 }
@@ -169,14 +171,14 @@
 
 // markUnresponsive blocks an unresponsive replica on this instance and reports it to the
 // others.
-func (s *stream) markUnresponsive(id, reason string) {
-	s.pool.block(id, unresponsiveBlock, reason)
-	if !s.pool.markFailed(id, unresponsiveBlock) {
+func (s *stream) markUnresponsive(stage pipeline.Stage, reason string) {
+	s.pool.blockProcess(stage, unresponsiveBlock, reason)
+	if !s.pool.markFailed(stage, unresponsiveBlock) {
 		return
 	}
-	s.pool.log.Info("replica is unresponsive", zap.String("replica", id), zap.String("why", reason), zap.String("request", s.ID))
+	s.pool.log.Info("replica is unresponsive", zap.String("replica", stage.ID), zap.String("why", reason), zap.String("request", s.ID))
 	if s.g.opts.OnUnresponsive != nil {
-		s.g.opts.OnUnresponsive(id)
+		s.g.opts.OnUnresponsive(stage.ID)
 	}
 }
 
