--- a/node/gateway/model.go
+++ b/node/gateway/model.go
@@ -349,17 +349,18 @@
 	s.excluded[first.ID] = true
 	var ee *exchange.Error
 	if errors.As(err, &ee) && !ee.Sent && !errors.Is(err, context.Canceled) {
-		s.pool.block(first.ID, unreachableBlock, "no connection")
+		s.pool.blockProcess(first, unreachableBlock, "no connection")
 	}
 }
 
 // handleRejection keeps new paths away from the stage that rejected the request, and
 // reports a rejection despite free capacity to the other instances.
 func (s *stream) handleRejection(status int, info Response, first pipeline.Stage) {
-	id := s.pool.idAt(info.FailingStage)
-	if id == "" {
-		id = first.ID
+	stage, ok := s.grant.path().At(info.FailingStage)
+	if !ok {
+		stage = first
 	}
+	id := stage.ID
 	s.excluded[id] = true
 	state := s.pool.state(id)
 	s.g.log.Info("stage rejected a request", zap.String("request", s.ID), zap.String("part", id),
@@ -367,7 +368,7 @@
 		zap.Duration("after", time.Since(s.lastProgress)), zap.Int("status", status), zap.Duration("list_age", s.g.listAge()),
 		zap.Float64("room", state.CacheCapacity), zap.Float64("own", state.Own.Reserved), zap.Float64("foreign", state.Remote.Reserved))
 	immediate := time.Since(s.lastProgress) < immediateRejection && !state.RejectsForMemory()
-	if count := s.pool.recordRejection(id, immediate); count > 0 && s.g.opts.OnRejected != nil {
+	if count := s.pool.recordRejection(stage, immediate); count > 0 && s.g.opts.OnRejected != nil {
 		s.g.opts.OnRejected(id, count)
 	}
 }
--- a/node/gateway/modelpool.go
+++ b/node/gateway/modelpool.go
@@ -297,6 +297,11 @@
 func (p *modelPool) block(id string, d time.Duration, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addBlock(id, d, reason)
+}
+
+// addBlock blocks a replica. The lock is held.
+func (p *modelPool) addBlock(id string, d time.Duration, reason string) {
 	now := time.Now()
 	if !p.fleet.Blocked(id, now) {
 		p.log.Info("replica blocked", zap.String("replica", id), zap.String("why", reason), zap.Duration("for", d))
@@ -313,16 +318,19 @@
 
 // recordRejection blocks a stage that rejected a request. If the stage rejected it
 // immediately although it has free capacity, the block time grows with each such rejection
-// in a row, and their number is returned; otherwise 0.
-func (p *modelPool) recordRejection(id string, immediate bool) int {
+// in a row, and their number is returned; otherwise 0. It does not apply to a later process.
+func (p *modelPool) recordRejection(stage pipeline.Stage, immediate bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if startedLater(p.startTimes[stage.ID], stage.StartTime) {
+		return 0
+	}
 	if !immediate {
-		p.block(id, rejectedBlock, "full")
+		p.addBlock(stage.ID, rejectedBlock, "full")
 		return 0
 	}
-	p.mu.Lock()
-	count, d := p.rejections.AddLocal(time.Now(), id)
-	p.mu.Unlock()
-	p.block(id, d, "rejected a request")
+	count, d := p.rejections.AddLocal(time.Now(), stage.ID)
+	p.addBlock(stage.ID, d, "rejected a request")
 	return count
 }
 
@@ -340,13 +348,6 @@
 	}
 }
 
-// idAt returns the ID of the replica with the address, or "".
-func (p *modelPool) idAt(address string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.fleet.IDAt(address)
-}
-
 // report requests the state of a replica. Calls at about the same time share one request.
 func (p *modelPool) report(ctx context.Context, r Replica) (Report, error) {
 	p.mu.Lock()
