Reports of cut requests have a limit of their own

Operators could miss the line on an answer that the server had cut: a drain closes more unused connections in a second than are reported, and the limit counted all ends alike. Ends with a request that the server cut are counted by themselves now, 32 a second as well.

--- a/node/httpserver/accept_test.go
+++ b/node/httpserver/accept_test.go
@@ -72,3 +72,22 @@
 		}
 	}
 }
+
+// TestConnectionAcceptedDuringAStopStaysOpen guards against a connection that is accepted while the server
+// closes and that nobody closes.
+func TestConnectionAcceptedDuringAStopStaysOpen(t *testing.T) {
+	s := start(t, func(http.ResponseWriter, *http.Request) {})
+	held := holdPollers(t, s)
+	held.hold(t)
+	held.await()
+	waiting := dialAndSend(t, s, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Eventually(t, func() bool { return s.acceptor.waiting() == 1 }, 10*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(context.Background()) }()
+	require.NoError(t, waiting.SetReadDeadline(time.Now().Add(10*time.Second)))
+	_, err := waiting.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	held.goOn()
+	require.NoError(t, <-stopped)
+}
--- a/node/httpserver/ended.go
+++ b/node/httpserver/ended.go
@@ -14,7 +14,8 @@
 	// recentRequest is how long after its last request a connection that the server closes is
 	// reported.
 	recentRequest = time.Second
-	// maxEndsReported is the maximum number of ends of connections reported in endReportPeriod.
+	// maxEndsReported is the maximum number of ends of connections reported in endReportPeriod, for
+	// those that cut a request and all others alike.
 	maxEndsReported = 32
 	endReportPeriod = time.Second
 )
@@ -136,9 +137,13 @@
 		return ConnectionEnd{}, false
 	}
 	if now.Sub(s.endPeriod) >= endReportPeriod {
-		s.endPeriod, s.endsReported = now, 0
+		s.endPeriod, s.endsReported, s.cutsReported = now, 0, 0
 	}
-	if s.endsReported++; s.endsReported > maxEndsReported {
+	reported := &s.endsReported
+	if inProgress && !usual {
+		reported = &s.cutsReported
+	}
+	if *reported++; *reported > maxEndsReported {
 		s.endsOmitted++
 		return ConnectionEnd{}, false
 	}
--- a/node/httpserver/ended_test.go
+++ b/node/httpserver/ended_test.go
@@ -121,3 +121,17 @@
 	}
 	require.Equal(t, closedByShutdown, closedBy(nil, true))
 }
+
+// TestDrainedConnectionsHideACutRequest guards against a request that is cut while nothing tells who
+// closed its connection, because unused connections that were closed in the same second took all reports.
+func TestDrainedConnectionsHideACutRequest(t *testing.T) {
+	s := &Server{opts: Options{OnConnectionEnd: func(ConnectionEnd) {}}}
+	now := time.Now()
+	unused := &connState{requests: 1, idleSince: now, readAt: now, openedAt: now}
+	for range 2 * maxEndsReported {
+		s.connectionEndLocked(unused, errDrained, now)
+	}
+	cut := &connState{requests: 1, idleSince: now, readAt: now, openedAt: now, endedAt: now, endedInRequest: true}
+	_, reported := s.connectionEndLocked(cut, errAborted, now)
+	require.True(t, reported)
+}
--- a/node/httpserver/server.go
+++ b/node/httpserver/server.go
@@ -75,7 +75,8 @@
 	OnRefused func(error)
 	// OnConnectionEnd, if set, is called when a connection has ended with a request in progress, or
 	// was closed here within a second after its last request. It is called for at most
-	// maxEndsReported connections a second, and must not block.
+	// maxEndsReported connections a second with a request cut by the server, and for as many
+	// others. It must not block.
 	OnConnectionEnd func(ConnectionEnd)
 	// ServerErrorBody returns the body of a response that the server writes by itself:
 	// to a message that cannot be parsed, or to a request during shutdown. It must be
@@ -107,11 +108,11 @@
 	// rejected is the set of connections that sent a message that cannot be parsed;
 	// the keys are of type *nbio.Conn.
 	rejected sync.Map
-	// endsReported counts the ends of connections reported since endPeriod, endsOmitted those not
-	// reported since the last one that was.
-	endsReported, endsOmitted int
-	endPeriod                 time.Time
-	checkDelay                atomic.Int64 // of the last periodic check, in nanoseconds
+	// cutsReported counts the ends of connections with a request cut by the server that were reported
+	// since endPeriod, endsReported the others, endsOmitted those not reported since the last one that was.
+	cutsReported, endsReported, endsOmitted int
+	endPeriod                               time.Time
+	checkDelay                              atomic.Int64 // of the last periodic check, in nanoseconds
 	// beforeClose, if set, is called between the last look at an unused connection and its close.
 	// It is for tests.
 	beforeClose func()
