--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -35,7 +36,16 @@
 // limit is the time that a case has.
 const limit = 110 * time.Second
 
+// leastDescriptors is the number of descriptors that the largest case needs: the instance's and those of
+// the stand-ins are limited apart.
+const leastDescriptors = 10478
+
 func main() {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Max < leastDescriptors {
+		fmt.Fprintf(os.Stderr, "%d descriptors are needed\n", leastDescriptors)
+		os.Exit(2)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
 		os.Exit(2)
