A response with an invalid field line is no response, wherever responses are read

What callers saw: a replica sent a head with a line such as "Odd Name: 1", "Content-Length : 2" or " continued". The client got it as a success with the replica's signature; where the line named the length or the transfer coding, the body was not the replica's.

Cause: net/http keeps field names that contain a blank, and joins a line that begins with a blank to the field before it (RFC 9112, section 5, allows neither). node/exchange parses with http.ReadResponse, all other clients use http.Transport, so that both request paths, interim heads, steps of engines, probes, reports, orders, the store, the log and the instance list were affected. Names with control bytes were rejected before, but on the product's own path the service replica that sent them was not probed.

Change: node/fieldline scans the bytes of a connection where they are received and fails its reads at the first byte that makes a line invalid, so that net/http never sees the rest of such a head and has no response to return; the connection cannot be used again. Parsed heads cannot be checked instead: joined lines are not seen in them, nor interim heads. node/exchange reads through fieldline.Reader; service, httpjson, platform and bounded.DefaultClient use fieldline.Transport (with TLS: HTTP/1.1). The request may have run: not idempotent 502, idempotent repeated within its budget, orders and appends undecided, eras not believed. node/router treats it like an invalid status: probed, and no evidence of a crash.

Evidence: with scanner.scan switched off (the code before) these tests fail (go test -run 'Invalid|Unusual|Scanner|TLS'): - cmd/internal/entry: TestInvalidFieldLineReachesNoClient, all four kinds of requests: the client gets 200 with the odd body; TestBegunStreamContinuesAfterAnInvalidHead: a broken stream goes on with each invalid head but the one with a control byte. - node/exchange, node/service, node/engine/httpjson, node/router, node/logstream, node/instancelist, platform: blanks in and after names, lengths and transfer codings before a blank, continued lines. - node/fieldline: also in 200,000 generated responses compared with a regular expression, no difference with the scanner. Unusual but valid lines (every token character, bytes over 127, empty values) pass on all paths, before and after.

Changed tests: the two tests of invalid statuses in node/router and those in cmd/internal/entry also play field lines and are named after heads. TestBegunStreamContinuesAfterAnInvalidStatus answered with the ID of another request, so that any head was rejected; it now states the ID of its request.

--- a/node/bounded/bounded.go
+++ b/node/bounded/bounded.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"golang.org/x/sync/semaphore"
+
+	"masticbank.example/node/fieldline"
 )
 
 // MaxHeaderBytes is the maximum size of the header of an HTTP response, interim (1xx)
@@ -19,13 +21,14 @@
 // ErrTooLarge means that the data exceeds the limit or the shared memory.
 var ErrTooLarge = errors.New("more bytes than allowed")
 
-// DefaultClient is http.DefaultClient with a limit on the size of response headers.
+// DefaultClient is http.DefaultClient with a limit on the size of response headers and a check of
+// their field lines.
 var DefaultClient = &http.Client{Transport: defaultTransport()}
 
-func defaultTransport() *http.Transport {
+func defaultTransport() *fieldline.Transport {
 	tr := http.DefaultTransport.(*http.Transport).Clone()
 	tr.MaxResponseHeaderBytes = MaxHeaderBytes
-	return tr
+	return fieldline.NewTransport(tr)
 }
 
 // ReadAll reads r to its end. It returns ErrTooLarge if there are more than limit
--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -18,6 +18,7 @@
 	"masticbank.example/node/bounded"
 	"masticbank.example/node/caller"
 	"masticbank.example/node/engine"
+	"masticbank.example/node/fieldline"
 	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
@@ -34,14 +35,14 @@
 // Client implements engine.Client.
 type Client struct {
 	mu         sync.Mutex
-	transports map[string]*http.Transport // by address
+	transports map[string]*fieldline.Transport // by address
 }
 
 var _ engine.Client = (*Client)(nil)
 
 // New returns a client without open connections.
 func New() *Client {
-	return &Client{transports: map[string]*http.Transport{}}
+	return &Client{transports: map[string]*fieldline.Transport{}}
 }
 
 // Step implements engine.Client. A step whose client has left is not sent (see package caller).
@@ -66,7 +67,7 @@
 
 // Probe implements engine.Client.
 func (c *Client) Probe(ctx context.Context, t engine.Target) error {
-	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeaderBytes}
+	transport := fieldline.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: bounded.MaxHeaderBytes})
 	defer transport.CloseIdleConnections()
 	return c.call(ctx, transport, http.MethodGet, t, wire.PathProbe, nil, nil)
 }
@@ -106,19 +107,19 @@
 	}
 }
 
-func (c *Client) transport(t engine.Target) *http.Transport {
+func (c *Client) transport(t engine.Target) *fieldline.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tr, ok := c.transports[t.Address]
 	if !ok {
-		tr = &http.Transport{
+		tr = fieldline.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: idlePerEngine,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-		}
+		})
 		c.transports[t.Address] = tr
 	}
 	return tr
@@ -131,7 +132,7 @@
 
 // call sends one request and decodes its response. Requests with a body are not
 // replayable, so the transport never sends one twice by itself.
-func (c *Client) call(ctx context.Context, tr *http.Transport, method string, t engine.Target, path string, in, out any) error {
+func (c *Client) call(ctx context.Context, tr *fieldline.Transport, method string, t engine.Target, path string, in, out any) error {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -182,6 +183,8 @@
 		ce.Code = engine.CodeTimeout
 	case ctx.Err() != nil:
 		ce.Code = engine.CodeCancelled
+	case errors.Is(err, fieldline.ErrInvalid):
+		ce.Code = engine.CodeProtocol
 	}
 	return ce
 }
--- a/node/engine/httpjson/status_test.go
+++ b/node/engine/httpjson/status_test.go
@@ -14,6 +14,8 @@
 
 	"masticbank.example/node/engine"
 	"masticbank.example/node/engine/httpjson"
+	"masticbank.example/node/fieldline"
+	"masticbank.example/node/fieldline/fieldlinetest"
 	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
@@ -41,6 +43,50 @@
 	}
 }
 
+// TestInvalidFieldLineIsNoResponse guards against a response with an invalid field line that is taken for
+// the result of a step, for a refusal or for a load report.
+func TestInvalidFieldLineIsNoResponse(t *testing.T) {
+	step := &wire.StepRequest{RequestID: "r", Attempt: 1}
+	refusal, err := json.Marshal(wire.ErrorBody{Code: wire.CodeOverloaded, Step: step.ID()})
+	require.NoError(t, err)
+	for fault, line := range fieldlinetest.Invalid {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\nA: 1\r\n" + line,
+			"HTTP/1.1 503 Service Unavailable\r\nA: 1\r\n" + line,
+			"HTTP/1.1 103 Early Hints\r\nA: 1\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n",
+		} {
+			t.Run(fault+" "+head, func(t *testing.T) {
+				address := startOddEngine(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
+				c := httpjson.New()
+				target := engine.Target{ID: "e", Address: address}
+				defer c.Release(target)
+				_, err := c.Step(context.Background(), target, step)
+				var failure *engine.CallError
+				require.ErrorAs(t, err, &failure)
+				require.ErrorIs(t, err, fieldline.ErrInvalid)
+				require.Equal(t, engine.ProofNone, failure.Proof)
+				require.Equal(t, engine.CodeProtocol, failure.Code)
+				_, err = c.Load(context.Background(), target)
+				require.ErrorIs(t, err, fieldline.ErrInvalid)
+				require.ErrorIs(t, c.Probe(context.Background(), target), fieldline.ErrInvalid)
+			})
+		}
+	}
+}
+
+// TestUnusualFieldLinesAreAccepted guards against valid field lines that are taken for invalid ones.
+func TestUnusualFieldLinesAreAccepted(t *testing.T) {
+	address := startOddEngine(t, "HTTP/1.1 200 OK\r\n"+fieldlinetest.Unusual+"Content-Length: 2\r\n\r\n{}")
+	c := httpjson.New()
+	target := engine.Target{ID: "e", Address: address}
+	defer c.Release(target)
+	for range 2 {
+		_, err := c.Step(context.Background(), target, &wire.StepRequest{RequestID: "r", Attempt: 1})
+		require.NoError(t, err)
+	}
+	require.NoError(t, c.Probe(context.Background(), target))
+}
+
 // startOddEngine starts a server that sends the same response to every request.
 func startOddEngine(t *testing.T, response string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/exchange/exchange.go
+++ b/node/exchange/exchange.go
@@ -186,6 +186,7 @@
 // roundTrip sends a request, whose encoding without a large body is given, on a connection and reads
 // the head of the response.
 func (c *Client) roundTrip(cn *conn, r *Request, encoded []byte) (*Response, error) {
+	cn.fields.ExpectResponse()
 	_, err := cn.Write(encoded)
 	if err == nil && len(r.Body) > maxJoinedBytes {
 		_, err = cn.Write(r.Body)
@@ -199,6 +200,9 @@
 		return nil, trace.Wrap(ErrHeadTooLarge, "response from %s", cn.address)
 	}
 	cn.limiter.setLimit(unlimited)
+	if invalid := cn.fields.Err(); err != nil && invalid != nil {
+		err = invalid
+	}
 	if err != nil {
 		return nil, trace.Wrap(err, "response from %s", cn.address)
 	}
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"masticbank.example/node/fieldline"
 )
 
 const (
@@ -28,9 +30,11 @@
 // conn is a connection to a replica.
 type conn struct {
 	net.Conn
-	address  string
-	reader   *bufio.Reader
+	address string
+	reader  *bufio.Reader
+	// limiter and fields check what reader reads.
 	limiter  *headLimiter
+	fields   *fieldline.Reader
 	lastUsed time.Time
 	// announcedIdleTimeout is the idle timeout that the replica announced, or 0.
 	announcedIdleTimeout time.Duration
@@ -99,8 +103,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	limiter := &headLimiter{source: nc}
-	cn := &conn{Conn: nc, address: address, lastUsed: time.Now(), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	fields := fieldline.NewReader(nc)
+	limiter := &headLimiter{source: fields}
+	cn := &conn{Conn: nc, address: address, lastUsed: time.Now(), limiter: limiter, fields: fields, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 	cn.carried.add(id)
 	return cn, nil
 }
--- /dev/null
+++ b/node/fieldline/transport_test.go
@@ -0,0 +1,46 @@
+package fieldline_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"masticbank.example/node/fieldline"
+	"masticbank.example/node/fieldline/fieldlinetest"
+)
+
+// TestTransportChecksTLSConnections guards against field lines that are not checked, or bytes of TLS that
+// are taken for them, because the dialed connection carries encrypted data.
+func TestTransportChecksTLSConnections(t *testing.T) {
+	var line atomic.Value
+	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nA: 1\r\n"+line.Load().(string)+"Content-Length: 2\r\n\r\nok")
+	}))
+	defer s.Close()
+	tr := fieldline.NewTransport(s.Client().Transport.(*http.Transport).Clone())
+	defer tr.CloseIdleConnections()
+	client := &http.Client{Transport: tr}
+	for range 2 {
+		line.Store(fieldlinetest.Unusual)
+		resp, err := client.Get(s.URL)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, "ok", string(body))
+		for _, invalid := range fieldlinetest.Invalid {
+			line.Store(invalid)
+			_, err = client.Get(s.URL)
+			require.ErrorIs(t, err, fieldline.ErrInvalid)
+		}
+	}
+}
--- a/node/router/health.go
+++ b/node/router/health.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// recordInvalidResponse records a step whose response had an invalid status, and probes the replica. The
+// recordInvalidResponse records a step whose response had an invalid head, and probes the replica. The
 // replica responded, so this is no evidence of a crash.
 func (p *pool) recordInvalidResponse(c call) {
 	p.mu.Lock()
--- a/node/router/status_test.go
+++ b/node/router/invalidhead_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,28 +12,35 @@
 
 	"masticbank.example/core/execution"
 	"masticbank.example/node/engine"
+	"masticbank.example/node/fieldline"
+	"masticbank.example/node/fieldline/fieldlinetest"
 	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
 
-// setStatus makes calls and probes get a response with the given status line; "" ends that.
-func (rep *fakeReplica) setStatus(line string) {
+// setHead makes calls and probes get a response with the given head, without "HTTP/1.1" and the length.
+func (rep *fakeReplica) setHead(head string) {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	rep.statusLine = line
+	rep.head = head
 }
 
-// TestInvalidStatusOfAServiceIsNoResponse guards against a response whose status is none that is passed
-// on as that of the service. A call that may be repeated moves on; any other ends, may have run, and
-// promises nothing. The replica gets no further calls, and the call is no cause of a crash.
-func TestInvalidStatusOfAServiceIsNoResponse(t *testing.T) {
-	for _, line := range []string{"000 OK", "099 OK", "101 Switching Protocols", "600 OK", "999 OK"} {
+// TestInvalidHeadOfAServiceIsNoResponse guards against a response whose status is none, or with an invalid
+// field line, that is passed on as that of the service. A call that may be repeated moves on; any other
+// ends, may have run, and promises nothing. The replica gets no further calls, and the call is no cause of
+// a crash.
+func TestInvalidHeadOfAServiceIsNoResponse(t *testing.T) {
+	heads := []string{"000 OK", "099 OK", "101 Switching Protocols", "600 OK", "999 OK"}
+	for _, line := range fieldlinetest.Invalid {
+		heads = append(heads, "200 OK\r\nA: 1\r\n"+strings.TrimSuffix(line, "\r\n"))
+	}
+	for _, head := range heads {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
-			t.Run(line+" "+method, func(t *testing.T) {
+			t.Run(head+" "+method, func(t *testing.T) {
 				r, e := newPlainRouter(t)
 				a, b := newFakeReplica(t, "a"), newFakeReplica(t, "b")
 				r.setInstancesAndWait(a.Instance, b.Instance)
-				a.setStatus(line)
+				a.setHead(head)
 				res := callService(t, r, method)
 				if method == http.MethodGet {
 					require.True(t, res.Complete)
@@ -56,13 +64,19 @@
 	}
 }
 
-// TestInvalidStatusOfAnEngineIsProbed guards against an engine that goes on getting steps although it
-// responds to all of them with a status that is none: it is probed and ejected, and the request moves
-// on. The requests on it are no cause of a crash.
-func TestInvalidStatusOfAnEngineIsProbed(t *testing.T) {
+// TestInvalidHeadOfAnEngineIsProbed guards against an engine that goes on getting steps although it
+// responds to all of them with a head that cannot be relied on: it is probed and ejected, and the request
+// moves on. The requests on it are no cause of a crash.
+func TestInvalidHeadOfAnEngineIsProbed(t *testing.T) {
+	for _, cause := range []error{statusline.ErrInvalid, fieldline.ErrInvalid} {
+		t.Run(cause.Error(), func(t *testing.T) { testInvalidHeadOfAnEngine(t, cause) })
+	}
+}
+
+func testInvalidHeadOfAnEngine(t *testing.T, cause error) {
 	engines := &fakeEngines{}
 	odd := ""
-	invalid := &engine.CallError{Proof: engine.ProofNone, Code: engine.CodeProtocol, Err: statusline.ErrInvalid}
+	invalid := &engine.CallError{Proof: engine.ProofNone, Code: engine.CodeProtocol, Err: cause}
 	engines.onStep = func(_ context.Context, to engine.Target, r *wire.StepRequest) (*wire.StepResponse, bool, error) {
 		if odd == "" {
 			odd = to.ID
--- a/node/router/outcome.go
+++ b/node/router/outcome.go
@@ -7,6 +7,8 @@
 	"masticbank.example/core/admission"
 	"masticbank.example/core/attempt"
 	"masticbank.example/node/engine"
+	"masticbank.example/node/fieldline"
+	"masticbank.example/node/statusline"
 )
 
 // finish records the outcome of the request. Its slot is freed once its replicas have
@@ -88,6 +90,11 @@
 	return errors.As(err, &ce) && ce.Proof == engine.ProofRefused
 }
 
+// isInvalidHead reports whether a replica responded with a head that cannot be relied on.
+func isInvalidHead(err error) bool {
+	return errors.Is(err, statusline.ErrInvalid) || errors.Is(err, fieldline.ErrInvalid)
+}
+
 func contextEvent(ctx context.Context) attempt.Event {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return attempt.Expired{}
--- a/node/router/service.go
+++ b/node/router/service.go
@@ -13,7 +13,6 @@
 	"masticbank.example/core/health"
 	"masticbank.example/core/poison"
 	"masticbank.example/node/service"
-	"masticbank.example/node/statusline"
 )
 
 // maxServiceAttempts bounds the replicas that are tried for one idempotent call.
@@ -189,7 +188,7 @@
 	response, err := r.opts.Services.Do(callCtx, c.address, call)
 	switch {
 	case err == nil || callCtx.Err() != nil:
-	case errors.Is(err, statusline.ErrInvalid):
+	case isInvalidHead(err):
 		// The replica is probed, but it responded: this is no evidence of a crash.
 		pool.observe(c.replica, health.ConnectionFailed{Connection: c.number})
 	case connectionFailed(err):
--- a/node/router/setup_test.go
+++ b/node/router/setup_test.go
@@ -83,8 +83,8 @@
 	// body of the load report.
 	refusal string
 	report  string
-	// statusLine, if set, is the status line of the responses to calls and probes.
-	statusLine string
+	// head, if set, is the head of the responses to calls and probes, see setHead.
+	head string
 }
 
 func newFakeReplica(t *testing.T, id string) *fakeReplica {
@@ -102,11 +102,11 @@
 	switch {
 	case req.URL.Path == wire.PathLoad:
 		_, _ = w.Write([]byte(rep.report))
-	case rep.statusLine != "":
+	case rep.head != "":
 		if req.URL.Path != wire.PathProbe {
 			rep.calls++
 		}
-		writeStatusLine(w, rep.statusLine)
+		writeHead(w, rep.head)
 	case req.URL.Path == wire.PathProbe:
 		w.WriteHeader(http.StatusNoContent)
 	case rep.refusal != "":
@@ -117,13 +117,13 @@
 	}
 }
 
-// writeStatusLine writes a response with a status line that net/http would not write.
-func writeStatusLine(w http.ResponseWriter, line string) {
+// writeHead writes a response with a head that net/http would not write.
+func writeHead(w http.ResponseWriter, head string) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(c, "HTTP/1.1 "+line+"\r\nContent-Length: 0\r\n\r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 "+head+"\r\nContent-Length: 0\r\n\r\n")
 	_ = c.Close()
 }
 
--- a/node/router/step.go
+++ b/node/router/step.go
@@ -7,7 +7,6 @@
 
 	"masticbank.example/core/attempt"
 	"masticbank.example/node/engine"
-	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
 
@@ -93,7 +92,7 @@
 	case ce.Code == engine.CodeTimeout, ce.Code == engine.CodeConnection:
 		x.connectionBroken = ce.Code == engine.CodeConnection
 		return attempt.Unresponsive{Step: s.Step}
-	case errors.Is(err, statusline.ErrInvalid):
+	case isInvalidHead(err):
 		x.pool.recordInvalidResponse(x.currentCall)
 		return attempt.Failed{Step: s.Step, Reason: ce.Code}
 	default:
--- a/node/service/service.go
+++ b/node/service/service.go
@@ -14,6 +14,7 @@
 	"masticbank.example/core/execution"
 	"masticbank.example/node/bounded"
 	"masticbank.example/node/caller"
+	"masticbank.example/node/fieldline"
 	"masticbank.example/node/statusline"
 )
 
@@ -57,29 +58,29 @@
 
 // Client calls services over HTTP/1.1. It is safe for concurrent use.
 type Client struct {
-	pooled *http.Transport
+	pooled *fieldline.Transport
 	// unpooled opens a new connection for each call. A transport resends a request by
 	// itself only on a reused connection.
-	unpooled *http.Transport
+	unpooled *fieldline.Transport
 }
 
 // New returns a client without open connections.
 func New() *Client {
 	d := &caller.Dialer{Dialer: net.Dialer{Timeout: dialTimeout}}
 	return &Client{
-		pooled: &http.Transport{
+		pooled: fieldline.NewTransport(&http.Transport{
 			DialContext:            d.DialContext,
 			MaxIdleConnsPerHost:    idlePerHost,
 			IdleConnTimeout:        idleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-		},
-		unpooled: &http.Transport{
+		}),
+		unpooled: fieldline.NewTransport(&http.Transport{
 			DialContext:            d.DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: bounded.MaxHeaderBytes,
-		},
+		}),
 	}
 }
 
--- a/node/service/status_test.go
+++ b/node/service/status_test.go
@@ -21,18 +21,21 @@
 // callTimeout is the maximum time of a call.
 const callTimeout = 20 * time.Second
 
-// oddServer responds to its first request with the given head and no body, to later ones with 200. It
-// counts connections and requests.
+// oddServer responds to its first request, and to the first one after each setHead, with the given bytes,
+// to others with 200. It counts connections and requests.
 type oddServer struct {
-	head               string
+	head               atomic.Pointer[string]
 	connected, request atomic.Int64
 }
 
+func (s *oddServer) setHead(head string) { s.head.Store(&head) }
+
 func startOddServer(t *testing.T, head string) (*oddServer, string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	s := &oddServer{head: head}
+	s := &oddServer{}
+	s.setHead(head)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -56,8 +59,9 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		head := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-		if s.request.Add(1) == 1 {
-			head = s.head
+		s.request.Add(1)
+		if odd := s.head.Swap(nil); odd != nil {
+			head = *odd
 		}
 		_, _ = io.WriteString(c, head)
 	}
