--- a/node/logstream/field_test.go
+++ b/node/logstream/head_test.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// TestInvalidStatusDoesNotDecideAnAppend guards against an append that counts as one that never will be
+// because the status of the response is none.
+func TestInvalidStatusDoesNotDecideAnAppend(t *testing.T) {
+	for _, status := range []string{"000 OK", "099 OK", "101 Switching Protocols", "600 OK", "999 OK"} {
+		t.Run(status, func(t *testing.T) {
+			address := fieldlinetest.Serve(t, "HTTP/1.1 "+status+"\r\nContent-Length: 12\r\n\r\n{\"offset\":1}")
+			h := &logstream.HTTP{Base: "http://" + address, Timeout: time.Minute}
+			_, err := h.Append(context.Background(), "s", [][]byte{[]byte("r")})
+			require.ErrorIs(t, err, logstream.ErrUnavailable)
+		})
+	}
+}
+
 func TestUnusualFieldLinesOfTheLogAreAccepted(t *testing.T) {
 	address := fieldlinetest.Serve(t, "HTTP/1.1 200 OK\r\n"+fieldlinetest.Unusual+"Content-Length: 12\r\n\r\n{\"offset\":1}")
 	h := &logstream.HTTP{Base: "http://" + address, Timeout: time.Minute}
--- a/node/logstream/http.go
+++ b/node/logstream/http.go
@@ -14,6 +14,7 @@
 
 	"masticbank.example/core/record"
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
 
@@ -87,6 +88,9 @@
 		return trace.Wrap(ErrUnavailable, err.Error())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := statusline.CheckFinal(resp, h.client()); err != nil {
+		return trace.Wrap(ErrUnavailable, err.Error())
+	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(resp)
 	}
