masticctl believes no instance whose response has an invalid head

What operators would see: "published" or "refused" for a configuration whose outcome a broken response did not tell. Seen in a test only.

Cause: the client of the administration API used http.DefaultTransport, with neither the check of field lines nor that of statuses.

Change: it uses the transport of bounded.DefaultClient and checks the status first.

--- a/cmd/internal/adminclient/client.go
+++ b/cmd/internal/adminclient/client.go
@@ -16,6 +16,8 @@
 	"github.com/gravitational/trace"
 
 	"masticbank.example/node/admin"
+	"masticbank.example/node/bounded"
+	"masticbank.example/node/statusline"
 )
 
 const (
@@ -32,7 +34,7 @@
 
 // New returns a client for the instance at base, such as "http://10.0.0.1:8081".
 func New(base, key string) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: &http.Client{Timeout: timeout}}
+	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: &http.Client{Timeout: timeout, Transport: bounded.DefaultClient.Transport}}
 }
 
 // StatusError is a response with a status other than 200.
@@ -121,6 +123,9 @@
 		return trace.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if err := statusline.CheckFinal(resp, c.http); err != nil {
+		return trace.Wrap(err)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
 		return trace.Wrap(err)
