Comments and tests of invalid heads in the terms of RFC 9112

Spaces, whitespace and obs-fold instead of blanks and continued lines; the tests of services and engines share their checks for both kinds of invalid heads. The load report of an engine is now tested with invalid statuses too. No change of behavior.

--- a/cmd/internal/entry/invalidhead_test.go
+++ b/cmd/internal/entry/invalidhead_test.go
@@ -17,12 +17,12 @@
 
 // invalidFieldLines are some lines that make a head invalid.
 var invalidFieldLines = []string{
-	fieldlinetest.Invalid["blank in a name"],
-	fieldlinetest.Invalid["length after a blank"],
-	fieldlinetest.Invalid["chunked before a blank"],
-	fieldlinetest.Invalid["continued with a blank"],
-	fieldlinetest.Invalid["continued with a tab"],
-	fieldlinetest.Invalid["escape in a name"],
+	fieldlinetest.Invalid["space in the name"],
+	fieldlinetest.Invalid["space before the colon of a length"],
+	fieldlinetest.Invalid["space before the colon of a coding"],
+	fieldlinetest.Invalid["obs-fold with a space"],
+	fieldlinetest.Invalid["obs-fold with a tab"],
+	fieldlinetest.Invalid["ESC in the name"],
 }
 
 // oddBody is the body of a response with an invalid head.
--- a/node/bounded/bounded.go
+++ b/node/bounded/bounded.go
@@ -21,8 +21,8 @@
 // ErrTooLarge means that the data exceeds the limit or the shared memory.
 var ErrTooLarge = errors.New("more bytes than allowed")
 
-// DefaultClient is http.DefaultClient with a limit on the size of response headers and a check of
-// their field lines.
+// DefaultClient is http.DefaultClient with a limit on the size of response headers. It rejects responses
+// with invalid field lines.
 var DefaultClient = &http.Client{Transport: defaultTransport()}
 
 func defaultTransport() *fieldline.Transport {
--- a/node/engine/httpjson/status_test.go
+++ b/node/engine/httpjson/status_test.go
@@ -20,25 +20,33 @@
 	"masticbank.example/node/wire"
 )
 
-// TestInvalidStatusIsNoResponse guards against a response whose status is none that is taken for the
-// result of a step, or for a refusal: the step may have run.
-func TestInvalidStatusIsNoResponse(t *testing.T) {
+// requireNoResult requires that responses with the given head, which lacks the length, are neither results
+// nor refusals: the step may have run.
+func requireNoResult(t *testing.T, head string, cause error) {
 	step := &wire.StepRequest{RequestID: "r", Attempt: 1}
 	refusal, err := json.Marshal(wire.ErrorBody{Code: wire.CodeOverloaded, Step: step.ID()})
 	require.NoError(t, err)
+	address := startOddEngine(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
+	c := httpjson.New()
+	target := engine.Target{ID: "e", Address: address}
+	defer c.Release(target)
+	_, err = c.Step(context.Background(), target, step)
+	var failure *engine.CallError
+	require.ErrorAs(t, err, &failure)
+	require.ErrorIs(t, err, cause)
+	require.Equal(t, engine.ProofNone, failure.Proof)
+	require.Equal(t, engine.CodeProtocol, failure.Code)
+	_, err = c.Load(context.Background(), target)
+	require.ErrorIs(t, err, cause)
+	require.ErrorIs(t, c.Probe(context.Background(), target), cause)
+}
+
+// TestInvalidStatusIsNoResponse guards against a response whose status is none that is taken for the
+// result of a step, or for a refusal.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		t.Run(status, func(t *testing.T) {
-			address := startOddEngine(t, fmt.Sprintf("HTTP/1.1 %s x\r\nContent-Length: %d\r\n\r\n%s", status, len(refusal), refusal))
-			c := httpjson.New()
-			target := engine.Target{ID: "e", Address: address}
-			defer c.Release(target)
-			_, err := c.Step(context.Background(), target, step)
-			var failure *engine.CallError
-			require.ErrorAs(t, err, &failure)
-			require.ErrorIs(t, err, statusline.ErrInvalid)
-			require.Equal(t, engine.ProofNone, failure.Proof)
-			require.Equal(t, engine.CodeProtocol, failure.Code)
-			require.Error(t, c.Probe(context.Background(), target))
+			requireNoResult(t, "HTTP/1.1 "+status+" x\r\n", statusline.ErrInvalid)
 		})
 	}
 }
@@ -46,30 +54,13 @@
 // TestInvalidFieldLineIsNoResponse guards against a response with an invalid field line that is taken for
 // the result of a step, for a refusal or for a load report.
 func TestInvalidFieldLineIsNoResponse(t *testing.T) {
-	step := &wire.StepRequest{RequestID: "r", Attempt: 1}
-	refusal, err := json.Marshal(wire.ErrorBody{Code: wire.CodeOverloaded, Step: step.ID()})
-	require.NoError(t, err)
 	for fault, line := range fieldlinetest.Invalid {
 		for _, head := range []string{
 			"HTTP/1.1 200 OK\r\nA: 1\r\n" + line,
 			"HTTP/1.1 503 Service Unavailable\r\nA: 1\r\n" + line,
 			"HTTP/1.1 103 Early Hints\r\nA: 1\r\n" + line + "\r\nHTTP/1.1 200 OK\r\n",
 		} {
-			t.Run(fault+" "+head, func(t *testing.T) {
-				address := startOddEngine(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
-				c := httpjson.New()
-				target := engine.Target{ID: "e", Address: address}
-				defer c.Release(target)
-				_, err := c.Step(context.Background(), target, step)
-				var failure *engine.CallError
-				require.ErrorAs(t, err, &failure)
-				require.ErrorIs(t, err, fieldline.ErrInvalid)
-				require.Equal(t, engine.ProofNone, failure.Proof)
-				require.Equal(t, engine.CodeProtocol, failure.Code)
-				_, err = c.Load(context.Background(), target)
-				require.ErrorIs(t, err, fieldline.ErrInvalid)
-				require.ErrorIs(t, c.Probe(context.Background(), target), fieldline.ErrInvalid)
-			})
+			t.Run(fault+" "+head, func(t *testing.T) { requireNoResult(t, head, fieldline.ErrInvalid) })
 		}
 	}
 }
--- a/node/exchange/pool.go
+++ b/node/exchange/pool.go
@@ -32,7 +32,7 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
-	// limiter and fields check what reader reads.
+	// reader reads through limiter, which reads through fields.
 	limiter  *headLimiter
 	fields   *fieldline.Reader
 	lastUsed time.Time
--- a/node/fieldline/fieldlinetest/server.go
+++ b/node/fieldline/fieldlinetest/server.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// Serve starts a server that sends the same bytes in response to each request and closes the connection.
-// It returns the server's address and runs until the test ends.
+// Serve starts a server that writes response to each request and closes the connection. It returns the
+// server's address; the server runs until the test ends.
 func Serve(t *testing.T, response string) (address string) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
--- a/node/fieldline/reader.go
+++ b/node/fieldline/reader.go
@@ -6,9 +6,9 @@
 	"sync"
 )
 
-// Reader reads the responses on a connection. From the first byte that makes a field line invalid on,
-// its reads fail with ErrInvalid, so that no parser takes the head for a response. It is safe for
-// concurrent use if its source is.
+// Reader reads the responses on a connection. Its reads fail with ErrInvalid from the first byte that
+// makes a field line invalid, so that a parser never sees the end of such a head. Read and the other
+// methods may be called concurrently.
 type Reader struct {
 	source io.Reader
 
@@ -17,12 +17,11 @@
 	invalid bool
 }
 
-// NewReader returns a reader of a connection on which nothing was received yet.
+// NewReader returns a reader of a new connection.
 func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
 
-// ExpectResponse tells that the next bytes after the body of the last response are those of another
-// one. It is called before each request is sent. What was received of a head already belongs to the
-// response.
+// ExpectResponse marks the end of the previous response. It must be called before each request is sent. If
+// a part of a head was received since, it counts as that of the next response.
 func (r *Reader) ExpectResponse() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -47,8 +46,8 @@
 	return n, err
 }
 
-// Err returns ErrInvalid if an invalid field line was received. A parser that has read a part of the
-// line may have failed with another error.
+// Err returns ErrInvalid if an invalid field line was received. The error of the parser may be another one
+// if it has read a part of the line.
 func (r *Reader) Err() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -58,7 +57,7 @@
 	return nil
 }
 
-// conn is a connection whose responses are read with a Reader.
+// conn is a connection that is read through a Reader.
 type conn struct {
 	net.Conn
 	reader *Reader
--- a/node/fieldline/reader_test.go
+++ b/node/fieldline/reader_test.go
@@ -19,7 +19,7 @@
 
 func init() { _ = flag.Set("rapid.seed", "20261204") }
 
-// readFinal reads a response as http.Transport does: interim ones are skipped.
+// readFinal reads a response and skips interim ones, as http.Transport does.
 func readFinal(r *bufio.Reader) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(r, nil)
@@ -29,10 +29,10 @@
 	}
 }
 
-// validLine matches a field line, as far as its name is concerned.
+// validLine matches the name and the colon of a valid field line.
 var validLine = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
 
-// validHeads reports whether all field lines up to the end of the final head are valid.
+// validHeads reports whether all field lines of the heads are valid.
 func validHeads(heads []string) bool {
 	for _, head := range heads {
 		for _, line := range strings.Split(strings.TrimSuffix(head, "\r\n\r\n"), "\r\n")[1:] {
@@ -44,9 +44,9 @@
 	return true
 }
 
-// TestScannerFindsEachInvalidLine guards against an invalid line that is missed, for example behind an
-// interim head or across two reads, and against a valid head or a body that is taken for an invalid
-// line. The heads are compared with a regular expression.
+// TestScannerFindsEachInvalidLine guards against an invalid line that is missed, for example after an
+// interim response or across two reads, and against a valid head or a body that is rejected. It compares
+// the scanner with a regular expression.
 func TestScannerFindsEachInvalidLine(t *testing.T) {
 	interim := rapid.SampledFrom([]string{"100", "103", " 199", "103 Early: Hints"})
 	final := rapid.SampledFrom([]string{"200", "200 O K", "101 x", "000 x", "099", "999 x", "  503 x"})
@@ -87,13 +87,13 @@
 	})
 }
 
-// TestInvalidLinesAreNamed guards against invalid lines of a later response that are not looked for, and
-// against an error that does not tell them from a broken connection.
-func TestInvalidLinesAreNamed(t *testing.T) {
-	const sound = "HTTP/1.1 200 OK\r\n" + fieldlinetest.Unusual + "Content-Length: 2\r\n\r\n: "
+// TestInvalidLineOfALaterResponse guards against a check of the first response of a connection only, and
+// against an error that cannot be told from a broken connection.
+func TestInvalidLineOfALaterResponse(t *testing.T) {
+	const valid = "HTTP/1.1 200 OK\r\n" + fieldlinetest.Unusual + "Content-Length: 2\r\n\r\n: "
 	for name, line := range fieldlinetest.Invalid {
 		t.Run(name, func(t *testing.T) {
-			fields := fieldline.NewReader(io.MultiReader(strings.NewReader(sound),
+			fields := fieldline.NewReader(io.MultiReader(strings.NewReader(valid),
 				strings.NewReader("HTTP/1.1 200 OK\r\nA: 1\r\n"+line+"Content-Length: 0\r\n\r\n")))
 			r := bufio.NewReader(fields)
 			resp, err := readFinal(r)
--- a/node/fieldline/scanner.go
+++ b/node/fieldline/scanner.go
@@ -1,8 +1,8 @@
-// Package fieldline rejects responses of other processes with invalid field lines (header lines).
+// Package fieldline rejects HTTP/1.1 responses with invalid field lines (header lines).
 //
-// net/http parses heads more leniently than RFC 9112, section 5: it keeps field names that contain a
-// blank, and joins a line that begins with a blank to the field before it. A length or an ID in such a
-// line is not seen, so that the body may end elsewhere or belong to another request.
+// net/http is more lenient than RFC 9112, section 5: it accepts spaces in field names, and obs-fold, that
+// is, lines that begin with whitespace and continue the previous field. A Content-Length in such a line is
+// ignored, so that the body may be taken to end elsewhere.
 package fieldline
 
 import (
@@ -10,17 +10,17 @@
 	"strings"
 )
 
-// ErrInvalid means that the head of a response, or of an interim one before it, contains an invalid
-// field line. Nothing in such a head can be relied on, so that the request may have run.
+// ErrInvalid means that the head of a response, or of an interim response before it, contains an invalid
+// field line. Nothing in such a head can be relied on: the request may have run, whatever its status.
 var ErrInvalid = errors.New("invalid field line")
 
 // state is what the next byte of a response belongs to.
 type state uint8
 
 const (
-	// inVersion is the status line up to its first blank.
+	// inVersion is the status line up to its first space.
 	inVersion state = iota
-	// inCode is the status code, with the blanks before it.
+	// inCode is the status code, with the spaces before it.
 	inCode
 	inReason
 	// atLine is the first byte of a field line, or of the empty line after them.
@@ -35,18 +35,17 @@
 // codeDigits is the number of digits of a status code (RFC 9110, section 15).
 const codeDigits = 3
 
-// scanner scans the bytes of one response, with the interim responses before it, for invalid field
-// lines. It finds the ends of heads where net/http finds them. The status line and the values are left to
-// net/http, which rejects invalid values itself; trailers are not checked, as no client uses them. The zero
-// value is at the start of a response.
+// scanner finds invalid field lines in a response and the interim responses before it. It ends each head
+// where net/http does. It checks neither the status line nor values, as net/http rejects invalid values
+// itself, nor trailers, which no client uses. The zero value is ready to scan a response.
 type scanner struct {
 	state state
-	// code holds the status code, cut off after one byte more than it may have.
+	// code holds the status code, truncated to one byte more than a valid one.
 	code []byte
 }
 
-// scan scans the next bytes of the response. It returns how many come before the first byte that
-// makes a field line invalid; ok is false if there is one. After that nothing more may be scanned.
+// scan scans the next bytes of the response. If one of them makes a field line invalid, ok is false, n is
+// the number of bytes before it, and scan must not be called again.
 func (s *scanner) scan(p []byte) (n int, ok bool) {
 	for i, c := range p {
 		if s.state == inBody {
@@ -84,7 +83,7 @@
 	}
 }
 
-// startLine scans the first byte after a line.
+// startLine scans the first byte of a line after the status line.
 func (s *scanner) startLine(c byte) bool {
 	switch c {
 	case '\n':
@@ -99,7 +98,7 @@
 	}
 }
 
-// stepStatusLine scans one byte of a status line. Like net/http it allows several blanks before the code.
+// stepStatusLine scans one byte of a status line. Like net/http it allows several spaces before the code.
 func (s *scanner) stepStatusLine(c byte) {
 	switch {
 	case c == '\n':
@@ -115,7 +114,7 @@
 	}
 }
 
-// endHead continues with the body, or after an interim head with the next head.
+// endHead ends a head. After that of an interim response another one follows.
 func (s *scanner) endHead() {
 	s.state = inBody
 	if s.isInterim() {
@@ -124,8 +123,7 @@
 	s.code = s.code[:0]
 }
 
-// isInterim reports whether the head is that of an interim response. After a protocol switch no other
-// head follows.
+// isInterim reports whether the head is that of an interim response. Status 101 is final in net/http.
 func (s *scanner) isInterim() bool {
 	code := string(s.code)
 	return len(code) == codeDigits && code[0] == '1' && strings.Trim(code, "0123456789") == "" && code != "101"
--- a/node/fieldline/transport.go
+++ b/node/fieldline/transport.go
@@ -15,12 +15,12 @@
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.Transport that returns ErrInvalid for a response with an invalid field line and
-// closes its connection. It does not repeat the request, which may have run.
+// Transport is an http.Transport that fails with ErrInvalid on a response with an invalid field line, and
+// closes its connection. It does not retry the request.
 type Transport struct{ *http.Transport }
 
-// NewTransport returns a transport that checks what t receives. It replaces the dial functions of t, which
-// must not be used itself any more. Connections with TLS use HTTP/1.1.
+// NewTransport returns a transport that checks the responses received by t. It takes over t and replaces its
+// dial functions. TLS connections use HTTP/1.1.
 func NewTransport(t *http.Transport) *Transport {
 	dial := dialFunc(t.DialContext)
 	if dial == nil {
@@ -48,7 +48,7 @@
 	return resp, err
 }
 
-// checked dials a connection whose responses are checked.
+// checked dials a connection that is read through a Reader.
 func (d dialFunc) checked(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := d(ctx, network, address)
 	if err != nil {
@@ -57,7 +57,7 @@
 	return &conn{Conn: c, reader: NewReader(c)}, nil
 }
 
-// withTLS returns a function that dials with TLS.
+// withTLS returns a function that dials and performs the TLS handshake for HTTP/1.1.
 func (d dialFunc) withTLS(config *tls.Config) dialFunc {
 	if config == nil {
 		config = &tls.Config{}
--- a/node/fieldline/transport_test.go
+++ b/node/fieldline/transport_test.go
@@ -13,8 +13,8 @@
 	"masticbank.example/node/fieldline/fieldlinetest"
 )
 
-// TestTransportChecksTLSConnections guards against field lines that are not checked, or bytes of TLS that
-// are taken for them, because the dialed connection carries encrypted data.
+// TestTransportChecksTLSConnections guards against a check of encrypted bytes, which would reject valid
+// responses and accept invalid ones.
 func TestTransportChecksTLSConnections(t *testing.T) {
 	var line atomic.Value
 	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/node/service/field_test.go
+++ b/node/service/field_test.go
@@ -8,49 +8,31 @@
 
 	"github.com/stretchr/testify/require"
 
-	"masticbank.example/core/execution"
 	"masticbank.example/node/fieldline"
 	"masticbank.example/node/fieldline/fieldlinetest"
 	"masticbank.example/node/service"
 )
 
 // TestInvalidFieldLineIsNoResponse guards against a response with an invalid field line, or one after
-// such an interim response, that is passed on. The call may have run, is sent once, and its connection
-// must not be used again.
+// such an interim response, that is passed on.
 func TestInvalidFieldLineIsNoResponse(t *testing.T) {
-	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	const valid = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 	for fault, line := range fieldlinetest.Invalid {
 		for _, idempotent := range []bool{true, false} {
 			for kind, head := range map[string]string{
 				"success": "HTTP/1.1 200 OK\r\nA: 1\r\n" + line + "Content-Length: 0\r\n\r\n",
 				"refusal": "HTTP/1.1 503 Service Unavailable\r\nA: 1\r\n" + line + "Content-Length: 2\r\n\r\n{}",
-				"interim": "HTTP/1.1 103 Early Hints\r\nA: 1\r\n" + line + "\r\n" + sound,
+				"interim": "HTTP/1.1 103 Early Hints\r\nA: 1\r\n" + line + "\r\n" + valid,
 			} {
 				t.Run(fmt.Sprint(fault, " ", kind, " idempotent=", idempotent), func(t *testing.T) {
-					s, address := startOddServer(t, head)
-					c := service.New()
-					defer c.Close()
-					ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-					defer cancel()
-					call := service.Call{Method: "POST", Path: "/", Header: http.Header{}, Idempotent: idempotent}
-					_, err := c.Do(ctx, address, call)
-					var failure *service.Error
-					require.ErrorAs(t, err, &failure)
-					require.ErrorIs(t, err, fieldline.ErrInvalid)
-					require.Equal(t, execution.Unknown, failure.Execution)
-					require.EqualValues(t, 1, s.request.Load())
-					resp, err := c.Do(ctx, address, call)
-					require.NoError(t, err)
-					require.Equal(t, http.StatusOK, resp.Status)
-					require.EqualValues(t, 2, s.connected.Load())
+					requireNoResponse(t, head, idempotent, fieldline.ErrInvalid)
 				})
 			}
 		}
 	}
 }
 
-// TestInvalidFieldLineOfALaterResponse guards against responses that are checked only until the first
-// one on a connection.
+// TestInvalidFieldLineOfALaterResponse guards against a check of the first response of a connection only.
 func TestInvalidFieldLineOfALaterResponse(t *testing.T) {
 	for fault, line := range fieldlinetest.Invalid {
 		t.Run(fault, func(t *testing.T) {
--- a/node/service/status_test.go
+++ b/node/service/status_test.go
@@ -67,28 +67,33 @@
 	}
 }
 
-// TestInvalidStatusIsNoResponse guards against a response whose status is none that is passed on. The
-// call may have run, is sent once, and its connection must not be used again.
+// requireNoResponse requires that a call whose response has the given head may have run, is sent once, and
+// that its connection is not used again.
+func requireNoResponse(t *testing.T, head string, idempotent bool, cause error) {
+	s, address := startOddServer(t, head)
+	c := service.New()
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	call := service.Call{Method: "POST", Path: "/", Header: http.Header{}, Idempotent: idempotent}
+	_, err := c.Do(ctx, address, call)
+	var failure *service.Error
+	require.ErrorAs(t, err, &failure)
+	require.ErrorIs(t, err, cause)
+	require.Equal(t, execution.Unknown, failure.Execution)
+	require.EqualValues(t, 1, s.request.Load())
+	resp, err := c.Do(ctx, address, call)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.Status)
+	require.EqualValues(t, 2, s.connected.Load())
+}
+
+// TestInvalidStatusIsNoResponse guards against a response whose status is none that is passed on.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
 	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
 		for _, idempotent := range []bool{true, false} {
 			t.Run(fmt.Sprint(status, " idempotent=", idempotent), func(t *testing.T) {
-				s, address := startOddServer(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 0\r\n\r\n")
-				c := service.New()
-				defer c.Close()
-				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-				defer cancel()
-				call := service.Call{Method: "POST", Path: "/", Header: http.Header{}, Idempotent: idempotent}
-				_, err := c.Do(ctx, address, call)
-				var failure *service.Error
-				require.ErrorAs(t, err, &failure)
-				require.ErrorIs(t, err, statusline.ErrInvalid)
-				require.Equal(t, execution.Unknown, failure.Execution)
-				require.EqualValues(t, 1, s.request.Load())
-				resp, err := c.Do(ctx, address, call)
-				require.NoError(t, err)
-				require.Equal(t, http.StatusOK, resp.Status)
-				require.EqualValues(t, 2, s.connected.Load())
+				requireNoResponse(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 0\r\n\r\n", idempotent, statusline.ErrInvalid)
 			})
 		}
 	}
