Test that the head of a protocol switch is the last one

The body in TestScannerFindsEachInvalidLine was no invalid head, so that the test passed without the exception for status 101 in scanner.isInterim; now it fails without it.

--- a/node/fieldline/reader_test.go
+++ b/node/fieldline/reader_test.go
@@ -61,7 +61,7 @@
 			fields := append([]string{"HTTP/1.1 " + status, "A: 1"}, lines.Draw(t, "lines")...)
 			heads[i] = strings.Join(fields, "\r\n") + "\r\n\r\n"
 		}
-		const body = " not a field line\r\n\r\n: "
+		const body = "a\r\n not a field line\r\n\r\n: "
 		var source io.Reader = strings.NewReader(strings.Join(heads, "") + body)
 		if rapid.Bool().Draw(t, "one byte a read") {
 			source = iotest.OneByteReader(source)
