HTTP/2 is offered again over TLS

What operators would see: since an instance list or a log behind https was offered HTTP/1.1 only, so that a server with HTTP/2 alone could not be reached.

Cause: fieldline.NewTransport wraps each TLS connection, and http.Transport uses HTTP/2 on a *tls.Conn only; the protocol was therefore not offered.

Evidence: TestTransportKeepsHTTP2 fails before (protocol 1). Connections with HTTP/1.1 are checked as before (TestTransportChecksTLSConnections).

Change: the configured protocols are offered, and a connection that negotiated HTTP/2 is returned as it is. It has no field lines, and net/http rejects invalid names there.

--- a/node/fieldline/reader.go
+++ b/node/fieldline/reader.go
@@ -63,5 +63,7 @@
 	reader *Reader
 }
 
+func newConn(c net.Conn) *conn { return &conn{Conn: c, reader: NewReader(c)} }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
--- a/node/fieldline/transport.go
+++ b/node/fieldline/transport.go
@@ -13,21 +13,31 @@
 // tlsHandshakeTimeout is that of http.DefaultTransport.
 const tlsHandshakeTimeout = 10 * time.Second
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
-// Transport is an http.Transport that fails with ErrInvalid on a response with an invalid field line, and
-// closes its connection. It does not retry the request.
+// Transport is an http.Transport that fails with ErrInvalid on an HTTP/1.1 response with an invalid field
+// line, and closes its connection. It does not retry the request. HTTP/2 has no field lines.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport that checks the responses received by t. It takes over t and replaces its
-// dial functions. TLS connections use HTTP/1.1.
+// dial functions.
 func NewTransport(t *http.Transport) *Transport {
-	dial := dialFunc(t.DialContext)
+	dial := t.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	t.DialContext = dial.checked
-	t.DialTLSContext = dial.withTLS(t.TLSClientConfig).checked
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c), nil
+	}
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return handshake(ctx, c, address, t.TLSClientConfig)
+	}
 	return &Transport{t}
 }
 
@@ -48,38 +58,24 @@
 	return resp, err
 }
 
-// checked dials a connection that is read through a Reader.
-func (d dialFunc) checked(ctx context.Context, network, address string) (net.Conn, error) {
-	c, err := d(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, reader: NewReader(c)}, nil
-}
-
-// withTLS returns a function that dials and performs the TLS handshake for HTTP/1.1.
-func (d dialFunc) withTLS(config *tls.Config) dialFunc {
-	if config == nil {
+// handshake performs the TLS handshake of a new connection to address and returns the connection to use,
+// or closes it. http.Transport needs a *tls.Conn for HTTP/2.
+func handshake(ctx context.Context, c net.Conn, address string, config *tls.Config) (net.Conn, error) {
+	if config = config.Clone(); config == nil {
 		config = &tls.Config{}
 	}
-	config = config.Clone()
-	config.NextProtos = []string{"http/1.1"}
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		own := config.Clone()
-		if own.ServerName == "" {
-			own.ServerName, _, _ = net.SplitHostPort(address)
-		}
-		secure := tls.Client(c, own)
-		ctx, cancel := context.WithTimeout(ctx, tlsHandshakeTimeout)
-		defer cancel()
-		if err := secure.HandshakeContext(ctx); err != nil {
-			c.Close()
-			return nil, err
-		}
+	if config.ServerName == "" {
+		config.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, tlsHandshakeTimeout)
+	defer cancel()
+	secure := tls.Client(c, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if secure.ConnectionState().NegotiatedProtocol == "h2" {
 		return secure, nil
 	}
+	return newConn(secure), nil
 }
--- a/node/fieldline/transport_test.go
+++ b/node/fieldline/transport_test.go
@@ -44,3 +44,20 @@
 		}
 	}
 }
+
+// TestTransportKeepsHTTP2 guards against a server that is no longer offered HTTP/2, or cannot be used with it,
+// because its connections are checked.
+func TestTransportKeepsHTTP2(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	tr := fieldline.NewTransport(s.Client().Transport.(*http.Transport).Clone())
+	defer tr.CloseIdleConnections()
+	for range 2 {
+		resp, err := (&http.Client{Transport: tr}).Get(s.URL)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, 2, resp.ProtoMajor)
+	}
+}
