A connection of the instance list is not used again after an invalid status

What operators would see: after a list request that was answered with status 600 or above and no body, the next list was taken from the same connection, whose bytes cannot be assigned to requests any more. Seen in a test only.

Cause: instancelist rejected such a list as one without status 200, which leaves the connection usable.

Evidence: TestInvalidHeadIsNoList fails before: one connection for two requests. It also plays all invalid field lines twice now, as does the test of the log, and finds a connection for each request.

Change: the status is checked with node/statusline first, as at the other clients. The server of fieldlinetest keeps its connections open and counts them, and takes the place of the one in the tests of httpjson.

--- a/cmd/internal/adminclient/head_test.go
+++ b/cmd/internal/adminclient/head_test.go
@@ -16,8 +16,8 @@
 // refused, by a response with an invalid field line or status.
 func TestInvalidHeadDoesNotDecideAProposal(t *testing.T) {
 	publish := func(status, line string) error {
-		address := fieldlinetest.Serve(t, "HTTP/1.1 "+status+"\r\nA: 1\r\n"+line+"Content-Length: 2\r\n\r\n{}")
-		_, err := adminclient.New("http://"+address, "key").Publish(context.Background(), &admin.PublishRequest{})
+		s := fieldlinetest.Serve(t, "HTTP/1.1 "+status+"\r\nA: 1\r\n"+line+"Content-Length: 2\r\n\r\n{}")
+		_, err := adminclient.New("http://"+s.Address, "key").Publish(context.Background(), &admin.PublishRequest{})
 		return err
 	}
 	require.NoError(t, publish("200 OK", fieldlinetest.Unusual))
--- a/node/engine/httpjson/status_test.go
+++ b/node/engine/httpjson/status_test.go
@@ -1,13 +1,9 @@
 package httpjson_test
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,9 +22,9 @@
 	step := &wire.StepRequest{RequestID: "r", Attempt: 1}
 	refusal, err := json.Marshal(wire.ErrorBody{Code: wire.CodeOverloaded, Step: step.ID()})
 	require.NoError(t, err)
-	address := startOddEngine(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
+	s := fieldlinetest.Serve(t, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(refusal), refusal))
 	c := httpjson.New()
-	target := engine.Target{ID: "e", Address: address}
+	target := engine.Target{ID: "e", Address: s.Address}
 	defer c.Release(target)
 	_, err = c.Step(context.Background(), target, step)
 	var failure *engine.CallError
@@ -67,9 +63,9 @@
 
 // TestUnusualFieldLinesAreAccepted guards against valid field lines that are taken for invalid ones.
 func TestUnusualFieldLinesAreAccepted(t *testing.T) {
-	address := startOddEngine(t, "HTTP/1.1 200 OK\r\n"+fieldlinetest.Unusual+"Content-Length: 2\r\n\r\n{}")
+	s := fieldlinetest.Serve(t, "HTTP/1.1 200 OK\r\n"+fieldlinetest.Unusual+"Content-Length: 2\r\n\r\n{}")
 	c := httpjson.New()
-	target := engine.Target{ID: "e", Address: address}
+	target := engine.Target{ID: "e", Address: s.Address}
 	defer c.Release(target)
 	for range 2 {
 		_, err := c.Step(context.Background(), target, &wire.StepRequest{RequestID: "r", Attempt: 1})
@@ -77,31 +73,3 @@
 	}
 	require.NoError(t, c.Probe(context.Background(), target))
 }
-
-// startOddEngine starts a server that sends the same response to every request.
-func startOddEngine(t *testing.T, response string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = io.WriteString(c, response)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
--- a/node/instancelist/head_test.go
+++ b/node/instancelist/head_test.go
@@ -11,21 +11,27 @@
 )
 
 // TestInvalidHeadIsNoList guards against a list that is taken from a response with an invalid field line or
-// status, or not taken from a valid one.
+// status, or not taken from a valid one, and against a connection that is used again after an invalid head.
 func TestInvalidHeadIsNoList(t *testing.T) {
-	list := func(status, line string) error {
-		const body = `{"instances":[]}`
-		address := fieldlinetest.Serve(t, "HTTP/1.1 "+status+"\r\nA: 1\r\n"+line+"Content-Length: 16\r\n\r\n"+body)
-		l, err := instancelist.NewHTTP("http://"+address, nil)
+	const list = "Content-Length: 16\r\n\r\n{\"instances\":[]}"
+	requireLists := func(valid bool, response string) {
+		s := fieldlinetest.Serve(t, response)
+		l, err := instancelist.NewHTTP("http://"+s.Address, nil)
 		require.NoError(t, err)
-		_, err = l.List(context.Background())
-		return err
+		for range 2 {
+			_, err = l.List(context.Background())
+			require.Equal(t, valid, err == nil, response)
+		}
+		if !valid {
+			require.Equal(t, 2, s.Connections(), response)
+		}
 	}
-	require.NoError(t, list("200 OK", fieldlinetest.Unusual))
-	for fault, line := range fieldlinetest.Invalid {
-		require.Error(t, list("200 OK", line), fault)
+	requireLists(true, "HTTP/1.1 200 OK\r\n"+fieldlinetest.Unusual+list)
+	for _, line := range fieldlinetest.Invalid {
+		requireLists(false, "HTTP/1.1 200 OK\r\nA: 1\r\n"+line+list)
 	}
 	for _, status := range []string{"000 OK", "099 OK", "101 Switching Protocols", "600 OK"} {
-		require.Error(t, list(status, ""), status)
+		requireLists(false, "HTTP/1.1 "+status+"\r\n"+list)
+		requireLists(false, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
 	}
 }
--- a/node/instancelist/instancelist.go
+++ b/node/instancelist/instancelist.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"masticbank.example/node/bounded"
+	"masticbank.example/node/statusline"
 	"masticbank.example/node/wire"
 )
 
@@ -61,6 +62,9 @@
 		return nil, trace.ConnectionProblem(err, "list instances")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := statusline.CheckFinal(resp, h.client); err != nil {
+		return nil, trace.ConnectionProblem(err, "list instances")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, trace.ConnectionProblem(nil, "list instances: status %d", resp.StatusCode)
 	}
