Begun streams and crash checks are tested with more invalid heads

Unusual valid lines, also in an interim head, continue it after two sends. Streams with invalid heads are no evidence of a crash either.

The test of node/exchange no longer contains a header of the platform.

--- a/cmd/internal/entry/invalidhead_test.go
+++ b/cmd/internal/entry/invalidhead_test.go
@@ -194,19 +194,27 @@
 }
 
 // TestBegunStreamContinuesAfterAnInvalidHead guards against a stream that broke off and continues with a
-// response whose status is none or with an invalid field line, or ends with it as if it were complete.
+// response whose status is none or with an invalid field line, or ends with it as if it were complete. A
+// response with unusual field lines continues it.
 func TestBegunStreamContinuesAfterAnInvalidHead(t *testing.T) {
 	const threeRuns = `,{"name":"three","host":"h.example","pathPrefix":"/three/","routeKind":"streaming","timeoutMs":20000,"targetLatencyMs":500,"maxAttempts":3,"resumable":true,"service":"llm"}`
 	// requestID is the ID of the only request of each environment.
 	const requestID = "id-1"
-	var heads []string
+	success := platformtest.SignedHead("200 OK", requestID)
+	// expectedSends holds the number of sends by the head of the response to the second one.
+	expectedSends := map[string]int{
+		success + fieldlinetest.Unusual:                                           2,
+		"HTTP/1.1 103 Early Hints\r\n" + fieldlinetest.Unusual + "\r\n" + success: 2,
+	}
 	for _, status := range invalidStatuses {
-		heads = append(heads, platformtest.SignedHead(status, requestID))
+		expectedSends[platformtest.SignedHead(status, requestID)] = 3
 	}
 	for _, line := range invalidFieldLines {
-		heads = append(heads, platformtest.SignedHead("200 OK", requestID)+line)
+		expectedSends[success+line] = 3
+		expectedSends[platformtest.SignedHead("503 Service Unavailable", requestID)+line+platformtest.NotRunHeader] = 3
+		expectedSends["HTTP/1.1 103 Early Hints\r\nA: 1\r\n"+line+"\r\n"+success] = 3
 	}
-	for _, head := range heads {
+	for head, expected := range expectedSends {
 		t.Run(head, func(t *testing.T) {
 			env := newEnvironment(t)
 			env.publishConfig(1, threeRuns)
@@ -232,7 +240,7 @@
 			got := env.receiveStream("/three/1", "")
 			require.NoError(t, got.err)
 			require.Equal(t, events(1, 6), got.body)
-			require.Equal(t, 3, sends)
+			require.Equal(t, expected, sends)
 		})
 	}
 }
@@ -244,18 +252,27 @@
 	for name, start := range map[string]string{"status": "HTTP/1.1 000 OK\r\n", "field line": "HTTP/1.1 200 OK\r\nOdd Name: 1\r\n"} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, "plain", 4, 1)
-			for _, r := range f.replicas {
-				r.SetBehavior(platformtest.Behavior{Reply: func(string) *platformtest.Reply {
-					return &platformtest.Reply{Raw: start + "Content-Length: 0\r\n\r\n"}
-				}})
-			}
-			for range 6 {
-				require.Equal(t, http.StatusBadGateway, f.send("GET", "/look/1", "key1", "x").status)
-			}
-			for _, r := range f.replicas {
-				r.SetBehavior(platformtest.Behavior{})
-			}
-			f.eventually(func() bool { return f.send("GET", "/look/1", "key1", "x").status == 200 }, "the request is served")
+			testInvalidHeadIsNoCrash(f, "GET", "/look/1", start)
+		})
+		t.Run(name+" of a stream", func(t *testing.T) {
+			f := newFleet(t, "llm", 4, 1, 0, 4)
+			testInvalidHeadIsNoCrash(f, "POST", "/chat/1", start)
 		})
 	}
 }
+
+// testInvalidHeadIsNoCrash tests that a request is served after six responses with the given start of a head.
+func testInvalidHeadIsNoCrash(f *fleet, method, path, start string) {
+	for _, r := range f.replicas {
+		r.SetBehavior(platformtest.Behavior{Reply: func(string) *platformtest.Reply {
+			return &platformtest.Reply{Raw: start + "Content-Length: 0\r\n\r\n"}
+		}})
+	}
+	for range 6 {
+		require.Equal(f.t, http.StatusBadGateway, f.send(method, path, "key1", "x").status)
+	}
+	for _, r := range f.replicas {
+		r.SetBehavior(platformtest.Behavior{})
+	}
+	f.eventually(func() bool { return f.send(method, path, "key1", "x").status == 200 }, "the request is served")
+}
--- a/node/exchange/field_test.go
+++ b/node/exchange/field_test.go
@@ -19,7 +19,7 @@
 func fieldHeads(lines string) map[string]string {
 	return map[string]string{
 		"success": "HTTP/1.1 200 OK\r\nA: 1\r\n" + lines + "Content-Length: 5\r\n\r\n",
-		"refusal": "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n" + lines + "Content-Length: 5\r\n\r\n",
+		"refusal": "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + lines + "Content-Length: 5\r\n\r\n",
 		"interim": "HTTP/1.1 103 Early Hints\r\nA: 1\r\n" + lines + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
 	}
 }
