An empty list of workspaces closes all routes that are not public

Callers saw: after a version that removed the last workspace ("tenants":[] or null), requests with the removed key, with a key that never existed and without any key ran, on routes of every kind, without a workspace. The same after a start with such a version, read from the store or from a copy.

Cause: the decoder kept only the list, so that an empty or null list and a missing field were the same value, and the table required keys only if the list had an entry.

The configuration says so in a field of its own whose zero value requires keys, so that a configuration built without it is closed. The log line "configuration in force" shows it as "anonymous".

Configurations that tests build without workspaces now state that they need no keys.

--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -50,15 +50,23 @@
 
 // publishConfig publishes a version of the configuration. extra is appended to its routes.
 func (env *environment) publishConfig(version int, extra string) {
-	env.publishConfigOf(version, extra, 65536)
+	env.publishConfigOf(version, extra, 65536, tenantsField)
 }
 
+// tenantsField is the field of the workspaces in configurations, with the comma before it.
+const tenantsField = `,"tenants":[{"name":"w1","apiKeys":["key1"]},{"name":"w2","apiKeys":["key2"]}]`
+
 // publishConfigWithBodies does the same with another limit on the bodies of requests, in bytes.
 func (env *environment) publishConfigWithBodies(version, maxBodyBytes int) {
-	env.publishConfigOf(version, "", maxBodyBytes)
+	env.publishConfigOf(version, "", maxBodyBytes, tenantsField)
+}
+
+// publishConfigWithTenants does the same with another field of the workspaces, which may be empty.
+func (env *environment) publishConfigWithTenants(version int, tenants string) {
+	env.publishConfigOf(version, "", 65536, tenants)
 }
 
-func (env *environment) publishConfigOf(version int, extra string, maxBodyBytes int) {
+func (env *environment) publishConfigOf(version int, extra string, maxBodyBytes int, tenants string) {
 	env.store.Put(platform.OperatorTopic, "config", fmt.Appendf(nil, `{"version":%d,"routes":[
 	{"name":"chat","host":"h.example","pathPrefix":"/chat/","routeKind":"streaming","timeoutMs":20000,"targetLatencyMs":500,"maxAttempts":2,"resumable":true,"service":"llm"},
 	{"name":"order","host":"h.example","pathPrefix":"/order/","routeKind":"non_idempotent","timeoutMs":5000,"maxAttempts":1,"service":"plain"},
@@ -66,8 +74,7 @@
 	{"name":"open","host":"h.example","pathPrefix":"/open/","routeKind":"idempotent","timeoutMs":5000,"maxAttempts":2,"service":"plain","public":true}%s],
 	"services":[{"name":"plain"},{"name":"llm","engine":{"slots":8,"kvTokenBytes":1000,"models":[{"name":"m","loadS":1}],"step_ms":1,"read_per_s":100000,
 	"usual":{"prompt":10,"answer":10},"layers":4,"layerMb":100,"actBytes":10,"pipeMbps":1000,"kinds":[{"name":"k","mb":1000,"pace":1,"readX":1}]}}],
-	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-	"tenants":[{"name":"w1","apiKeys":["key1"]},{"name":"w2","apiKeys":["key2"]}]}`, version, extra, maxBodyBytes))
+	"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000}%s}`, version, extra, maxBodyBytes, tenants))
 }
 
 // publishEntry publishes the entry of a replica that, if layers has two elements, holds
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -114,5 +114,8 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// Anonymous lets requests without an API key use all routes. Otherwise routes that
+	// are not public require the key of a workspace, also while there is no workspace.
+	Anonymous bool
+	Limits    Limits
 }
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -51,7 +51,7 @@
 
 // RequiresAPIKeys reports whether requests to routes that are not public require
 // an API key.
-func (t *Table) RequiresAPIKeys() bool { return len(t.config.Workspaces) > 0 }
+func (t *Table) RequiresAPIKeys() bool { return !t.config.Anonymous }
 
 // Services returns all services.
 func (t *Table) Services() []Service { return t.config.Services }
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -41,6 +41,14 @@
 	require.Nil(t, tab.Service("t"))
 }
 
+// TestConfigurationWithoutWorkspacesAdmitsEverybody guards against routes that require no key because
+// there is no workspace that could have one.
+func TestConfigurationWithoutWorkspacesAdmitsEverybody(t *testing.T) {
+	require.True(t, routing.NewTable(&routing.Config{Version: 1}).RequiresAPIKeys())
+	require.True(t, routing.NewTable(&routing.Config{Version: 1, Workspaces: []routing.Workspace{}}).RequiresAPIKeys())
+	require.False(t, routing.NewTable(&routing.Config{Version: 1, Anonymous: true}).RequiresAPIKeys())
+}
+
 func TestPickByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	require.Equal(t, "a", r.PickService(0))
--- a/node/control/control.go
+++ b/node/control/control.go
@@ -283,7 +283,8 @@
 		return false
 	}
 	c.log.Info("configuration in force", zap.Int64("version", cfg.Version), zap.Int64("before", c.version), zap.String("source", source),
-		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)))
+		zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)), zap.Int("workspaces", len(cfg.Workspaces)),
+		zap.Bool("anonymous", cfg.Anonymous))
 	c.version, c.content = cfg.Version, p.Content
 	c.opts.Gateway.Configure(routing.NewTable(cfg), c.roster.Available)
 	c.configLoaded.Store(true)
--- a/node/gateway/configure_test.go
+++ b/node/gateway/configure_test.go
@@ -18,7 +18,7 @@
 // no other service.
 func movedRoute() *routing.Table {
 	return routing.NewTable(&routing.Config{
-		Version: 2,
+		Version: 2, Anonymous: true,
 		Routes: []routing.Route{{
 			Name: "plain", Host: "h", PathPrefix: "/plain/", Kind: routing.Idempotent, MaxAttempts: 3,
 			Targets: []routing.Target{{Service: "next", Weight: 1}},
--- a/node/gateway/resend_test.go
+++ b/node/gateway/resend_test.go
@@ -79,7 +79,7 @@
 	}
 	to := func(service string) []routing.Target { return []routing.Target{{Service: service, Weight: 1}} }
 	g.Configure(routing.NewTable(&routing.Config{
-		Version: 1,
+		Version: 1, Anonymous: true,
 		Routes: []routing.Route{
 			{Name: "plain", Host: "h", PathPrefix: "/plain/", Kind: routing.Idempotent, MaxAttempts: 3, Targets: to("plain")},
 			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: routing.NonIdempotent, MaxAttempts: 1, Targets: to("plain")},
