An empty API key of a workspace admits nobody

Callers saw: with "apiKeys":["key1",""] or [...,null] requests without a key, and with an empty one, ran as that workspace.

Cause: a request without a key is looked up with an empty key, and the table held the empty text, or the null that decodes to it, like any key.

Fix: the table leaves empty keys out, so that an empty key belongs to nobody whatever the decoder passes.

Evidence: TestEmptyKeyOfATenantAdmitsRequestsWithoutAKey (empty text and null) and TestEmptyKeyAdmitsRequestsWithoutAKey fail without the change.

--- a/cmd/internal/entry/apikeys_test.go
+++ b/cmd/internal/entry/apikeys_test.go
@@ -128,3 +128,16 @@
 		})
 	}
 }
+
+// TestEmptyKeyOfATenantAdmitsRequestsWithoutAKey guards against requests without a key, or with an empty
+// one, that run because a tenant's list of keys has an empty text or null.
+func TestEmptyKeyOfATenantAdmitsRequestsWithoutAKey(t *testing.T) {
+	for name, keys := range map[string]string{"empty text": `["key1",""]`, "null": `["key1",null]`, "space": `["key1"," "]`} {
+		t.Run(name, func(t *testing.T) {
+			env := newKeyEnvironment(t)
+			env.publishConfigWithTenants(1, `,"tenants":[{"name":"w1","apiKeys":`+keys+`}]`)
+			env.start()
+			require.Equal(t, map[string][]int{"key1": admitted, "": onlyPublic, " ": onlyPublic}, env.statuses("key1", "", " "))
+		})
+	}
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -34,7 +34,9 @@
 	}
 	for i := range c.Workspaces {
 		for _, key := range c.Workspaces[i].Keys {
-			t.keys[key] = &c.Workspaces[i]
+			if key != "" { // that is what a request without a key has
+				t.keys[key] = &c.Workspaces[i]
+			}
 		}
 	}
 	for i := range c.Services {
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -49,6 +49,14 @@
 	require.False(t, routing.NewTable(&routing.Config{Version: 1, Anonymous: true}).RequiresAPIKeys())
 }
 
+// TestEmptyKeyAdmitsRequestsWithoutAKey guards against a workspace whose list of keys has an empty one,
+// and which all requests without a key then belong to.
+func TestEmptyKeyAdmitsRequestsWithoutAKey(t *testing.T) {
+	tab := routing.NewTable(&routing.Config{Version: 1, Workspaces: []routing.Workspace{{Name: "w", Keys: []string{"", "k"}}}})
+	require.Nil(t, tab.Workspace(""))
+	require.NotNil(t, tab.Workspace("k"))
+}
+
 func TestPickByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	require.Equal(t, "a", r.PickService(0))
