Keys of a workspace without a name admit nobody

Callers saw: with a tenant whose name is missing, empty or null its key's requests ran at replicas that were not told any tenant, as on a public route.

Cause: an empty workspace is the value for "no key needed" behind the check of the key, so the header was left out.

Fix: the table leaves workspaces without a name out; their keys are unknown keys, 401.

Evidence: TestKeyOfATenantWithoutANameRunsForNobody (missing, empty, null) and TestKeyOfAWorkspaceWithoutANameIsValid fail without the change.

--- a/cmd/internal/entry/apikeys_test.go
+++ b/cmd/internal/entry/apikeys_test.go
@@ -141,3 +141,18 @@
 		})
 	}
 }
+
+// TestKeyOfATenantWithoutANameRunsForNobody guards against requests that reach a replica without the
+// name of a tenant, since the tenant of their key has none.
+func TestKeyOfATenantWithoutANameRunsForNobody(t *testing.T) {
+	for name, tenant := range map[string]string{
+		"no field": `{"apiKeys":["key1"]}`, "empty text": `{"name":"","apiKeys":["key1"]}`, "null": `{"name":null,"apiKeys":["key1"]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newKeyEnvironment(t)
+			env.publishConfigWithTenants(1, `,"tenants":[`+tenant+`,{"name":"w2","apiKeys":["key2"]}]`)
+			env.start()
+			require.Equal(t, map[string][]int{"key1": onlyPublic, "key2": admitted}, env.statuses("key1", "key2"))
+		})
+	}
+}
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -33,6 +33,9 @@
 		})
 	}
 	for i := range c.Workspaces {
+		if c.Workspaces[i].Name == "" {
+			continue // a replica could not be told whose request it runs
+		}
 		for _, key := range c.Workspaces[i].Keys {
 			if key != "" { // that is what a request without a key has
 				t.keys[key] = &c.Workspaces[i]
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -57,6 +57,14 @@
 	require.NotNil(t, tab.Workspace("k"))
 }
 
+// TestKeyOfAWorkspaceWithoutANameIsValid guards against requests that run for nobody, since the workspace
+// of their key has no name.
+func TestKeyOfAWorkspaceWithoutANameIsValid(t *testing.T) {
+	tab := routing.NewTable(&routing.Config{Version: 1, Workspaces: []routing.Workspace{{Keys: []string{"k1"}}, {Name: "w", Keys: []string{"k2"}}}})
+	require.Nil(t, tab.Workspace("k1"))
+	require.Equal(t, "w", tab.Workspace("k2").Name)
+}
+
 func TestPickByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	require.Equal(t, "a", r.PickService(0))
