A route without a path prefix or host matches no request

Callers saw: requests to any path of a host ran at the service of a route whose prefix is missing, null or empty, where the answer is 404; so did requests without a host for a route without one. The users' pages say that every prefix begins and ends with a slash.

Cause: the look-up compares the beginning of the path, and every path begins with the empty text.

Fix: the table leaves such routes out.

Evidence: TestRouteWithoutAPrefixMatchesAllPaths fails without the change.

--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -24,6 +24,9 @@
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		if r.Host == "" || r.PathPrefix == "" {
+			continue // an empty prefix would match all paths, an empty host all requests without one
+		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -65,6 +65,20 @@
 	require.Equal(t, "w", tab.Workspace("k2").Name)
 }
 
+// TestRouteWithoutAPrefixMatchesAllPaths guards against requests that match no published prefix and are
+// sent to the service of a route whose prefix or host is empty.
+func TestRouteWithoutAPrefixMatchesAllPaths(t *testing.T) {
+	tab := routing.NewTable(&routing.Config{Version: 1, Routes: []routing.Route{
+		{Name: "no prefix", Host: "a.example"}, {Name: "no host", PathPrefix: "/"}, {}, {Name: "x", Host: "a.example", PathPrefix: "/x/"},
+	}})
+	for _, host := range []string{"a.example", "", ":80"} {
+		for _, path := range []string{"", "*", "/", "/y/"} {
+			require.Nil(t, tab.Route(host, path), "%q %q", host, path)
+		}
+	}
+	require.Equal(t, "x", tab.Route("a.example", "/x/1").Name)
+}
+
 func TestPickByWeight(t *testing.T) {
 	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	require.Equal(t, "a", r.PickService(0))
