A route without a target does not find a service without a name

Requests of a route whose service is missing, null or empty, or whose split names no service or no weight, found a service whose own name is missing. No replica can belong to one, so they waited in vain for it, where a request that cannot be served is refused at once.

Cause: "" is both what PickService returns for no target and the key of such a service.

Fix: the table leaves services without a name out.

Evidence: TestMissingFieldsOfARouteOpenIt fails without the change. Its other cases passed before: a route without public, resumable, maxAttempts or routeKind is closed, not resumable, sent once and not repeated; a target without a weight gets nothing; a configuration without routes has none.

--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -46,7 +46,9 @@
 		}
 	}
 	for i := range c.Services {
-		t.services[c.Services[i].Name] = &c.Services[i]
+		if name := c.Services[i].Name; name != "" { // PickService returns "" if there is no target
+			t.services[name] = &c.Services[i]
+		}
 	}
 	return t
 }
