A target without a weight gets nothing, whatever the sum rounds to

Fix: the fallback is the last target with a positive weight; negative weights count as none.

Evidence: TestRoundingSendsRequestsToATargetWithoutAWeight fails without the change. Found by reading; not seen in a run of the programs.

--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -96,17 +96,21 @@
 func (r *Route) PickService(draw float64) string {
 	total := 0.0
 	for _, t := range r.Targets {
-		total += t.Weight
+		total += max(t.Weight, 0)
 	}
 	if total <= 0 {
 		return ""
 	}
 	remaining := draw * total
+	last := ""
 	for _, t := range r.Targets {
-		remaining -= t.Weight
-		if remaining < 0 {
-			return t.Service
+		if t.Weight <= 0 {
+			continue
+		}
+		last = t.Service
+		if remaining -= t.Weight; remaining < 0 {
+			break
 		}
 	}
-	return r.Targets[len(r.Targets)-1].Service
+	return last // rounding may leave a remainder after the last target
 }
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -89,6 +90,16 @@
 	require.Empty(t, none.PickService(0.5))
 }
 
+// TestRoundingSendsRequestsToATargetWithoutAWeight guards against a service without a share that gets the
+// requests for which the sum of the others' weights falls short by rounding.
+func TestRoundingSendsRequestsToATargetWithoutAWeight(t *testing.T) {
+	r := routing.Route{Targets: []routing.Target{{Service: "a", Weight: 0.7}, {Service: "b", Weight: 2.1000000000000005}, {Service: "c"}}}
+	require.Equal(t, "b", r.PickService(math.Nextafter(1, 0)))
+	r.Targets = append(r.Targets, routing.Target{Service: "d", Weight: -1})
+	require.Equal(t, "a", r.PickService(0))
+	require.Equal(t, "b", r.PickService(math.Nextafter(1, 0)))
+}
+
 func TestRepeatable(t *testing.T) {
 	require.True(t, (&routing.Route{Kind: routing.Idempotent}).Repeatable())
 	require.False(t, (&routing.Route{Kind: routing.NonIdempotent, Resumable: true}).Repeatable())
