A retry limit without a window allows no retries

With settings that lack budgetWindowS, or have 0 or null, an instance refilled its retries as if the window were one second: 613 retries for 200 requests in 10 s, where the limit of the users' example allows 240.

Cause: the missing window decoded to 0, and the rate was computed for the shortest window instead.

Fix: without a window the limit states no rate, and there are no retries; a missing ratio or slack is 0 already.

Evidence: TestLimitWithoutAWindowIsRefilledEachSecond fails without the change, with the figure above.

--- a/core/retry/share.go
+++ b/core/retry/share.go
@@ -73,10 +73,11 @@
 }
 
 // Config returns the configuration of one group's budget. While the number of instances is unknown,
-// retries are limited to what this instance's own first attempts add.
+// retries are limited to what this instance's own first attempts add. A limit without a window allows
+// none, as it states no rate.
 func (s *Share) Config() BudgetConfig {
 	c := BudgetConfig{Ratio: s.limit.Ratio * ratioFraction, Window: s.limit.Window}
-	if s.instances == 0 {
+	if s.instances == 0 || s.limit.Window <= 0 {
 		return c
 	}
 	slack := s.limit.Slack / float64(s.instances)
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -183,3 +183,24 @@
 	s.SetInstances(epoch, n)
 	return s.NewBudget(epoch)
 }
+
+// TestLimitWithoutAWindowIsRefilledEachSecond guards against settings that lack the window, with which
+// the slack for a window was refilled each second.
+func TestLimitWithoutAWindowIsRefilledEachSecond(t *testing.T) {
+	now := time.Unix(0, 0)
+	retries := func(window time.Duration) (n int) {
+		s := NewShare(Limit{Ratio: 0.2, Slack: 200, Window: window}, now, true)
+		s.SetInstances(now, 1)
+		b := s.NewBudget(now)
+		for range 20 * 10 {
+			now = now.Add(time.Second / 20)
+			b.RecordFirst(now)
+			for b.TrySpend(now) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Positive(t, retries(10*time.Second))
+	require.Zero(t, retries(0))
+}
