A setting without a value is refused, not taken for zero

A settings file of an entry instance that has a key without a value, such as "max_body_bytes =" or "admin =" under [listen], was accepted, and the limit was 0, the address or stream empty, instead of the default that a missing key has.

Cause: an empty value was taken for "not set" after the default had been replaced by it.

Fix: an empty value is refused with file, section and key, unless empty is the documented default (region, peers, log, the peers' key).

Evidence: TestEmptySettingStandsForZero goes through all settings and fails without the change.

--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -39,3 +39,22 @@
 		require.EqualError(t, err, tc.want)
 	}
 }
+
+// TestEmptySettingStandsForZero guards against a limit or an address that is none, since the file has its
+// key without a value.
+func TestEmptySettingStandsForZero(t *testing.T) {
+	defaults, err := Parse("m.ini", []byte(valid))
+	require.NoError(t, err)
+	for _, d := range settingSpecs {
+		if d.required {
+			continue
+		}
+		s, err := Parse("m.ini", []byte(valid+"["+d.section+"]\n"+d.key+" =\n"))
+		if d.defaultValue != "" {
+			require.ErrorContains(t, err, `section [`+d.section+`] key "`+d.key+`": must not be empty`)
+			continue
+		}
+		require.NoError(t, err, "%s.%s", d.section, d.key)
+		require.Equal(t, defaults, s, "%s.%s: empty is the default", d.section, d.key)
+	}
+}
--- a/node/settings/table.go
+++ b/node/settings/table.go
@@ -35,10 +35,12 @@
 	if sec, err := f.GetSection(d.section); err == nil && sec.HasKey(d.key) {
 		value = strings.TrimSpace(sec.Key(d.key).String())
 	}
-	if value == "" {
-		if d.required {
-			return &inifile.Error{File: name, Section: d.section, Key: d.key, Reason: "is required"}
-		}
+	switch {
+	case value == "" && d.required:
+		return &inifile.Error{File: name, Section: d.section, Key: d.key, Reason: "is required"}
+	case value == "" && d.defaultValue != "":
+		return &inifile.Error{File: name, Section: d.section, Key: d.key, Reason: "must not be empty"}
+	case value == "":
 		return nil
 	}
 	if err := d.set(s, value); err != nil {
