An empty list of idempotent methods lets no call be repeated

With "idempotent_methods =" in the operators' files, calls by GET, HEAD and OPTIONS were still sent to up to three replicas of a service for which the operators list no method that may be repeated.

Cause: an empty list and a missing key were both nil, which stood for the default.

Fix: the default applies only if the key is missing.

Evidence: TestEmptyListOfMethodsStandsForTheDefault fails without the change. TestEmptyValueStandsForTheDefault, on all other keys without a value, passes before and after: they are refused with file, section and key, and a workspace without keys admits nobody.

--- a/node/config/build.go
+++ b/node/config/build.go
@@ -194,9 +194,9 @@
 }
 
 func (b *configBuilder) service(name string, s *section) {
-	methods := s.list("idempotent_methods")
-	if methods == nil {
-		methods = []string{"GET", "HEAD", "OPTIONS"}
+	methods := []string{"GET", "HEAD", "OPTIONS"}
+	if _, ok := s.values["idempotent_methods"]; ok {
+		methods = s.list("idempotent_methods")
 	}
 	b.cfg.Services[name] = config.ServiceConfig{
 		Timeout:           s.duration("timeout", defaultServiceTimeout),
--- a/node/config/load_test.go
+++ b/node/config/load_test.go
@@ -44,6 +44,47 @@
 	}
 }
 
+// TestEmptyListOfMethodsStandsForTheDefault guards against calls that are sent more than once to a service
+// for which the operators list no method that may be.
+func TestEmptyListOfMethodsStandsForTheDefault(t *testing.T) {
+	for text, want := range map[string][]string{
+		"":                                {"GET", "HEAD", "OPTIONS"},
+		"idempotent_methods =\n":          nil,
+		"idempotent_methods = ,\n":        nil,
+		"idempotent_methods = GET, PUT\n": {"GET", "PUT"},
+	} {
+		cfg, err := Merge([]File{{Name: "10.ini", Data: []byte(base + "[service.s]\ntimeout = 5s\n" + text)}})
+		require.NoError(t, err, text)
+		require.Equal(t, want, cfg.Services["s"].IdempotentMethods, text)
+	}
+	cfg, err := Merge([]File{
+		{Name: "10.ini", Data: []byte(base + "[service.s]\nidempotent_methods = GET\n")},
+		{Name: "20.ini", Data: []byte("[service.s]\nidempotent_methods =\n")},
+	})
+	require.NoError(t, err)
+	require.Empty(t, cfg.Services["s"].IdempotentMethods, "a later file takes the methods away")
+}
+
+// TestEmptyValueStandsForTheDefault guards against a number or time that is the default, or zero, since its
+// key has no value, and against a key of a workspace that is none.
+func TestEmptyValueStandsForTheDefault(t *testing.T) {
+	for section, keys := range map[string][]string{
+		"limits":      {"max_queued", "retry_ratio", "urgent_reserve", "step_timeout", "poison_ttl"},
+		"rank.urgent": {"priority", "first_token", "deadline", "min_share"},
+		"model.m":     {"layers", "max_output"},
+		"service.s":   {"timeout"},
+		"workspace.w": {"weight", "default_rank", "max_queued", "max_in_flight"},
+	} {
+		for _, key := range keys {
+			_, err := Merge([]File{{Name: "10.ini", Data: []byte(base)}, {Name: "90.ini", Data: []byte("[" + section + "]\n" + key + " =\n")}})
+			require.ErrorContains(t, err, `90.ini: section [`+section+`] key "`+key+`"`)
+		}
+	}
+	cfg, err := Merge([]File{{Name: "10.ini", Data: []byte(base)}, {Name: "90.ini", Data: []byte("[workspace.w]\nkey_sha256 = ,\n")}})
+	require.NoError(t, err)
+	require.Empty(t, cfg.Workspaces["w"].KeySHA256)
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(base), []byte("[limits]\nmax_queued = 3\n"))
 	f.Add([]byte("[rank.x]\n"), []byte("a = b"))
