The hash of an empty key admits nobody

Cause: the key was hashed and looked up without asking whether there is one.

Fix: an empty key is refused before it is hashed. The published configuration is accepted as before, so that all versions of instances accept the same revisions.

--- a/node/api/auth.go
+++ b/node/api/auth.go
@@ -39,10 +39,10 @@
 // belongs to.
 func (k *keyIndex) workspace(header string) (string, bool) {
 	key, ok := strings.CutPrefix(header, "Bearer ")
-	if !ok {
-		return "", false
+	if key = strings.TrimSpace(key); !ok || key == "" {
+		return "", false // an empty text has a hash too, which may be listed
 	}
-	sum := sha256.Sum256([]byte(strings.TrimSpace(key)))
+	sum := sha256.Sum256([]byte(key))
 	name, ok := k.workspaces[hex.EncodeToString(sum[:])]
 	return name, ok
 }
