An answer without instances is no empty instance list

On the product's own path an answer of the platform's instance list that is null, {} or {"instances":null} emptied the list: all engines and services were taken for gone, and each entry instance for the only one.

Cause: a missing or null list decoded to an empty one.

Fix: the list must be an array; otherwise the poll has failed, and the last copy stays, as when the list is unavailable.

Evidence: TestMissingInstancesAreAnEmptyList fails without the change.

--- a/node/instancelist/instancelist.go
+++ b/node/instancelist/instancelist.go
@@ -81,13 +81,16 @@
 	}
 	// The entries, those of wire.InstanceList, are decoded one by one: an odd one is omitted.
 	var list struct {
-		Instances []json.RawMessage `json:"instances"`
+		Instances *[]json.RawMessage `json:"instances"`
 	}
 	if err := json.Unmarshal(body, &list); err != nil {
 		return nil, trace.BadParameter("instance list: %v", err)
 	}
-	instances := make([]wire.Instance, 0, len(list.Instances))
-	for _, raw := range list.Instances {
+	if list.Instances == nil {
+		return nil, trace.BadParameter("instance list: the instances are missing or null")
+	}
+	instances := make([]wire.Instance, 0, len(*list.Instances))
+	for _, raw := range *list.Instances {
 		var instance wire.Instance
 		if json.Unmarshal(raw, &instance) == nil {
 			instances = append(instances, instance)
--- a/node/instancelist/instancelist_test.go
+++ b/node/instancelist/instancelist_test.go
@@ -35,6 +35,18 @@
 	return lister.List(context.Background())
 }
 
+// TestMissingInstancesAreAnEmptyList guards against instances that lose all upstreams and peers at once,
+// since an answer does not state the list.
+func TestMissingInstancesAreAnEmptyList(t *testing.T) {
+	got, err := listFrom(t, http.StatusOK, `{"instances":[]}`)
+	require.NoError(t, err)
+	require.Empty(t, got)
+	for _, body := range []string{``, `null`, `{}`, `[]`, `{"instances":null}`, `{"instances":""}`, `{"instances":{}}`} {
+		_, err := listFrom(t, http.StatusOK, body)
+		require.Error(t, err, body)
+	}
+}
+
 func TestHTTPList(t *testing.T) {
 	got, err := listFrom(t, http.StatusOK, `{"instances":[
 		{"id":"e1","role":"engine","leaving":true},{"id":""},{"id":"m1","role":"entry","zone":"quito"},{"id":"e1","role":"engine"}]}`)
