An engine that does not state its layers holds none

On the product's own path an engine whose entry in the instance list, or whose own report of its state, lacks first_layer or last_layer was sent steps for the first layer.

Cause: a missing or null bound decoded to 0.

Fix: such an entry is omitted like others that cannot be read, and such a state is an error; the layers stay as they were known.

Evidence: the new cases of TestOddInstanceHidesTheOthers, and TestMissingLayerOfAStateIsTheFirst, fail without the change.

--- a/node/engine/httpjson/client.go
+++ b/node/engine/httpjson/client.go
@@ -87,8 +87,19 @@
 
 // State implements engine.Client.
 func (c *Client) State(ctx context.Context, t engine.Target) (*wire.EngineState, error) {
-	out := &wire.EngineState{}
-	return out, c.call(ctx, c.transport(t), http.MethodGet, t, wire.PathState, nil, out)
+	var out struct {
+		wire.EngineState
+		FirstLayer *int `json:"first_layer"`
+		LastLayer  *int `json:"last_layer"`
+	}
+	if err := c.call(ctx, c.transport(t), http.MethodGet, t, wire.PathState, nil, &out); err != nil {
+		return nil, err
+	}
+	if out.FirstLayer == nil || out.LastLayer == nil {
+		return nil, fmt.Errorf("state of %s lacks its first or last layer", t.ID)
+	}
+	out.EngineState.FirstLayer, out.EngineState.LastLayer = *out.FirstLayer, *out.LastLayer
+	return &out.EngineState, nil
 }
 
 // ReplaceConnections implements engine.Client.
--- a/node/engine/httpjson/client_test.go
+++ b/node/engine/httpjson/client_test.go
@@ -43,3 +43,23 @@
 	require.Zero(t, steps.Load())
 	require.EqualValues(t, 1, cancels.Load())
 }
+
+// TestMissingLayerOfAStateIsTheFirst guards against steps for the first layer that are sent to an engine
+// whose state does not say which layers it holds.
+func TestMissingLayerOfAStateIsTheFirst(t *testing.T) {
+	state := func(body string) (*wire.EngineState, error) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		defer s.Close()
+		c := httpjson.New()
+		target := engine.Target{ID: "e", Address: strings.TrimPrefix(s.URL, "http://")}
+		defer c.Release(target)
+		return c.State(context.Background(), target)
+	}
+	got, err := state(`{"model":"m","version":"2","first_layer":0,"last_layer":3,"fence":7}`)
+	require.NoError(t, err)
+	require.Equal(t, &wire.EngineState{Model: "m", Version: "2", LastLayer: 3, Fence: 7}, got)
+	for _, body := range []string{`{}`, `null`, `{"model":"m","last_layer":3}`, `{"model":"m","first_layer":0}`, `{"model":"m","first_layer":0,"last_layer":null}`} {
+		_, err := state(body)
+		require.Error(t, err, body)
+	}
+}
--- a/node/instancelist/instancelist.go
+++ b/node/instancelist/instancelist.go
@@ -92,13 +92,26 @@
 	instances := make([]wire.Instance, 0, len(*list.Instances))
 	for _, raw := range *list.Instances {
 		var instance wire.Instance
-		if json.Unmarshal(raw, &instance) == nil {
+		if json.Unmarshal(raw, &instance) == nil && statesLayers(&instance, raw) {
 			instances = append(instances, instance)
 		}
 	}
 	return merge(instances), nil
 }
 
+// statesLayers reports whether an entry states both ends of the layers that an engine of a
+// model holds. A missing one would stand for the first layer.
+func statesLayers(instance *wire.Instance, raw json.RawMessage) bool {
+	if instance.Role != wire.RoleEngine || instance.Model == "" {
+		return true
+	}
+	var layers struct {
+		First *int `json:"first_layer"`
+		Last  *int `json:"last_layer"`
+	}
+	return json.Unmarshal(raw, &layers) == nil && layers.First != nil && layers.Last != nil
+}
+
 // merge removes entries without an ID and merges entries with the same ID: the last one
 // is used, and it is leaving if any of them is.
 func merge(instances []wire.Instance) []wire.Instance {
--- a/node/instancelist/instancelist_test.go
+++ b/node/instancelist/instancelist_test.go
@@ -69,6 +69,8 @@
 	want := []wire.Instance{{ID: "e1"}, {ID: "e2", Address: "10.0.0.1:80"}}
 	for _, odd := range []string{
 		`7`, `null`, `"e3"`, `[]`, `{"id":7}`, `{"id":"e3","address":7}`, `{"id":"e3","leaving":"yes"}`,
+		`{"id":"e3","role":"engine","model":"m"}`, `{"id":"e3","role":"engine","model":"m","first_layer":3}`,
+		`{"id":"e3","role":"engine","model":"m","first_layer":null,"last_layer":3}`, `{}`, `{"id":null}`,
 		`{"id":"e3","last_layer":1e19}`, `{"id":"e3","first_layer":1.5}`, `{"id":"e3","zone":{"a":[[[[1]]]]}}`,
 	} {
 		got, err := listFrom(t, http.StatusOK, `{"instances":[{"id":"e1"},`+odd+`,{"id":"e2","address":"10.0.0.1:80"}]}`)
