Without an administration key nobody is admitted

A server of the administration API that is built without a key served requests without one.

Cause: two empty texts are equal.

Evidence: TestMissingAdministrationKeyAdmitsEverybody fails without the change.

--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -85,7 +85,7 @@
 func (s *Server) requireKey(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(key), []byte(s.opts.Key)) != 1 {
+		if key == "" || subtle.ConstantTimeCompare([]byte(key), []byte(s.opts.Key)) != 1 {
 			writeError(w, http.StatusUnauthorized, "the administration key is missing or wrong")
 			return
 		}
