--- a/cmd/internal/entry/apikeys_test.go
+++ b/cmd/internal/entry/apikeys_test.go
@@ -108,7 +108,7 @@
 	require.Equal(t, withoutKeys, env.statuses("key1", "never-issued", ""))
 }
 
-// TestKeysOfOneTenantAreRemovedForAll guards against a key that stays valid, or an other tenant's key
+// TestKeysOfOneTenantAreRemovedForAll guards against a key that stays valid, or another tenant's key
 // that does not, when a version removes the keys of a tenant or one of two tenants.
 func TestKeysOfOneTenantAreRemovedForAll(t *testing.T) {
 	for name, field := range map[string]string{
--- a/core/retry/share_test.go
+++ b/core/retry/share_test.go
@@ -188,8 +188,8 @@
 // the slack for a window was refilled each second.
 func TestLimitWithoutAWindowIsRefilledEachSecond(t *testing.T) {
 	now := time.Unix(0, 0)
-	retries := func(window time.Duration) (n int) {
-		s := NewShare(Limit{Ratio: 0.2, Slack: 200, Window: window}, now, true)
+	retries := func(l Limit) (n int) {
+		s := NewShare(l, now, true)
 		s.SetInstances(now, 1)
 		b := s.NewBudget(now)
 		for range 20 * 10 {
@@ -201,6 +201,7 @@
 		}
 		return n
 	}
-	require.Positive(t, retries(10*time.Second))
-	require.Zero(t, retries(0))
+	require.Positive(t, retries(Limit{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}))
+	require.Zero(t, retries(Limit{Ratio: 0.2, Slack: 200}))
+	require.Zero(t, retries(Limit{Window: 10 * time.Second}), "neither ratio nor slack")
 }
