The version of a model must not be empty

With "version =" in the operators' files a model had the empty version, which engines whose list entry states no version hold, so that weights of any version would have been used for it.

Cause: an empty value was accepted, and two missing versions are equal.

Fix: an empty value is refused with file, section and key when the files are read; what is published already stays valid.

Evidence: TestEmptyVersionAdmitsEnginesWithoutOne fails without the change.

--- a/node/config/build.go
+++ b/node/config/build.go
@@ -48,6 +48,15 @@
 	return fallback
 }
 
+// nonEmptyText is like text, but an empty value is an error.
+func (s *section) nonEmptyText(key, fallback string) string {
+	value := s.text(key, fallback)
+	if v, ok := s.values[key]; ok && value == "" {
+		s.fail(key, v, "must not be empty")
+	}
+	return value
+}
+
 func (s *section) number(key string, fallback int) int {
 	s.used[key] = true
 	v, ok := s.values[key]
@@ -188,7 +197,7 @@
 func (b *configBuilder) model(name string, s *section) {
 	b.cfg.Models[name] = config.ModelConfig{
 		Layers:    s.number("layers", 0),
-		Version:   s.text("version", "1"),
+		Version:   s.nonEmptyText("version", "1"),
 		MaxOutput: s.number("max_output", defaultMaxOutput),
 	}
 }
--- a/node/config/load_test.go
+++ b/node/config/load_test.go
@@ -85,6 +85,16 @@
 	require.Empty(t, cfg.Workspaces["w"].KeySHA256)
 }
 
+// TestEmptyVersionAdmitsEnginesWithoutOne guards against a model whose version is empty, which all engines
+// that state no version then hold.
+func TestEmptyVersionAdmitsEnginesWithoutOne(t *testing.T) {
+	cfg, err := Merge([]File{{Name: "10.ini", Data: []byte(base)}})
+	require.NoError(t, err)
+	require.Equal(t, "1", cfg.Models["m"].Version)
+	_, err = Merge([]File{{Name: "10.ini", Data: []byte(base)}, {Name: "90.ini", Data: []byte("[model.m]\nversion =\n")}})
+	require.EqualError(t, err, `90.ini: section [model.m] key "version": must not be empty`)
+}
+
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(base), []byte("[limits]\nmax_queued = 3\n"))
 	f.Add([]byte("[rank.x]\n"), []byte("a = b"))
