--- /dev/null
+++ b/review/standin-3/store.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// partitions is the number of partitions of a topic.
+const partitions = 12
+
+// store is a stand-in of the platform's store.
+type store struct {
+	address string
+
+	mu         sync.Mutex
+	changed    chan struct{} // closed with each append
+	parts      map[string][][]byte
+	members    map[string]map[string]time.Time
+	generation int64
+	calls      int
+}
+
+func startStore(address string) (*store, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &store{address: l.Addr().String(), changed: make(chan struct{}), parts: map[string][][]byte{}, members: map[string]map[string]time.Time{}}
+	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	return s, nil
+}
+
+func partition(topic, part string) string { return topic + "/" + part }
+
+// put appends a record of a key to a keyed topic; a nil value removes the key.
+func (s *store) put(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appendLocked(partition(topic, "0"), append(record, value...))
+}
+
+func (s *store) appendLocked(name string, records ...[]byte) {
+	s.parts[name] = append(s.parts[name], records...)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	q := r.URL.Query()
+	switch r.Method + " " + r.URL.Path {
+	case "GET /-/log-read":
+		s.read(w, r)
+	case "GET /-/log-newest":
+		s.newest(w, q.Get("topic"), q.Get("part"), q.Get("after"))
+	case "POST /-/log-append":
+		s.append(w, r)
+	case "POST /-/log-join":
+		s.join(w, r)
+	case "POST /-/log-leave":
+		s.leave(w, r)
+	case "GET /-/log-owners":
+		s.owners(w, q.Get("group"))
+	default:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+func (s *store) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	name := partition(q.Get("topic"), q.Get("part"))
+	from, _ := strconv.Atoi(q.Get("from"))
+	waitMS, _ := strconv.Atoi(q.Get("waitMs"))
+	end := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer end.Stop()
+	for waiting := waitMS > 0; ; {
+		s.mu.Lock()
+		records, changed := s.parts[name], s.changed
+		s.mu.Unlock()
+		if from > len(records) {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if from == len(records) && waiting {
+			select {
+			case <-changed:
+				continue
+			case <-end.C:
+				waiting = false
+				continue
+			case <-r.Context().Done():
+				return
+			}
+		}
+		out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
+		out = binary.BigEndian.AppendUint64(out, 0)
+		for _, record := range records[from:] {
+			out = binary.BigEndian.AppendUint32(out, uint32(len(record)))
+			out = append(out, record...)
+		}
+		_, _ = w.Write(out)
+		return
+	}
+}
+
+type newestItem struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset int    `json:"offset"`
+}
+
+const pageItems = 500
+
+func (s *store) newest(w http.ResponseWriter, topic, part, after string) {
+	s.mu.Lock()
+	records := s.parts[partition(topic, part)]
+	s.mu.Unlock()
+	latest := map[string]newestItem{}
+	for i, record := range records {
+		n := int(record[0])
+		key, value := string(record[1:1+n]), record[1+n:]
+		if delete(latest, key); len(value) > 0 {
+			latest[key] = newestItem{key, base64.StdEncoding.EncodeToString(value), i}
+		}
+	}
+	items := []newestItem{}
+	for key, item := range latest {
+		if key > after {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	more := len(items) > pageItems
+	writeJSON(w, map[string]any{"items": items[:min(len(items), pageItems)], "hasMore": more, "end": len(records)})
+}
+
+func (s *store) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var records [][]byte
+	for len(data) >= 4 {
+		n := int(binary.BigEndian.Uint32(data))
+		if len(data) < 4+n {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		records, data = append(records, data[4:4+n]), data[4+n:]
+	}
+	q := r.URL.Query()
+	name := partition(q.Get("topic"), q.Get("part"))
+	s.mu.Lock()
+	offset := len(s.parts[name])
+	s.appendLocked(name, records...)
+	s.mu.Unlock()
+	writeJSON(w, map[string]any{"offset": offset, "end": offset + len(records)})
+}
+
+type groupCall struct {
+	Group  string   `json:"group"`
+	Member string   `json:"member"`
+	Topics []string `json:"topics"`
+	TTLMs  int64    `json:"ttlMs"`
+}
+
+func (s *store) join(w http.ResponseWriter, r *http.Request) {
+	var c groupCall
+	if json.NewDecoder(r.Body).Decode(&c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.expireLocked(c.Group)
+	if s.members[c.Group] == nil {
+		s.members[c.Group] = map[string]time.Time{}
+	}
+	if _, ok := s.members[c.Group][c.Member]; !ok {
+		s.generation++
+	}
+	s.members[c.Group][c.Member] = time.Now().Add(time.Duration(c.TTLMs) * time.Millisecond)
+	rows, i := [][]any{}, 0
+	for _, topic := range c.Topics {
+		for part := range partitions {
+			if s.ownerLocked(c.Group, i) == c.Member {
+				rows = append(rows, []any{topic, part, 0})
+			}
+			i++
+		}
+	}
+	generation := s.generation
+	s.mu.Unlock()
+	writeJSON(w, map[string]any{"generation": generation, "ttlMs": c.TTLMs, "parts": rows})
+}
+
+func (s *store) leave(w http.ResponseWriter, r *http.Request) {
+	var c groupCall
+	if json.NewDecoder(r.Body).Decode(&c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if _, ok := s.members[c.Group][c.Member]; ok {
+		delete(s.members[c.Group], c.Member)
+		s.generation++
+	}
+	s.mu.Unlock()
+	writeJSON(w, map[string]any{})
+}
+
+func (s *store) owners(w http.ResponseWriter, group string) {
+	s.mu.Lock()
+	s.expireLocked(group)
+	rows := [][]any{}
+	for i := range len(s.members[group]) {
+		rows = append(rows, []any{"members", i, s.ownerLocked(group, i), 0})
+	}
+	s.mu.Unlock()
+	writeJSON(w, map[string]any{"parts": rows})
+}
+
+func (s *store) expireLocked(group string) {
+	for member, until := range s.members[group] {
+		if time.Now().After(until) {
+			delete(s.members[group], member)
+			s.generation++
+		}
+	}
+}
+
+// ownerLocked returns the member that owns the partition with an index over all topics.
+func (s *store) ownerLocked(group string, index int) string {
+	var names []string
+	for m := range s.members[group] {
+		names = append(names, m)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return ""
+	}
+	return names[index%len(names)]
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
