Show that a store that moves to another address is lost

The settings files of three machines name another address of the store, with a SIGHUP at two of them, and the old one is closed later.

--- a/review/standin-3/proxy.go
+++ b/review/standin-3/proxy.go
@@ -11,6 +11,7 @@
 // on; new ones work.
 type proxy struct {
 	address, target string
+	listener        net.Listener
 
 	mu    sync.Mutex
 	conns map[*proxied]struct{}
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: l.Addr().String(), target: target, conns: map[*proxied]struct{}{}}
+	p := &proxy{address: l.Addr().String(), target: target, listener: l, conns: map[*proxied]struct{}{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -114,3 +115,14 @@
 	defer c.mu.Unlock()
 	c.silent = true
 }
+
+// close ends all connections; further ones are refused.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.client.Close()
+		_ = c.store.Close()
+	}
+}
--- a/review/standin-3/silent.go
+++ b/review/standin-3/silent.go
@@ -44,10 +44,14 @@
 	s.log("the store has accepted version 5, which moves the route /look/ to %s and drops the key %s", otherService, droppedKey)
 	time.Sleep(8 * time.Second)
 	inTouch := silentAt.Add(contact)
-	bound := accepted.Add(configApply)
-	if inTouch.After(bound) {
-		bound = inTouch
-	}
+	bound := later(accepted.Add(configApply), inTouch)
+	s.log("the machines are in touch again %v after their connections went silent, %.0f ms after the acknowledgement", contact, inTouch.Sub(accepted).Seconds()*1000)
+	return s.handledByOlder(ordinary, accepted, bound), nil
+}
+
+// handledByOlder reports whether requests that were sent after the bound were handled as only a version
+// before 5 allows, and records them. It ends the callers.
+func (s *system) handledByOlder(ordinary []*callers, accepted, bound time.Time) bool {
 	sent := map[string]answer{}
 	for i, m := range s.machines {
 		s.log("%s: requests by status (0: no answer): %v", m.name, ordinary[i].end())
@@ -74,8 +78,8 @@
 				continue
 			}
 			last = later(last, request.sent)
-			s.log("%s %s, sent %.0f ms after the acknowledgement and %.0f ms after the connections went silent, is run by %s of %s %s",
-				a.path, a.id, request.sent.Sub(accepted).Seconds()*1000, request.sent.Sub(silentAt).Seconds()*1000, r.id, r.service, reason)
+			s.log("%s %s, sent %.0f ms after the acknowledgement, is run by %s of %s %s",
+				a.path, a.id, request.sent.Sub(accepted).Seconds()*1000, r.id, r.service, reason)
 		}
 	}
 	text := fmt.Sprintf("of the requests sent later than %v after the acknowledgement, to machines in touch, %d were run by the old service and %d with the dropped key", configApply, moved, dropped)
@@ -84,7 +88,7 @@
 	}
 	s.log("%s", text)
 	fmt.Println(text)
-	return moved+dropped > 0, nil
+	return moved+dropped > 0
 }
 
 func later(a, b time.Time) time.Time {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -210,6 +211,15 @@
 	return float64(kib) * 1024 / bytesPerMB
 }
 
+// signal sends a signal to the process.
+func (m *machine) signal(what syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd != nil {
+		_ = m.cmd.Process.Signal(what)
+	}
+}
+
 // stop ends the process.
 func (m *machine) stop() {
 	m.mu.Lock()
