--- a/review/standin-3/restarted.go
+++ b/review/standin-3/restarted.go
@@ -19,7 +19,7 @@
 // restarted lets the time of day jump at the machine of a replica that goes down and up, and later takes
 // that replica away in an orderly way.
 func restarted(program, record string, trouble bool) (bool, error) {
-	s, err := startSystem(program, record, 2, 3, 284)
+	s, err := startSystem(program, record, 2, 10, 284)
 	if s != nil {
 		defer s.stop()
 	}
--- a/review/standin-3/silent.go
+++ b/review/standin-3/silent.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// configApply is configApplyMs.
-	configApply = 2 * time.Second
+	// configApply is configApplyMs, contact contactMs.
+	configApply, contact = 2 * time.Second, 3 * time.Second
 	// beforeTraffic is the time from the start of the machines to that of the traffic.
 	beforeTraffic = 10 * time.Second
 	otherService  = "socios-2"
