Show that silent connections hold back the removal of a replica

All open connections between eight machines, and from them to the store, go silent, and a replica's entry is removed 0.4 s later. The first relayed updates after 2.4 s are taken for the end of an outage.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -54,7 +54,7 @@
 // scenario runs a case and reports whether the rule was broken.
 type scenario func(program, record string, trouble bool) (bool, error)
 
-var scenarios = map[string]scenario{"trailers": trailers, "restarted": restarted, "silent": silent, "moved": moved}
+var scenarios = map[string]scenario{"trailers": trailers, "restarted": restarted, "silent": silent, "moved": moved, "gone": gone}
 
 func main() {
 	program := flag.String("program", "target/masticbank", "program of the deploy file")
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -96,13 +96,30 @@
 	return time.Now()
 }
 
+// vanish removes the entry of a replica that leaves without a report, and returns when the store has
+// accepted that. The replica serves on.
+func (r *replica) vanish() time.Time {
+	r.endBeats()
+	r.store.put("keyed.servers", r.id, nil)
+	return time.Now()
+}
+
+func (r *replica) endBeats() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopBeat != nil {
+		close(r.stopBeat)
+	}
+	r.stopBeat = nil
+}
+
 // down ends the process; connections are reset.
 func (r *replica) down() {
+	r.endBeats()
 	r.mu.Lock()
-	server, stop := r.server, r.stopBeat
+	server := r.server
 	r.server = nil
 	r.mu.Unlock()
-	close(stop)
 	_ = server.Close()
 }
 
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,7 +27,8 @@
 	parts      map[string][][]byte
 	members    map[string]map[string]time.Time
 	generation int64
-	calls      int
+	// joinedAt is when each member last joined.
+	joinedAt map[string]time.Time
 }
 
 func startStore(address string) (*store, error) {
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), changed: make(chan struct{}), parts: map[string][][]byte{}, members: map[string]map[string]time.Time{}}
+	s := &store{address: l.Addr().String(), changed: make(chan struct{}), parts: map[string][][]byte{}, members: map[string]map[string]time.Time{}, joinedAt: map[string]time.Time{}}
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
 	return s, nil
 }
@@ -57,9 +59,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.calls++
-	s.mu.Unlock()
 	q := r.URL.Query()
 	switch r.Method + " " + r.URL.Path {
 	case "GET /-/log-read":
@@ -191,6 +190,7 @@
 	if _, ok := s.members[c.Group][c.Member]; !ok {
 		s.generation++
 	}
+	s.joinedAt[c.Member] = time.Now()
 	s.members[c.Group][c.Member] = time.Now().Add(time.Duration(c.TTLMs) * time.Millisecond)
 	rows, i := [][]any{}, 0
 	for _, topic := range c.Topics {
@@ -206,6 +206,19 @@
 	writeJSON(w, map[string]any{"generation": generation, "ttlMs": c.TTLMs, "parts": rows})
 }
 
+// joinAge returns the time since a member whose name begins with that of a machine has joined.
+func (s *store) joinAge(machine string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest time.Time
+	for member, at := range s.joinedAt {
+		if strings.HasPrefix(member, machine+"@") {
+			latest = later(latest, at)
+		}
+	}
+	return time.Since(latest)
+}
+
 func (s *store) leave(w http.ResponseWriter, r *http.Request) {
 	var c groupCall
 	if json.NewDecoder(r.Body).Decode(&c) != nil {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -49,7 +49,7 @@
 // has ended again after a short delay, and kills one that exceeds the memory of the machine.
 type machine struct {
 	name, ip, settings string
-	memoryMB           int
+	memoryMB, peerPort int
 	program            string
 	output             *os.File
 	log                func(string, ...any)
@@ -97,7 +97,7 @@
 faultTolerance: {machines: 2, zones: 0, regions: 0}
 bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxStretchMs: 5000, strictRevoke: false, revokeMs: 5000, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 200, recoveryS: 12, passMs: 120, againS: 0, stall_ms: 2500, fencingRequired: true}
 provider: {address: %q, form: "log", writesPerS: 400, readsPerS: 2000, parts: 12, appendMs: 2.0, ingestPerS: 20.0, egressPerS: 80.0, recordBytes: 262144, callBytes: 2097152, keep_s: 300, partMb: 200, ttlMinMs: 1000}
-`, m.name, m.ip, m.front(), m.ready(), firstPeerPort, lastPeerPort, m.first, m.memoryMB, storeAddress)
+`, m.name, m.ip, m.front(), m.ready(), m.peerPort, lastPeerPort, m.first, m.memoryMB, storeAddress)
 }
 
 // run keeps a process running until stop.
@@ -242,6 +242,7 @@
 	base     string
 	store    *store
 	proxy    *proxy
+	mesh     []*proxy
 	machines []*machine
 	replicas []*replica
 	folder   string
@@ -284,6 +285,16 @@
 
 // startSystem starts a system and waits until its machines are ready.
 func startSystem(program, record string, machines, replicas, memoryMB int) (*system, error) {
+	return start(program, record, machines, replicas, memoryMB, false)
+}
+
+// startSystemWithMesh does the same with a proxy between each two machines. For that each machine has a
+// port for its peers of its own: they connect to the number of their own port at its address.
+func startSystemWithMesh(program, record string, machines, replicas, memoryMB int) (*system, error) {
+	return start(program, record, machines, replicas, memoryMB, true)
+}
+
+func start(program, record string, machines, replicas, memoryMB int, mesh bool) (*system, error) {
 	base, err := subnet(machines)
 	if err != nil {
 		return nil, err
@@ -311,7 +322,13 @@
 	}
 	for i := range machines {
 		m := &machine{
-			name: fmt.Sprintf("edge-quito-%d", i+1), ip: fmt.Sprintf("%s%d", base, 10+i), memoryMB: memoryMB, program: program, log: s.log,
+			name: fmt.Sprintf("edge-quito-%d", i+1), ip: fmt.Sprintf("%s%d", base, 10+i), memoryMB: memoryMB, peerPort: firstPeerPort, program: program, log: s.log,
+		}
+		if mesh {
+			m.peerPort += i
+			if err := s.proxyPeers(m, machines, i); err != nil {
+				return s, err
+			}
 		}
 		m.settings = filepath.Join(folder, m.name+".yaml")
 		if m.output, err = os.Create(filepath.Join(folder, m.name+".log")); err != nil {
@@ -331,6 +348,21 @@
 	return s, nil
 }
 
+// proxyPeers starts the proxies through which the other machines connect to one.
+func (s *system) proxyPeers(m *machine, machines, index int) error {
+	for other := range machines {
+		if other == index {
+			continue
+		}
+		p, err := startProxy(net.JoinHostPort(m.ip, strconv.Itoa(firstPeerPort+other)), net.JoinHostPort(m.ip, strconv.Itoa(m.peerPort)))
+		if err != nil {
+			return err
+		}
+		s.mesh = append(s.mesh, p)
+	}
+	return nil
+}
+
 // publish writes a version of the configuration, and returns when the store has accepted it.
 func (s *system) publish(version int, lookService string, bothTenants bool) time.Time {
 	s.store.put("keyed.op", "config", configuration(version, lookService, bothTenants))
