--- a/review/standin-3/gone.go
+++ b/review/standin-3/gone.go
@@ -10,6 +10,8 @@
 	rounds, roundPause = 6, 3500 * time.Millisecond
 	// servesOn is how long a replica whose entry is removed continues to serve.
 	servesOn = 6 * time.Second
+	// goneLimit is drainMs.
+	goneLimit = 2 * time.Second
 	// leavesAfter is when a replica leaves after the connections went silent.
 	leavesAfter = 400 * time.Millisecond
 	// joinAge bounds the time since the first machine has joined its group when connections go silent.
@@ -57,7 +59,7 @@
 		r := s.replicas[i]
 		removed := r.vanish()
 		s.log("the store has removed the entry of %s, which serves on for %v", r.id, servesOn)
-		departures = append(departures, departure{r, later(removed.Add(drainLimit), silentAt.Add(contact)), silentAt})
+		departures = append(departures, departure{r, later(removed.Add(goneLimit), silentAt.Add(contact)), silentAt})
 		time.Sleep(servesOn)
 		r.down()
 	}
@@ -82,7 +84,7 @@
 			times++
 		}
 	}
-	text := fmt.Sprintf("%d requests reached replicas that are gone later than %v after that, by machines in touch, in %d of %d rounds", late, drainLimit, times, rounds)
+	text := fmt.Sprintf("%d requests reached replicas that are gone later than %v after that, by machines in touch, in %d of %d rounds", late, goneLimit, times, rounds)
 	s.log("%s", text)
 	fmt.Println(text)
 	return late > 0, nil
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,6 +26,8 @@
 	sync.Mutex
 	ended bool
 	list  map[*os.Process]bool
+	// folder is the temporary folder.
+	folder string
 }
 
 // endProcesses ends all processes of the system.
@@ -36,6 +38,9 @@
 	for p := range processes.list {
 		_ = p.Kill()
 	}
+	if processes.folder != "" {
+		_ = os.RemoveAll(processes.folder)
+	}
 }
 
 // giveUp ends everything on a signal or when the case takes too long.
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,9 +36,13 @@
 	state    string
 	stopBeat chan struct{}
 	arrivals []arrival
+	running  int
 }
 
-const heartbeat = 1200 * time.Millisecond
+const (
+	heartbeat = 1200 * time.Millisecond
+	slots     = 6
+)
 
 // up starts a process of the replica, which registers itself in the store.
 func (r *replica) up() error {
@@ -75,7 +81,7 @@
 	defer r.mu.Unlock()
 	r.sequence++
 	entry, err := json.Marshal(map[string]any{
-		"service": r.service, "address": r.address, "zone": "quito", "version": "v1", "slots": 6, "state": r.state,
+		"service": r.service, "address": r.address, "zone": "quito", "version": "v1", "slots": slots, "state": r.state,
 		"coldRemainingMs": 0, "sequence": r.sequence, "born": r.born,
 	})
 	if err != nil {
@@ -134,6 +140,10 @@
 		w.Header().Set("Replica-Id", r.id)
 		return
 	}
+	if strings.HasPrefix(req.URL.Path, "/-/") {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	h := w.Header()
 	h.Set("Replica-Id", r.id)
@@ -148,8 +158,13 @@
 	r.mu.Lock()
 	r.arrivals = append(r.arrivals, arrival{time.Now(), r.id, id, req.URL.Path, true})
 	leaving := r.state != "ready"
+	r.running++
+	h.Set("Replica-Load", fmt.Sprintf("%d,0,%d", r.running, slots))
 	r.mu.Unlock()
 	time.Sleep(r.work)
+	r.mu.Lock()
+	r.running--
+	r.mu.Unlock()
 	if leaving {
 		h.Set("Connection", "close")
 	}
--- a/review/standin-3/restarted.go
+++ b/review/standin-3/restarted.go
@@ -10,8 +10,9 @@
 	// clockAhead and clockFor are the size and the length of a jump of the time of day.
 	clockAhead, clockFor = 2400 * time.Millisecond, 6 * time.Second
 	// flapPeriod and flapFor are the period in which a replica goes down and up, and for how long it does.
-	flapPeriod, flapFor = 1200 * time.Millisecond, 6000 * time.Millisecond
-	drainLimit          = 2000 * time.Millisecond
+	flapPeriod, flapFor = 1300 * time.Millisecond, 5400 * time.Millisecond
+	// drainLimit is drainMs of the grown site.
+	drainLimit = 3000 * time.Millisecond
 	// lingers is how long a replica that leaves continues to serve.
 	lingers = 8 * time.Second
 )
@@ -19,7 +20,7 @@
 // restarted lets the time of day jump at the machine of a replica that goes down and up, and later takes
 // that replica away in an orderly way.
 func restarted(program, record string, trouble bool) (bool, error) {
-	s, err := startSystem(program, record, 2, 10, 284)
+	s, err := start(program, record, 2, 12, 184, false, grown)
 	if s != nil {
 		defer s.stop()
 	}
@@ -72,7 +73,7 @@
 		})
 		defer back.Stop()
 	}
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(1800 * time.Millisecond)
 	for began := time.Now(); only != "jump" && time.Since(began) < flapFor-flapPeriod/2; {
 		s.log("%s goes down", r.id)
 		r.down()
--- a/review/standin-3/silent.go
+++ b/review/standin-3/silent.go
@@ -17,7 +17,7 @@
 // silent lets the open connections on which the machines wait for a configuration go silent, shortly
 // before a version moves a route to another service.
 func silent(program, record string, trouble bool) (bool, error) {
-	s, err := startSystem(program, record, 3, 2, 284)
+	s, err := startSystem(program, record, 8, 2, 284)
 	if s != nil {
 		defer s.stop()
 	}
@@ -32,7 +32,7 @@
 	time.Sleep(beforeTraffic - time.Since(s.start))
 	var ordinary []*callers
 	for _, m := range s.machines {
-		ordinary = append(ordinary, s.call(m, 25*time.Millisecond, key, droppedKey))
+		ordinary = append(ordinary, s.call(m, 60*time.Millisecond, key, droppedKey))
 	}
 	s.publish(4, service, true)
 	time.Sleep(2 * time.Second)
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -22,11 +23,10 @@
 type store struct {
 	address string
 
-	mu         sync.Mutex
-	changed    chan struct{} // closed with each append
-	parts      map[string][][]byte
-	members    map[string]map[string]time.Time
-	generation int64
+	mu      sync.Mutex
+	changed chan struct{} // closed with each append
+	parts   map[string][][]byte
+	groups  map[string]*group
 	// joinedAt is when each member last joined.
 	joinedAt map[string]time.Time
 }
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &store{address: l.Addr().String(), changed: make(chan struct{}), parts: map[string][][]byte{}, members: map[string]map[string]time.Time{}, joinedAt: map[string]time.Time{}}
+	s := &store{address: l.Addr().String(), changed: make(chan struct{}), parts: map[string][][]byte{}, groups: map[string]*group{}, joinedAt: map[string]time.Time{}}
 	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
 	return s, nil
 }
@@ -174,6 +174,65 @@
 	Member string   `json:"member"`
 	Topics []string `json:"topics"`
 	TTLMs  int64    `json:"ttlMs"`
+	// Generation is the last one that the member received.
+	Generation int64 `json:"generation"`
+}
+
+// place is a partition of a topic.
+type place struct {
+	topic string
+	part  int
+}
+
+// group is a group of members, each of which holds partitions.
+type group struct {
+	generation int64
+	members    map[string]time.Time // until when
+	places     []place
+	// holders are the members that hold the partitions. One that is to give a partition up holds it until
+	// it joins with the present generation, leaves or expires.
+	holders map[place]string
+}
+
+func (s *store) groupLocked(name string) *group {
+	g := s.groups[name]
+	if g == nil {
+		g = &group{members: map[string]time.Time{}, holders: map[place]string{}}
+		s.groups[name] = g
+	}
+	for member, until := range g.members {
+		if time.Now().After(until) {
+			g.remove(member)
+		}
+	}
+	return g
+}
+
+func (g *group) remove(member string) {
+	if _, ok := g.members[member]; !ok {
+		return
+	}
+	delete(g.members, member)
+	g.generation++
+	g.deal()
+}
+
+// owner returns the member that is to hold the partition with an index.
+func (g *group) owner(index int) string {
+	names := slices.Sorted(maps.Keys(g.members))
+	if len(names) == 0 {
+		return ""
+	}
+	return names[index%len(names)]
+}
+
+// deal gives the partitions that no member holds to their owners.
+func (g *group) deal() {
+	for i, p := range g.places {
+		if _, ok := g.members[g.holders[p]]; !ok {
+			g.holders[p] = g.owner(i)
+		}
+	}
 }
 
 func (s *store) join(w http.ResponseWriter, r *http.Request) {
@@ -183,40 +242,32 @@
 		return
 	}
 	s.mu.Lock()
-	s.expireLocked(c.Group)
-	if s.members[c.Group] == nil {
-		s.members[c.Group] = map[string]time.Time{}
-	}
-	if _, ok := s.members[c.Group][c.Member]; !ok {
-		s.generation++
-	}
-	s.joinedAt[c.Member] = time.Now()
-	s.members[c.Group][c.Member] = time.Now().Add(time.Duration(c.TTLMs) * time.Millisecond)
-	rows, i := [][]any{}, 0
+	g := s.groupLocked(c.Group)
 	for _, topic := range c.Topics {
 		for part := range partitions {
-			if s.ownerLocked(c.Group, i) == c.Member {
-				rows = append(rows, []any{topic, part, 0})
+			if p := (place{topic, part}); !slices.Contains(g.places, p) {
+				g.places = append(g.places, p)
 			}
-			i++
 		}
 	}
-	generation := s.generation
-	s.mu.Unlock()
-	writeJSON(w, map[string]any{"generation": generation, "ttlMs": c.TTLMs, "parts": rows})
-}
-
-// joinAge returns the time since a member whose name begins with that of a machine has joined.
-func (s *store) joinAge(machine string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var latest time.Time
-	for member, at := range s.joinedAt {
-		if strings.HasPrefix(member, machine+"@") {
-			latest = later(latest, at)
+	if _, ok := g.members[c.Member]; !ok {
+		g.generation++
+	}
+	s.joinedAt[c.Member] = time.Now()
+	g.members[c.Member] = time.Now().Add(time.Duration(c.TTLMs) * time.Millisecond)
+	g.deal()
+	rows := [][]any{}
+	for i, p := range g.places {
+		switch owner := g.owner(i); {
+		case g.holders[p] == c.Member && owner == c.Member:
+			rows = append(rows, []any{p.topic, p.part, 0})
+		case g.holders[p] == c.Member && c.Generation >= g.generation:
+			g.holders[p] = owner
 		}
 	}
-	return time.Since(latest)
+	generation := g.generation
+	s.mu.Unlock()
+	writeJSON(w, map[string]any{"generation": generation, "ttlMs": c.TTLMs, "parts": rows})
 }
 
 func (s *store) leave(w http.ResponseWriter, r *http.Request) {
@@ -226,45 +277,35 @@
 		return
 	}
 	s.mu.Lock()
-	if _, ok := s.members[c.Group][c.Member]; ok {
-		delete(s.members[c.Group], c.Member)
-		s.generation++
-	}
+	s.groupLocked(c.Group).remove(c.Member)
 	s.mu.Unlock()
 	writeJSON(w, map[string]any{})
 }
 
-func (s *store) owners(w http.ResponseWriter, group string) {
+func (s *store) owners(w http.ResponseWriter, name string) {
 	s.mu.Lock()
-	s.expireLocked(group)
+	g := s.groupLocked(name)
 	rows := [][]any{}
-	for i := range len(s.members[group]) {
-		rows = append(rows, []any{"members", i, s.ownerLocked(group, i), 0})
+	for _, p := range g.places {
+		if holder := g.holders[p]; holder != "" {
+			rows = append(rows, []any{p.topic, p.part, holder, 0})
+		}
 	}
 	s.mu.Unlock()
 	writeJSON(w, map[string]any{"parts": rows})
 }
 
-func (s *store) expireLocked(group string) {
-	for member, until := range s.members[group] {
-		if time.Now().After(until) {
-			delete(s.members[group], member)
-			s.generation++
+// joinAge returns the time since a member whose name begins with that of a machine has joined.
+func (s *store) joinAge(machine string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest time.Time
+	for member, at := range s.joinedAt {
+		if strings.HasPrefix(member, machine+"@") {
+			latest = later(latest, at)
 		}
 	}
-}
-
-// ownerLocked returns the member that owns the partition with an index over all topics.
-func (s *store) ownerLocked(group string, index int) string {
-	var names []string
-	for m := range s.members[group] {
-		names = append(names, m)
-	}
-	slices.Sort(names)
-	if len(names) == 0 {
-		return ""
-	}
-	return names[index%len(names)]
+	return time.Since(latest)
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -45,11 +45,20 @@
 	return true
 }
 
+// deployment holds settings of the machines of a site.
+type deployment struct{ contracts, bounds string }
+
+var (
+	small = deployment{"", `seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxStretchMs: 5000, strictRevoke: false, revokeMs: 5000, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 200, recoveryS: 12, passMs: 120, againS: 0, stall_ms: 2500, fencingRequired: true`}
+	grown = deployment{`, "health", "pool"`, `seedLagS: 3, reuseAfterS: 2, contactMs: 4000, ackMs: 6000, catchUpS: 6, drainMs: 3000, graceS: 8, lossSlackMs: 200, configApplyMs: 3000, rollbackSlackMs: 250, maxStretchMs: 6000, strictRevoke: false, revokeMs: 5000, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 302, recoveryS: 15, passMs: 200, againS: 0, stall_ms: 2500, fencingRequired: true`}
+)
+
 // machine is a machine with one process of the system. As the platform does, it starts a process that
 // has ended again after a short delay, and kills one that exceeds the memory of the machine.
 type machine struct {
 	name, ip, settings string
 	memoryMB, peerPort int
+	kind               deployment
 	program            string
 	output             *os.File
 	log                func(string, ...any)
@@ -93,11 +102,11 @@
 discovery: "platform"
 entry: "vip"
 heartbeatMs: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "layers"]
+contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "layers"%s]
 faultTolerance: {machines: 2, zones: 0, regions: 0}
-bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, maxStretchMs: 5000, strictRevoke: false, revokeMs: 5000, budgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 200, recoveryS: 12, passMs: 120, againS: 0, stall_ms: 2500, fencingRequired: true}
+bounds: {%s}
 provider: {address: %q, form: "log", writesPerS: 400, readsPerS: 2000, parts: 12, appendMs: 2.0, ingestPerS: 20.0, egressPerS: 80.0, recordBytes: 262144, callBytes: 2097152, keep_s: 300, partMb: 200, ttlMinMs: 1000}
-`, m.name, m.ip, m.front(), m.ready(), m.peerPort, lastPeerPort, m.first, m.memoryMB, storeAddress)
+`, m.name, m.ip, m.front(), m.ready(), m.peerPort, lastPeerPort, m.first, m.memoryMB, m.kind.contracts, m.kind.bounds, storeAddress)
 }
 
 // run keeps a process running until stop.
@@ -237,6 +246,9 @@
 	return m.overMemory, m.ended, m.peakMB
 }
 
+// neededDescriptors is the maxFds of a machine; this program needs as many at most.
+const neededDescriptors = 4100
+
 // system is a store, machines and replicas.
 type system struct {
 	base     string
@@ -248,7 +260,9 @@
 	folder   string
 	record   *os.File
 	recordMu sync.Mutex
-	start    time.Time
+	// short is set if a crowd did not get its connections.
+	short bool
+	start time.Time
 }
 
 // log writes a line to the record.
@@ -285,24 +299,31 @@
 
 // startSystem starts a system and waits until its machines are ready.
 func startSystem(program, record string, machines, replicas, memoryMB int) (*system, error) {
-	return start(program, record, machines, replicas, memoryMB, false)
+	return start(program, record, machines, replicas, memoryMB, false, small)
 }
 
 // startSystemWithMesh does the same with a proxy between each two machines. For that each machine has a
 // port for its peers of its own: they connect to the number of their own port at its address.
 func startSystemWithMesh(program, record string, machines, replicas, memoryMB int) (*system, error) {
-	return start(program, record, machines, replicas, memoryMB, true)
+	return start(program, record, machines, replicas, memoryMB, true, small)
 }
 
-func start(program, record string, machines, replicas, memoryMB int, mesh bool) (*system, error) {
+func start(program, record string, machines, replicas, memoryMB int, mesh bool, kind deployment) (*system, error) {
 	base, err := subnet(machines)
 	if err != nil {
 		return nil, err
 	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Max < neededDescriptors {
+		return nil, fmt.Errorf("fewer than %d descriptors are allowed", neededDescriptors)
+	}
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
+	processes.Lock()
+	processes.folder = folder
+	processes.Unlock()
 	out, err := os.Create(record)
 	if err != nil {
 		return nil, err
@@ -322,7 +343,7 @@
 	}
 	for i := range machines {
 		m := &machine{
-			name: fmt.Sprintf("edge-quito-%d", i+1), ip: fmt.Sprintf("%s%d", base, 10+i), memoryMB: memoryMB, peerPort: firstPeerPort, program: program, log: s.log,
+			name: fmt.Sprintf("edge-quito-%d", i+1), ip: fmt.Sprintf("%s%d", base, 10+i), memoryMB: memoryMB, peerPort: firstPeerPort, kind: kind, program: program, log: s.log,
 		}
 		if mesh {
 			m.peerPort += i
--- a/review/standin-3/trailers.go
+++ b/review/standin-3/trailers.go
@@ -63,6 +63,9 @@
 		time.Sleep(10 * time.Second)
 	}
 	isBroken := s.isOver()
+	if s.short && !isBroken {
+		return false, fmt.Errorf("the crowd did not get its connections")
+	}
 	for i, m := range s.machines {
 		over, ended, peak := m.counts()
 		statuses := ordinary[i].end()
@@ -87,6 +90,7 @@
 	if awaitReady(m) != nil {
 		return
 	}
+	time.Sleep(contact) // the start of the process is no excuse any more
 	overBefore, endedBefore, _ := m.counts()
 	hasEnded := func() bool {
 		over, ended, _ := m.counts()
@@ -107,6 +111,10 @@
 		}
 	}
 	s.log("%s: the crowd has %d connections", m.name, len(open))
+	if len(open) < crowdSize && !hasEnded() {
+		time.Sleep(time.Second)
+		s.short = s.short || !hasEnded()
+	}
 	for start := time.Now(); time.Since(start) < 5*time.Second && !hasEnded(); {
 		time.Sleep(50 * time.Millisecond)
 	}
